--- a/bergamotswitch-core/src/address.rs
+++ b/bergamotswitch-core/src/address.rs
@@ -204,3 +204,18 @@
         incarnation: run.map(|run| run.to_string()),
     }
 }
+
+/// Get the caller addresses of up to `most` hosts, those of the caller's own
+/// failure domain first. Where there are more, half of the places are for
+/// hosts elsewhere: when a whole domain dies, its callers still hold others.
+pub fn near_first(
+    hosts: &[EntryHost],
+    domain: Option<&DomainName>,
+    most: usize,
+) -> Vec<SocketAddr> {
+    let is_near = |host: &&EntryHost| Some(&host.domain) == domain;
+    let (near, far): (Vec<&EntryHost>, Vec<&EntryHost>) = hosts.iter().partition(is_near);
+    let near_places = near.len().min(most.saturating_sub(far.len().min(most / 2)));
+    let chosen = near.into_iter().take(near_places).chain(far);
+    chosen.take(most).map(|host| host.caller_address).collect()
+}
--- a/bergamotswitch-core/src/client_account.rs
+++ b/bergamotswitch-core/src/client_account.rs
@@ -10,7 +10,7 @@
 
 /// A `KeyHash` is the SHA-256 of a bearer key, written as 64 hex digits. The
 /// configuration carries it in place of the key, which it never shows.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyHash([u8; 32]);
 
--- a/bergamotswitch-core/src/entry/desk/ending.rs
+++ b/bergamotswitch-core/src/entry/desk/ending.rs
@@ -76,7 +76,7 @@
             good: conclusion == Conclusion::Answered && now <= record.deadline,
             first_token: first_token_at.map(|at| at.since(record.accepted_at)),
         });
-        if !record.outlives_caller() {
+        if !record.keeps_answer() {
             // Its caller followed to the end, and could run it again. Kept
             // answers are a host's largest memory.
             actions.push(EntryAction::Forget(record.id));
--- a/bergamotswitch-core/src/entry/desk/follow_up.rs
+++ b/bergamotswitch-core/src/entry/desk/follow_up.rs
@@ -46,6 +46,7 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let prefill = failure.usage.prefill;
+        record.runs = record.runs.saturating_add(1);
         if !self.may_run_again(&record, &running) {
             count_waste(&record, WasteCause::Failed, prefill, actions);
             let refusal = self.give_up(running, failure.refusal);
@@ -72,7 +73,8 @@
         if self.options.has_fault(Fault::RetryAfterDispatch) {
             return true;
         }
-        record.may_rerun() && !passed_on(record, running)
+        let unseen = record.submission.terms.resumable || !passed_on(record, running);
+        record.may_rerun() && record.may_run_elsewhere() && unseen
     }
 
     fn exhaust(
--- a/bergamotswitch-core/src/entry/desk/progress.rs
+++ b/bergamotswitch-core/src/entry/desk/progress.rs
@@ -137,6 +137,7 @@
         running: RunningAttempt,
         actions: &mut Vec<EntryAction>,
     ) {
+        record.runs = record.runs.saturating_add(1);
         let outcome = ReleaseOutcome::Failed(Usage::default());
         self.release(&record, &running, outcome, actions);
         let retried = self.may_run_again(&record, &running) && self.try_retry(now, &record).is_ok();
--- a/bergamotswitch-core/src/entry/desk/reception.rs
+++ b/bergamotswitch-core/src/entry/desk/reception.rs
@@ -151,6 +151,7 @@
             deadline: now.plus(submission.deadline_in),
             attempt: 0,
             dispatches: 0,
+            runs: 0,
             preemptions: 0,
             avoid: Vec::new(),
             followed: true,
--- a/bergamotswitch-core/src/entry/ledger.rs
+++ b/bergamotswitch-core/src/entry/ledger.rs
@@ -29,6 +29,8 @@
     /// The number of the current attempt.
     pub(super) attempt: u16,
     pub(super) dispatches: u16,
+    /// The dispatches that are not proven not to have run.
+    pub(super) runs: u16,
     pub(super) preemptions: u16,
     /// Targets that this request already failed on.
     pub(super) avoid: Vec<TargetName>,
@@ -70,7 +72,18 @@
 
     /// Get whether work goes on although no caller follows it.
     pub(super) fn outlives_caller(&self) -> bool {
-        self.key.is_some() || !self.may_rerun()
+        !self.submission.terms.ends_with_caller && (self.key.is_some() || !self.may_rerun())
+    }
+
+    /// Get whether someone may come back for its answer.
+    pub(super) fn keeps_answer(&self) -> bool {
+        !self.submission.terms.ends_at_deadline && self.outlives_caller()
+    }
+
+    /// Get whether one more target may run it after this one.
+    pub(super) fn may_run_elsewhere(&self) -> bool {
+        let most = self.submission.terms.max_runs;
+        most.is_none_or(|most| self.runs < most)
     }
 }
 
@@ -99,6 +112,9 @@
                 self.record.deadline.min(waiting.asked_at.plus(interval))
             }
             AttemptStage::Waiting(_) => self.record.deadline,
+            AttemptStage::Running(_) if self.record.submission.terms.ends_at_deadline => {
+                self.record.deadline
+            }
             // No timer cuts an answer that a caller follows or that must not
             // be made twice.
             AttemptStage::Running(_) if self.record.followed => Moment::NEVER,
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod options;
 mod placement;
 pub mod request_state;
+mod terms;
 mod view;
 
 use std::time::Duration;
@@ -25,6 +26,7 @@
 
 pub use desk::EntryDesk;
 pub use options::{EntryOptions, Fault};
+pub use terms::CallTerms;
 pub use view::DeskView;
 
 /// A `Submission` is a checked request of a caller, without its body: that
@@ -56,6 +58,8 @@
     /// Whether output is passed on as it comes. Once a caller has seen some of
     /// an answer, another run's output must not follow it.
     pub streaming: bool,
+    /// What bounds it beyond the verdict.
+    pub terms: CallTerms,
 }
 
 impl Submission {
--- a/bergamotswitch-core/src/host.rs
+++ b/bergamotswitch-core/src/host.rs
@@ -118,6 +118,9 @@
     pub caller_address: SocketAddr,
     /// Where the other entry hosts connect (h2 links).
     pub link_address: SocketAddr,
+    /// Its share of a processor, in thousandths of a core; 0 where unknown.
+    #[serde(default)]
+    pub capacity: u32,
     /// Whether the host is leaving.
     #[serde(default)]
     pub standing: Standing,
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -61,6 +61,12 @@
     HostStopped = 103, Info, "host stopped";
     /// The process was paused.
     PauseNoticed = 104, Warn, "process was paused, checking everything again";
+    /// Changed settings are in force.
+    SettingsReloaded = 105, Info, "settings reloaded";
+    /// Changed settings cannot be used.
+    SettingsRefused = 106, Error, "changed settings refused, the earlier ones stay";
+    /// Log lines were left out.
+    LinesDropped = 107, Warn, "log lines left out";
     /// A request was refused.
     RequestRefused = 200, Info, "request refused";
     /// A request that must not run twice was lost.
@@ -73,6 +79,8 @@
     ResubmissionAttached = 204, Info, "resubmission attached to its request";
     /// The host admits by itself, with its fraction of capacity.
     DegradedAdmission = 205, Warn, "no owner reachable, admitting by own fraction";
+    /// A request of the gateway has ended.
+    RequestEnded = 206, Info, "request ended";
     /// This host now acts as owner.
     OwnershipTaken = 300, Warn, "acting as owner of shard";
     /// This host no longer acts as owner.
@@ -85,6 +93,8 @@
     PeerReachable = 400, Info, "peer reachable";
     /// A peer is silent.
     PeerUnreachable = 401, Warn, "peer unreachable";
+    /// The hosts that are counted on have changed.
+    HostsChanged = 402, Info, "hosts counted on have changed";
     /// A revision is in force.
     RevisionAdopted = 500, Info, "revision in force";
     /// A revision was refused, the last good one stays.
@@ -95,6 +105,14 @@
     ServiceUnreachable = 503, Warn, "configuration service unreachable";
     /// Started without a peer that could vouch for the revisions.
     StartedAlone = 504, Warn, "started alone, service may be stale";
+    /// Keys are not relied on any more.
+    KeysUnconfirmed = 505, Warn, "newest routes not confirmed in time, keys not relied on";
+    /// Keys are relied on again.
+    KeysConfirmed = 506, Info, "newest routes confirmed, keys relied on";
+    /// The store answers again.
+    ServiceReachable = 507, Info, "configuration service reachable again";
+    /// An item of the store cannot be read.
+    EntryUnreadable = 508, Error, "published item not readable, passed over";
     /// A peer was refused.
     PeerRefused = 600, Error, "peer refused";
     /// A connection was silent and given up.
--- a/bergamotswitch-core/src/membership/candidates.rs
+++ b/bergamotswitch-core/src/membership/candidates.rs
@@ -33,6 +33,15 @@
     ranked
 }
 
+/// Rank strong hosts before weak ones: an owner hears of every request of its
+/// shard. Those within a factor of two of the strongest count alike, so that
+/// shards are spread over all of them.
 fn rank(shard: &PoolShard, hosts: &[&EntryHost]) -> Vec<HostName> {
-    rendezvous::rank(shard, hosts.iter().map(|host| &host.name))
+    let most = hosts.iter().map(|host| host.capacity).max().unwrap_or(0);
+    let is_strong = |host: &&&EntryHost| host.capacity * 2 > most || most == 0;
+    let (strong, weak): (Vec<&EntryHost>, Vec<&EntryHost>) =
+        hosts.iter().partition(|host| is_strong(host));
+    let mut ranked = rendezvous::rank(shard, strong.iter().map(|host| &host.name));
+    ranked.extend(rendezvous::rank(shard, weak.iter().map(|host| &host.name)));
+    ranked
 }
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -2,6 +2,7 @@
 //! is carried out here, what it wants of the world becomes a [`NodeAction`].
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::exposure::ExposureWatch;
@@ -11,7 +12,7 @@
 use crate::clock::Moment;
 use crate::entry::{EntryAction, EntryDesk, EntryEvent, EntryOptions};
 use crate::failure_domain::DomainName;
-use crate::host::{HostIncarnation, HostName};
+use crate::host::{EntryHost, HostIncarnation, HostName};
 use crate::incident::Incident;
 use crate::link::{LinkEvent, LinkMessage};
 use crate::membership::{Membership, MembershipAction, MembershipEvent, MembershipOptions};
@@ -19,6 +20,8 @@
 use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions};
 use crate::publication::{FleetLimits, Publication};
 use crate::revision::{RevisionAction, RevisionBook, RevisionEvent, RevisionOptions};
+use crate::roster::{Roster, RosterOptions};
+use crate::target_list::TargetRegister;
 
 /// The longest time between two looks at the clock. Every timer of the
 /// machines is coarser.
@@ -40,9 +43,35 @@
     pub membership: MembershipOptions,
     /// The published values'.
     pub revision: RevisionOptions,
+    /// How long a key may be relied on after its account was last known to
+    /// hold it; for good where absent.
+    pub key_trust: Option<Duration>,
+    /// How the host finds the others where no host list is published.
+    pub roster: Option<RosterSetup>,
+    /// The limits where none are published.
+    pub limits: Option<FleetLimits>,
+}
+
+/// A `RosterSetup` is what a host needs to find the others by itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RosterSetup {
+    /// This host, as others are told of it.
+    pub host: EntryHost,
+    /// Where to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// The time of day at the process's start, in milliseconds.
+    pub started_at_ms: u64,
+    /// The bounds.
+    pub options: RosterOptions,
 }
 
 impl NodeOptions {
+    /// Set the bounds of membership.
+    pub fn with_membership(mut self, opts: MembershipOptions) -> Self {
+        self.membership = opts;
+        self
+    }
+
     /// Set what the published limits bound.
     pub fn with_limits(self, limits: &FleetLimits) -> Self {
         NodeOptions {
@@ -50,6 +79,9 @@
             owner: self.owner.with_limits(limits),
             membership: self.membership.with_limits(limits),
             revision: self.revision.with_limits(limits),
+            key_trust: self.key_trust,
+            roster: self.roster,
+            limits: self.limits,
         }
     }
 }
@@ -76,6 +108,8 @@
     pub(super) opts: NodeOptions,
     pub(super) shard_use: ShardUse,
     pub(super) exposure: ExposureWatch,
+    pub(super) roster: Option<Roster>,
+    pub(super) register: TargetRegister,
     last_seen: Moment,
     steps: VecDeque<Step>,
     pub(super) actions: Vec<NodeAction>,
@@ -93,7 +127,16 @@
             shards: ShardSet::new(me.clone(), opts.owner.clone()),
             membership: Membership::new(me.clone(), opts.membership.clone(), now),
             book: RevisionBook::new(me.clone(), domain.clone(), opts.revision.clone(), now),
-            publication: Publication::default(),
+            publication: match opts.roster {
+                Some(_) => Publication::routed(opts.limits.clone().unwrap_or_default()),
+                None => Publication::default(),
+            },
+            roster: opts.roster.clone().map(|setup| {
+                let seed = me.incarnation.0 as u64;
+                Roster::new(setup.host, setup.seeds, setup.started_at_ms, seed)
+                    .with_options(setup.options)
+            }),
+            register: TargetRegister::default(),
             stopping: false,
             load_permille: 0,
             opts,
@@ -121,6 +164,7 @@
             self.book.next_wake(),
         ];
         let latest = self.last_seen.plus(TICK_INTERVAL);
+        let latest = latest.min(self.next_news());
         machines.into_iter().fold(latest, Moment::min)
     }
 
@@ -137,7 +181,10 @@
             NodeEvent::Link(event) => self.on_link(now, event),
             NodeEvent::Read(value) => self.tell_book(now, RevisionEvent::Read(value)),
             NodeEvent::Unchanged(name) => self.tell_book(now, RevisionEvent::Unchanged(name)),
-            NodeEvent::ReadFailed(name) => self.tell_book(now, RevisionEvent::ReadFailed(name)),
+            NodeEvent::ReadFailed(name) => self.on_read_failed(now, name),
+            NodeEvent::Targets(news) => self.on_target_news(now, news),
+            NodeEvent::Gossip(message) => self.on_gossip(now, *message),
+            NodeEvent::Seeds(seeds) => self.on_seeds(seeds),
             NodeEvent::Load(name, report) => {
                 let actions = self.shards.on_target(now, &name.clone(), |_| {
                     OwnerEvent::Load(name.clone(), report)
@@ -181,6 +228,7 @@
         let text = format!("slept_ms={}", gap.as_millis());
         self.actions
             .push(NodeAction::Note(Incident::PauseNoticed, text));
+        self.wake_roster(now);
         self.tell_membership(now, MembershipEvent::Woke(gap));
         self.tell_book(now, RevisionEvent::Woke(gap));
         self.tell_desk(now, EntryEvent::Woke(gap));
@@ -188,6 +236,7 @@
     }
 
     pub(super) fn on_tick(&mut self, now: Moment) {
+        self.review_news(now);
         self.tell_membership(now, MembershipEvent::Tick);
         self.tell_book(now, RevisionEvent::Tick);
         let actions = self.shards.on_all(now, |_| OwnerEvent::Tick);
--- a/bergamotswitch-core/src/node/intake.rs
+++ b/bergamotswitch-core/src/node/intake.rs
@@ -8,6 +8,10 @@
 use crate::membership::PeerView;
 use crate::refusal::{Refusal, RefusalReason};
 
+/// When a caller should come back whose key cannot be confirmed: the store or
+/// a peer that knows is asked about once a second.
+const KEY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
+
 impl NodeCore {
     /// Take a caller's request.
     pub fn submit(&mut self, now: Moment, submission: Submission) -> (Reception, Vec<NodeAction>) {
@@ -23,6 +27,11 @@
             let refusal = refusal.with_retry_after(std::time::Duration::from_secs(1));
             return (Reception::Refused(refusal), self.finish(now));
         }
+        if submission.terms.keyed && !self.trusts_keys(now) {
+            let refusal = Refusal::before_acceptance(RefusalReason::KeyUnconfirmed);
+            let refusal = refusal.with_retry_after(KEY_RETRY);
+            return (Reception::Refused(refusal), self.finish(now));
+        }
         let exposed = self.is_exposed(now, &submission);
         let (reception, actions) = self.desk.submit(now, submission);
         if exposed && matches!(reception, Reception::Accepted(_)) {
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -5,11 +5,13 @@
 mod core;
 mod exposure;
 mod intake;
+mod news;
 mod published;
 mod shard_use;
 mod shards;
 mod view;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::entry::{AttemptEvent, Conclusion};
@@ -20,10 +22,12 @@
 use crate::refusal::{RefusalReason, RetryReason, WasteCause};
 use crate::request::{AttemptId, PrefixHash, RequestId};
 use crate::revision::{PublishedValue, Revision, ValueName};
+use crate::roster::{RosterAction, RosterMessage};
 use crate::rules::Tier;
 use crate::target::{LoadReport, PoolTarget, TargetName};
+use crate::target_list::TargetNews;
 
-pub use self::core::{NodeCore, NodeOptions};
+pub use self::core::{NodeCore, NodeOptions, RosterSetup};
 pub use self::exposure::NodeCounts;
 pub use self::view::NodeView;
 
@@ -47,6 +51,12 @@
     Unchanged(ValueName),
     /// The platform did not answer.
     ReadFailed(ValueName),
+    /// The store told of registered targets.
+    Targets(TargetNews),
+    /// Another host told what it knows of the fleet.
+    Gossip(Box<RosterMessage>),
+    /// The seeds of the settings have changed.
+    Seeds(Vec<SocketAddr>),
     /// A target's load report came.
     Load(TargetName, LoadReport),
     /// A target's cache event came.
@@ -66,6 +76,8 @@
     Send(HostName, LinkMessage),
     /// Keep a link to this host.
     Connect(EntryHost),
+    /// Tell another host what this one knows of the fleet.
+    Gossip(RosterAction),
     /// Drop the link to this host.
     Disconnect(HostName),
     /// Read a value once, now.
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -8,7 +8,8 @@
 use crate::link::LinkMessage;
 use crate::membership::MembershipEvent;
 use crate::revision::{
-    HOSTS_VALUE, LIMITS_VALUE, POOLS_VALUE, PublishedValue, RevisionAction, RevisionEvent,
+    HOSTS_VALUE, LIMITS_VALUE, POOLS_VALUE, PublishedValue, ROUTES_VALUE, RevisionAction,
+    RevisionEvent, TARGETS_VALUE,
 };
 
 impl NodeCore {
@@ -42,12 +43,13 @@
     fn on_published(&mut self, now: Moment, value: &PublishedValue) {
         let name = value.name.clone();
         if name.as_str() == HOSTS_VALUE {
-            let hosts = self.publication.hosts.clone();
-            self.tell_membership(now, MembershipEvent::Hosts(hosts.clone()));
-            self.tell_book(now, RevisionEvent::Hosts(hosts));
-            self.tell_leaving(now);
+            self.tell_hosts(now);
+        }
+        if name.as_str() == TARGETS_VALUE {
+            self.register
+                .adopt(value.revision, &self.publication.registered);
         }
-        if name.as_str() == POOLS_VALUE {
+        if [POOLS_VALUE, ROUTES_VALUE, TARGETS_VALUE].contains(&name.as_str()) {
             let shards = self.publication.pools.shards();
             self.shard_use
                 .warm(now, &self.publication.pools, &self.domain);
@@ -77,11 +79,18 @@
         self.on_tick(now);
     }
 
+    /// Tell the machines which hosts there are.
+    pub(super) fn tell_hosts(&mut self, now: Moment) {
+        let hosts = self.publication.hosts.clone();
+        self.tell_membership(now, MembershipEvent::Hosts(hosts.clone()));
+        self.tell_book(now, RevisionEvent::Hosts(hosts));
+        self.tell_leaving(now);
+    }
+
     fn tell_leaving(&mut self, now: Moment) {
-        let targets = self.publication.hosts.targets.clone();
-        for target in targets {
-            let leaving = target.standing == Standing::Leaving;
-            self.tell_desk(now, EntryEvent::TargetLeaving(target.name, leaving));
+        for (target, standing) in self.publication.target_standings() {
+            let leaving = standing == Standing::Leaving;
+            self.tell_desk(now, EntryEvent::TargetLeaving(target, leaving));
         }
     }
 }
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -1,9 +1,10 @@
 //! Provides the shards that a host orders now, as owner or degraded.
 
+use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
 use crate::pool::{PoolKind, PoolName, PoolShard};
-use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions, ShardOwner, ShardView};
+use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, ShardOwner, ShardView};
 use crate::publication::Publication;
 use crate::target::{PoolTarget, TargetName};
 
@@ -145,6 +146,7 @@
         let targets = shard_targets(shard, degraded, publication);
         // A new owner has nothing queued, so new targets lead to no action.
         owner.handle(now, OwnerEvent::Targets(targets));
+        owner.handle(now, OwnerEvent::Quotas(quota_rates(degraded, publication)));
         self.owned.push(OwnedShard {
             shard: shard.clone(),
             owner,
@@ -158,6 +160,8 @@
         for owned in &mut self.owned {
             let targets = shard_targets(&owned.shard, owned.degraded, publication);
             actions.extend(owned.owner.handle(now, OwnerEvent::Targets(targets)));
+            let rates = quota_rates(owned.degraded, publication);
+            actions.extend(owned.owner.handle(now, OwnerEvent::Quotas(rates)));
         }
         actions
     }
@@ -187,6 +191,26 @@
     }
 }
 
+/// Get the quotas that an owner keeps: whole, or this host's fraction of them
+/// where it orders for itself alone.
+fn quota_rates(degraded: bool, publication: &Publication) -> Vec<(AccountName, QuotaRate)> {
+    let hosts = match degraded {
+        true => publication.hosts.hosts.len().max(1),
+        false => 1,
+    };
+    let accounts = publication.routes.book().accounts.iter();
+    accounts
+        .filter(|account| account.quota.rate > 0)
+        .map(|account| {
+            let rate = QuotaRate {
+                rate: account.quota.rate as f64 / hosts as f64,
+                burst: account.quota.burst as f64 / hosts as f64,
+            };
+            (account.name.clone(), rate)
+        })
+        .collect()
+}
+
 /// Get a shard's targets that may get new work. A degraded owner sees each
 /// target with its host's fraction of the tokens only: every host of a
 /// partition that lost all candidates admits at once.
@@ -209,6 +233,7 @@
     if degraded {
         for target in &mut targets {
             target.token_limit = (target.token_limit / hosts).max(1);
+            target.slots = target.slots.map(|slots| (slots / hosts).max(1));
         }
     }
     targets
--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -79,7 +79,7 @@
         }
         let load = self.targets.get(&route.target);
         let run = load.map_or(Duration::ZERO, |load| load.run_time(queued.ask.cost));
-        queued.deadline.since(now) < run
+        queued.run_until.since(now) < run
     }
 
     /// Get whether another run got the key while the ask waited. An ask can
@@ -252,6 +252,15 @@
             return false;
         };
         let tier = queued.ask.tier;
+        if let Some(wait) = self.slot_wait(now, tier) {
+            let lower_kept = self.queue.asks_through(tier) < self.queue.len();
+            if lower_kept || wait <= queued.deadline.since(now) {
+                return false;
+            }
+            let reason = RefusalReason::Overloaded;
+            self.refuse_queued(attempt, reason, self.drain_time(now, tier), actions);
+            return true;
+        }
         let speed = self.shard_speed(now);
         if self.queue.tokens_through(tier) < self.queue.tokens() || speed == 0.0 {
             return false;
@@ -267,6 +276,21 @@
         true
     }
 
+    /// Get the predicted wait of a new ask of `tier`, where the targets say
+    /// how many requests they serve at once: the permits that have to come
+    /// back before it, at the pace at which they do.
+    fn slot_wait(&self, now: Moment, tier: Tier) -> Option<Duration> {
+        if !self
+            .targets
+            .values()
+            .all(|load| load.target().slots.is_some())
+        {
+            return None;
+        }
+        let ahead = self.queue.asks_through(tier);
+        self.pace.time_for(now, ahead)
+    }
+
     fn is_overfull(&self, now: Moment) -> bool {
         // One ask alone may wait whatever it costs.
         if self.queue.len() < 2 {
@@ -286,6 +310,9 @@
     /// Get the predicted time until the work in flight and the queued work of
     /// `tier` and higher ones is done.
     pub(super) fn drain_time(&self, now: Moment, tier: Tier) -> Duration {
+        if let Some(wait) = self.slot_wait(now, tier) {
+            return wait.clamp(RETRY_MIN, RETRY_MAX);
+        }
         let speed = self.shard_speed(now);
         if speed == 0.0 {
             return RETRY_MAX;
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -13,7 +13,9 @@
 mod preemption;
 pub mod prefix_table;
 pub mod queue;
+mod quota;
 mod release;
+mod release_pace;
 pub mod routing;
 mod run_gauge;
 pub mod slot_limit;
@@ -25,8 +27,10 @@
 
 pub use options::OwnerOptions;
 pub use owner::ShardOwner;
+pub use quota::QuotaRate;
 pub use view::{RefusalCount, ShardView, TargetView, TierView};
 
+use crate::client_account::AccountName;
 use crate::host::{HostName, Incarnation};
 use crate::incident::Incident;
 use crate::permit::{OwnerMessage, OwnerReply};
@@ -35,12 +39,14 @@
 use crate::target::{LoadReport, PoolTarget, TargetName};
 
 /// An `OwnerEvent` is one thing that happens to a shard's owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum OwnerEvent {
     /// An entry host sent a message.
     Message(HostName, OwnerMessage),
     /// The shard's targets that may get new work, after a change.
     Targets(Vec<PoolTarget>),
+    /// The quotas that this owner keeps, after a change.
+    Quotas(Vec<(AccountName, QuotaRate)>),
     /// A target's load report came, old on arrival.
     Load(TargetName, LoadReport),
     /// A target says that it holds (or no longer holds) a prefix; late, with
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
-use crate::permit::{Ask, KeyClaim, OwnerMessage, OwnerReply};
+use crate::permit::{Ask, OwnerMessage, OwnerReply};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
@@ -18,6 +18,8 @@
 use super::permit_table::PermitTable;
 use super::prefix_table::PrefixTable;
 use super::queue::{AskQueue, Placement, QueuedAsk};
+use super::quota::QuotaBook;
+use super::release_pace::ReleasePace;
 use super::routing::{TargetSet, allowed};
 use super::{OwnerAction, OwnerEvent};
 
@@ -54,6 +56,8 @@
     pub(super) keys: KeyTable,
     pub(super) prefixes: PrefixTable,
     pub(super) costs: CostSample,
+    pub(super) quotas: QuotaBook,
+    pub(super) pace: ReleasePace,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
@@ -73,6 +77,8 @@
             keys: KeyTable::new(now, opts.key_retention, opts.max_keys),
             prefixes: PrefixTable::new(opts.max_prefixes, opts.prefix_lifetime),
             costs: CostSample::default(),
+            quotas: QuotaBook::default(),
+            pace: ReleasePace::default(),
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
@@ -102,6 +108,7 @@
         match event {
             OwnerEvent::Message(host, message) => self.on_message(now, host, message, &mut actions),
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
+            OwnerEvent::Quotas(rates) => self.quotas.set_rates(rates),
             OwnerEvent::Load(name, report) => {
                 if let Some(load) = self.targets.get_mut(&name) {
                     load.report(now, &report);
@@ -156,7 +163,7 @@
             OwnerMessage::Ask(ask) => self.on_ask(now, host, *ask, actions),
             OwnerMessage::Withdraw { attempt, .. } => {
                 if let Some(queued) = self.queue.remove(&attempt) {
-                    self.settle_claim(queued.ask.claim.as_ref());
+                    self.settle_unused(&queued.ask);
                 }
             }
             OwnerMessage::Release { release, .. } => self.on_release(now, &release, actions),
@@ -215,15 +222,25 @@
             self.refuse(host, ask.attempt, reason, NO_TARGET_RETRY, actions);
             return;
         }
+        let taken = self.quotas.try_take(now, &ask.account, ask.quota_units);
+        if let Err(retry_after) = taken {
+            let reason = RefusalReason::OverQuota;
+            self.refuse(host, ask.attempt, reason, retry_after, actions);
+            return;
+        }
         self.costs.add(now, tokens);
         if let Some(claim) = &ask.claim {
             self.keys.claim(now, claim);
         }
-        let deadline = now.plus(Duration::from_millis(u64::from(ask.deadline_ms)));
+        let patience_ms = ask.patience_ms.unwrap_or(u32::MAX);
+        let wait_ms = ask.deadline_ms.min(patience_ms);
+        let deadline = now.plus(Duration::from_millis(u64::from(wait_ms)));
+        let run_until = now.plus(Duration::from_millis(u64::from(ask.deadline_ms)));
         let queued = QueuedAsk {
             ask,
             host,
             deadline,
+            run_until,
             placement: Arc::new(placement),
         };
         self.queue.push(now, queued);
@@ -231,9 +248,13 @@
 
     fn expire_asks(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         while let Some(attempt) = self.queue.expired(now) {
-            let tier = self.queue.get(&attempt).map(|queued| queued.ask.tier);
-            let retry_after = self.drain_time(now, tier.unwrap_or(Tier(0)));
-            let reason = RefusalReason::DeadlinePassed;
+            let queued = self.queue.get(&attempt);
+            let tier = queued.map_or(Tier(0), |queued| queued.ask.tier);
+            let reason = match queued.is_some_and(|queued| now < queued.run_until) {
+                true => RefusalReason::Overloaded,
+                false => RefusalReason::DeadlinePassed,
+            };
+            let retry_after = self.drain_time(now, tier);
             self.refuse_queued(&attempt, reason, retry_after, actions);
         }
     }
@@ -247,7 +268,7 @@
         actions: &mut Vec<OwnerAction>,
     ) {
         if let Some(queued) = self.queue.remove(attempt) {
-            self.settle_claim(queued.ask.claim.as_ref());
+            self.settle_unused(&queued.ask);
             self.refuse(queued.host, *attempt, reason, retry_after, actions);
         }
     }
@@ -270,10 +291,12 @@
         actions.push(OwnerAction::Reply(host, reply));
     }
 
-    fn settle_claim(&mut self, claim: Option<&KeyClaim>) {
-        if let Some(claim) = claim {
+    /// Give back what an ask holds that got no permit.
+    fn settle_unused(&mut self, ask: &Ask) {
+        if let Some(claim) = &ask.claim {
             self.keys.settle_unused(claim);
         }
+        self.quotas.give_back(&ask.account, ask.quota_units);
     }
 }
 
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/queue.rs
@@ -55,8 +55,10 @@
     pub ask: Ask,
     /// The entry host that asks.
     pub host: HostName,
-    /// When its deadline passes.
+    /// Until when it waits.
     pub deadline: Moment,
+    /// Until when its answer is of use.
+    pub run_until: Moment,
     /// Where it may go.
     pub placement: Arc<Placement>,
 }
@@ -100,6 +102,12 @@
         tiers.map(|(_, queue)| queue.tokens()).sum()
     }
 
+    /// Get the number of asks of `tier` and higher ones.
+    pub fn asks_through(&self, tier: Tier) -> usize {
+        let tiers = self.tiers.range(..=tier);
+        tiers.map(|(_, queue)| queue.asks()).sum()
+    }
+
     /// Get the tiers with their numbers of asks and tokens.
     pub fn tiers(&self) -> impl Iterator<Item = (Tier, usize, u64)> {
         let tiers = self.tiers.iter();
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -146,6 +146,7 @@
 
     fn free(&mut self, now: Moment, id: &PermitId) -> Option<GivenPermit> {
         let permit = self.permits.remove(id)?;
+        self.pace.note(now);
         if let Some(load) = self.targets.get_mut(&permit.target) {
             load.vacate(now, permit.cost.total(), permit.long);
             load.expect_no_more(&permit.due_work());
--- /dev/null
+++ b/bergamotswitch-core/src/pool_owner/release_pace.rs
@@ -0,0 +1,39 @@
+//! Provides the pace at which a shard's slots come free.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+/// The span over which releases are counted. Runs last up to some seconds; a
+/// longer span would follow a burst too late, a shorter one be all chance.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// A `ReleasePace` counts the permits that came back lately.
+#[derive(Debug, Default)]
+pub struct ReleasePace {
+    released: VecDeque<Moment>,
+}
+
+impl ReleasePace {
+    /// Note that a permit came back.
+    pub fn note(&mut self, now: Moment) {
+        self.released.push_back(now);
+        while let Some(first) = self.released.front()
+            && now.since(*first) > SPAN
+        {
+            self.released.pop_front();
+        }
+    }
+
+    /// Get the time until `count` more permits are back, at the late pace;
+    /// nothing where no permit came back lately.
+    pub fn time_for(&self, now: Moment, count: usize) -> Option<Duration> {
+        let late = self.released.iter().rev();
+        let late = late.take_while(|at| now.since(**at) <= SPAN).count();
+        if late == 0 {
+            return None;
+        }
+        Some(SPAN.mul_f64(count as f64 / late as f64))
+    }
+}
--- a/bergamotswitch-core/src/pool_owner/routing.rs
+++ b/bergamotswitch-core/src/pool_owner/routing.rs
@@ -112,6 +112,11 @@
         _ => 0,
     };
     let own = query.cost.total() - saved;
+    if load.target().slots.is_some() {
+        // A target that serves its whole batch at once makes nobody wait for
+        // what is there; how fast it is shows in what recent runs took.
+        return load.run_time(query.cost).as_micros() as u64;
+    }
     let tokens = load.backlog(now) + own;
     (tokens as f64 * 1e6 / load.speed(now)) as u64
 }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -158,7 +158,15 @@
         if self.permits == 0 {
             return true;
         }
-        self.slots.fits(self.permits) && self.backlog(now) + tokens <= self.limit(now)
+        match self.target.slots {
+            // The batch is known, and what a request holds of the memory is
+            // bounded by its tokens.
+            Some(slots) => {
+                let held = self.outstanding + tokens;
+                self.permits < slots as usize && held <= u64::from(self.target.token_limit)
+            }
+            None => self.slots.fits(self.permits) && self.backlog(now) + tokens <= self.limit(now),
+        }
     }
 
     /// Get whether a long request leaves room for short ones.
@@ -166,7 +174,11 @@
         if self.permits == 0 {
             return true;
         }
-        let bound = self.limit(now) * LONG_PERCENT / 100;
+        let limit = match self.target.slots {
+            Some(_) => u64::from(self.target.token_limit),
+            None => self.limit(now),
+        };
+        let bound = limit * LONG_PERCENT / 100;
         self.long_outstanding + tokens <= bound
     }
 
@@ -258,6 +270,9 @@
     /// Note that the target said that it is full. What it holds now is its
     /// limit, whatever the configuration says.
     pub fn note_full(&mut self, now: Moment) {
+        if self.target.slots.is_some() {
+            return;
+        }
         self.limit.lower_to(self.backlog(now));
     }
 }
--- a/bergamotswitch-core/src/publication/fleet_limits.rs
+++ b/bergamotswitch-core/src/publication/fleet_limits.rs
@@ -187,8 +187,10 @@
     }
 }
 
+/// A `LinkKey` is the secret that hosts share, of a length that cannot be
+/// guessed.
 #[derive(Default)]
-struct LinkKey(String);
+pub(crate) struct LinkKey(pub(crate) String);
 
 impl ReadJson for LinkKey {
     fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
--- a/bergamotswitch-core/src/publication/host_entries.rs
+++ b/bergamotswitch-core/src/publication/host_entries.rs
@@ -1,6 +1,7 @@
 //! Provides the reading of the host list.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use super::json_node::{JsonNode, ReadJson};
 use super::named_choice::read_choice;
@@ -9,6 +10,9 @@
 use crate::error::Findings;
 use crate::host::{EntryHost, HostList, Standing, TargetStanding};
 
+/// The allowed shares of a processor, in thousandths of a core.
+const CAPACITY_RANGE: RangeInclusive<u64> = 0..=1_000_000;
+
 /// A `PeerAddress` is an address to connect to: its port is not 0, and it
 /// names one machine.
 pub(crate) struct PeerAddress(pub(crate) SocketAddr);
@@ -78,6 +82,7 @@
         let domain = object.required("domain");
         let caller_address = object.required::<PeerAddress>("caller_address");
         let link_address = object.required::<PeerAddress>("link_address");
+        let capacity = object.number("capacity", &CAPACITY_RANGE);
         let standing = object.or_default("standing");
         object.finish();
         Some(EntryHost {
@@ -85,6 +90,7 @@
             domain: domain?,
             caller_address: caller_address?.0,
             link_address: link_address?.0,
+            capacity: capacity?.unwrap_or_default() as u32,
             standing: standing?,
         })
     }
--- a/bergamotswitch-core/src/publication/json_node.rs
+++ b/bergamotswitch-core/src/publication/json_node.rs
@@ -107,6 +107,20 @@
         number
     }
 
+    /// Try to get a number with a fraction inside `range`.
+    pub(crate) fn fraction(
+        &self,
+        range: &RangeInclusive<f64>,
+        findings: &mut Findings,
+    ) -> Option<f64> {
+        let number = self.value.as_f64().filter(|number| range.contains(number));
+        if number.is_none() {
+            let allowed = format!("a number from {} to {}", range.start(), range.end());
+            self.refuse(findings, allowed);
+        }
+        number
+    }
+
     fn child(&self, step: &str, value: &'v Value) -> JsonNode<'v> {
         JsonNode {
             place: child_place(&self.place, step),
--- a/bergamotswitch-core/src/publication/mod.rs
+++ b/bergamotswitch-core/src/publication/mod.rs
@@ -18,24 +18,30 @@
 pub(crate) mod named_choice;
 pub(crate) mod object_reader;
 mod pool_book;
+mod registered_pools;
 pub(crate) mod repeats;
 
+use std::sync::Arc;
+
 use crate::error::Findings;
 use crate::host::{HostList, Standing};
 use crate::revision::{
     ACCOUNTS_VALUE, DOMAINS_VALUE, HOSTS_VALUE, LIMITS_VALUE, POOLS_VALUE, PublishedValue,
-    RULES_VALUE,
+    ROUTES_VALUE, RULES_VALUE, TARGETS_VALUE,
 };
+use crate::route::RouteTable;
 use crate::rules::RuleBook;
 use crate::target::TargetName;
+use crate::target_list::TargetList;
 
 pub use account_book::AccountBook;
 pub use cross_check::check_cross;
 pub use domain_book::DomainBook;
+pub(crate) use fleet_limits::LinkKey;
 pub use fleet_limits::{FleetLimits, LINK_KEY_LEN, LimitSpec};
 pub(crate) use host_entries::PeerAddress;
 use json_node::read_text;
-pub use pool_book::{PlacedTarget, PoolBook, SPEED_RANGE, TOKEN_LIMIT_RANGE};
+pub use pool_book::{PlacedTarget, PoolBook, SLOT_RANGE, SPEED_RANGE, TOKEN_LIMIT_RANGE};
 
 /// A `Publication` is all published values that are in force on a host.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -52,9 +58,24 @@
     pub limits: FleetLimits,
     /// The host list.
     pub hosts: HostList,
+    /// Whether callers come by routes and targets register themselves.
+    pub routed: bool,
+    /// The routes.
+    pub routes: Arc<RouteTable>,
+    /// The registered targets.
+    pub registered: TargetList,
 }
 
 impl Publication {
+    /// Get the empty publication of a host whose callers come by routes.
+    pub fn routed(limits: FleetLimits) -> Self {
+        Publication {
+            routed: true,
+            limits,
+            ..Publication::default()
+        }
+    }
+
     /// Try to put a value in force.
     ///
     /// # Errors
@@ -69,6 +90,14 @@
             DOMAINS_VALUE => self.domains = read_text(input, &value.body)?,
             LIMITS_VALUE => self.limits = read_text(input, &value.body)?,
             HOSTS_VALUE => self.hosts = read_text(input, &value.body)?,
+            ROUTES_VALUE => {
+                self.routes = Arc::new(RouteTable::try_from_json(&value.body)?);
+                self.pools = registered_pools::pools(&self.registered, &self.routes);
+            }
+            TARGETS_VALUE => {
+                self.registered = TargetList::try_from_json(&value.body)?;
+                self.pools = registered_pools::pools(&self.registered, &self.routes);
+            }
             unknown => return Err(unknown_value(unknown)),
         }
         Ok(())
@@ -77,9 +106,17 @@
     /// Get the names of the values that a host needs before it serves and
     /// does not have. An applied one is never empty.
     pub fn missing(&self) -> Vec<&'static str> {
+        let by_rules = !self.routed;
         let needed = [
-            (RULES_VALUE, self.rules.rules().is_empty()),
-            (ACCOUNTS_VALUE, self.accounts.accounts().is_empty()),
+            (RULES_VALUE, by_rules && self.rules.rules().is_empty()),
+            (
+                ACCOUNTS_VALUE,
+                by_rules && self.accounts.accounts().is_empty(),
+            ),
+            (
+                ROUTES_VALUE,
+                self.routed && self.routes.book().routes.is_empty(),
+            ),
             (POOLS_VALUE, self.pools.pools().is_empty()),
             (HOSTS_VALUE, self.hosts.hosts.is_empty()),
         ];
@@ -89,12 +126,25 @@
             .collect()
     }
 
-    /// Get whether the host list says that a target is leaving.
+    /// Get whether the host list, or the target itself, says that a target is
+    /// leaving.
     pub fn target_is_leaving(&self, name: &TargetName) -> bool {
-        self.hosts
-            .targets
-            .iter()
-            .any(|target| target.name == *name && target.standing == Standing::Leaving)
+        let listed = self.hosts.targets.iter();
+        let listed = listed.map(|target| (&target.name, target.standing));
+        let registered = self.registered.targets.iter();
+        let registered = registered.map(|target| (&target.name, target.standing));
+        listed
+            .chain(registered)
+            .any(|(target, standing)| target == name && standing == Standing::Leaving)
+    }
+
+    /// Get the targets that are said to be leaving or not.
+    pub(crate) fn target_standings(&self) -> Vec<(TargetName, Standing)> {
+        let listed = self.hosts.targets.iter();
+        let listed = listed.map(|target| (target.name.clone(), target.standing));
+        let registered = self.registered.targets.iter();
+        let registered = registered.map(|target| (target.name.clone(), target.standing));
+        listed.chain(registered).collect()
     }
 }
 
@@ -107,6 +157,8 @@
         DOMAINS_VALUE,
         LIMITS_VALUE,
         HOSTS_VALUE,
+        ROUTES_VALUE,
+        TARGETS_VALUE,
     ];
     findings.add(format!("{name}:"), "an unknown value", known.join(", "));
     findings
--- a/bergamotswitch-core/src/publication/object_reader.rs
+++ b/bergamotswitch-core/src/publication/object_reader.rs
@@ -72,6 +72,19 @@
         }
     }
 
+    /// Try to get a fraction in `range` that may be absent; `Some(None)` where
+    /// it is.
+    pub(crate) fn fraction(
+        &mut self,
+        field: &'static str,
+        range: &RangeInclusive<f64>,
+    ) -> Option<Option<f64>> {
+        match self.take(field) {
+            Some(node) => node.fraction(range, self.findings).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// Get the node of a field, which counts as known from now on.
     pub(crate) fn take(&mut self, field: &'static str) -> Option<JsonNode<'v>> {
         self.known.push(field);
--- a/bergamotswitch-core/src/publication/pool_book.rs
+++ b/bergamotswitch-core/src/publication/pool_book.rs
@@ -21,6 +21,9 @@
 /// The allowed token limits of a target.
 pub const TOKEN_LIMIT_RANGE: RangeInclusive<u64> = 1..=1_000_000_000;
 
+/// The allowed numbers of requests that a target serves at once.
+pub const SLOT_RANGE: RangeInclusive<u64> = 1..=100_000;
+
 /// A `PoolBook` is the published pools.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PoolBook {
@@ -37,6 +40,11 @@
 }
 
 impl PoolBook {
+    /// Get the book of these pools.
+    pub fn new(pools: Vec<TargetPool>) -> Self {
+        PoolBook { pools }
+    }
+
     /// Get the pool of this name.
     pub fn pool(&self, name: &PoolName) -> Option<&TargetPool> {
         self.pools.iter().find(|pool| pool.name == *name)
@@ -173,6 +181,7 @@
         let contract = object.or_default("contract");
         let speed = object.number("expected_speed", &SPEED_RANGE);
         let limit = object.number("token_limit", &TOKEN_LIMIT_RANGE);
+        let slots = object.number("slots", &SLOT_RANGE);
         let load = object.optional("load");
         object.finish();
         Some(PoolTarget {
@@ -182,6 +191,7 @@
             contract: contract?,
             expected_speed: speed?.map_or(DEFAULT_SPEED, |speed| speed as u32),
             token_limit: limit?.map_or(DEFAULT_TOKEN_LIMIT, |limit| limit as u32),
+            slots: slots?.map(|slots| slots as u32),
             load: load?,
         })
     }
--- /dev/null
+++ b/bergamotswitch-core/src/publication/registered_pools.rs
@@ -0,0 +1,62 @@
+//! Provides the pools that registered targets form.
+
+use std::collections::BTreeMap;
+
+use crate::contract::TargetContract;
+use crate::pool::{PoolKind, PoolName, TargetPool};
+use crate::route::{PoolFacts, RouteTable};
+use crate::target::{DEFAULT_SPEED, PoolTarget};
+use crate::target_list::{TargetEntry, TargetList};
+
+use super::PoolBook;
+
+/// The token limit of a plain service's target: its slots bound it alone.
+const PLAIN_TOKEN_LIMIT: u32 = u32::MAX;
+
+/// What registered targets honour: they say themselves that a refused call
+/// did not run.
+const CONTRACT: TargetContract = TargetContract {
+    checks_fencing: false,
+    resumes: false,
+    cancels: false,
+    refusal_means_not_run: true,
+    moves_cache: false,
+};
+
+/// Get the pools of the registered targets, in the order of their names.
+pub(super) fn pools(list: &TargetList, routes: &RouteTable) -> PoolBook {
+    let mut pools: BTreeMap<&PoolName, Vec<PoolTarget>> = BTreeMap::new();
+    for entry in &list.targets {
+        let facts = routes.pool(&entry.pool);
+        let targets = pools.entry(&entry.pool).or_default();
+        targets.push(target(entry, facts));
+    }
+    let pools = pools.into_iter().map(|(name, targets)| TargetPool {
+        name: name.clone(),
+        kind: kind(routes.pool(name)),
+        shard_by_domain: false,
+        targets,
+    });
+    PoolBook::new(pools.collect())
+}
+
+fn kind(facts: Option<&PoolFacts>) -> PoolKind {
+    match facts.and_then(|facts| facts.engine) {
+        Some(_) => PoolKind::Engine,
+        None => PoolKind::Plain,
+    }
+}
+
+fn target(entry: &TargetEntry, facts: Option<&PoolFacts>) -> PoolTarget {
+    let engine = facts.and_then(|facts| facts.engine);
+    PoolTarget {
+        name: entry.name.clone(),
+        domain: entry.domain.clone(),
+        address: entry.address,
+        contract: CONTRACT,
+        expected_speed: DEFAULT_SPEED,
+        token_limit: engine.map_or(PLAIN_TOKEN_LIMIT, |engine| engine.cache_tokens),
+        slots: Some(entry.slots.max(1)),
+        load: None,
+    }
+}
--- a/bergamotswitch-core/src/refusal.rs
+++ b/bergamotswitch-core/src/refusal.rs
@@ -73,6 +73,12 @@
         NotReady = "not-ready",
         /// The caller went away before dispatch.
         CallerLeft = "caller-left",
+        /// The client account has used up its quota.
+        OverQuota = "over-quota",
+        /// No route leads anywhere from this host name and path.
+        NoRoute = "no-route",
+        /// It is not known any more whether the caller's key still holds.
+        KeyUnconfirmed = "key-unconfirmed",
     }
 }
 
--- a/bergamotswitch-core/src/revision/book.rs
+++ b/bergamotswitch-core/src/revision/book.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::confirmation::Confirmations;
 use super::options::RevisionOptions;
 use super::peers::SpreadPeer;
 use super::relay::RelayPlan;
@@ -33,6 +34,7 @@
     pub(super) domain: DomainName,
     pub(super) opts: RevisionOptions,
     pub(super) values: BTreeMap<ValueName, ValueBook>,
+    pub(super) confirmations: Confirmations,
     pub(super) peers: BTreeMap<HostName, SpreadPeer>,
     pub(super) links: BTreeMap<HostName, EntryHost>,
     pub(super) catch_ups: BTreeMap<ValueName, CatchUp>,
@@ -80,6 +82,7 @@
             values: values.collect(),
             calls: calls.collect(),
             opts,
+            confirmations: Confirmations::default(),
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
             catch_ups: BTreeMap::new(),
@@ -111,6 +114,7 @@
         match event {
             RevisionEvent::Read(value) => self.take_read(now, value, &mut actions),
             RevisionEvent::Unchanged(name) => {
+                self.confirm_by_call(&name, self.seen(&name));
                 if let Some(call) = self.calls.get_mut(&name) {
                     call.succeed(now);
                 }
@@ -212,7 +216,11 @@
             }
             return;
         }
-        call.succeed(now);
+        let revision = value.revision;
+        self.confirm_by_call(&value.name, revision);
+        if let Some(call) = self.calls.get_mut(&value.name) {
+            call.succeed(now);
+        }
         self.take_value(now, value, actions);
     }
 
@@ -259,6 +267,7 @@
         self.ask_relays(now, actions);
         self.announce(now, actions);
         self.catch_up(now, actions);
+        self.ask_confirmed(now, actions);
         self.note_alone(now, actions);
         self.call_service(now, actions);
         self.wake_at = self.find_wake(now);
@@ -334,6 +343,11 @@
         }
     }
 
+    /// Get when the call in flight for a value was sent.
+    pub(super) fn call_sent_at(&self, name: &ValueName) -> Option<Moment> {
+        self.calls.get(name)?.pending_since
+    }
+
     /// Get from when the value may be read.
     fn reads_from(&self, name: &ValueName) -> Moment {
         // Without the host list and the links' key there is no peer to wait
@@ -415,6 +429,7 @@
             .min(alone_at)
             .min(unfed_at.unwrap_or(Moment::NEVER))
             .min(self.backup_at)
+            .min(self.confirmations.next_ask())
             .min(self.next_spread())
             .max(now.plus(Duration::from_micros(1)))
     }
--- /dev/null
+++ b/bergamotswitch-core/src/revision/confirmation.rs
@@ -0,0 +1,138 @@
+//! Provides since when a host knows its revision of a value to be the newest.
+//!
+//! A revoked key must cease to work on every host within a bound, also on one
+//! that nothing reaches. So each host keeps the moment up to which it knows
+//! that nothing newer was published, and stops relying on keys when that lies
+//! too far back. It never guesses: a read confirms the moment at which it was
+//! sent, and a peer's word the moment of the question less the age that the
+//! peer gives, however long the answer took.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::book::RevisionBook;
+use super::{Revision, RevisionAction, RevisionMessage, ValueName};
+use crate::clock::Moment;
+use crate::host::HostName;
+
+/// A `Confirmation` is the latest moment at which a revision was the newest.
+#[derive(Clone, Copy, Debug, Default)]
+struct Confirmation {
+    at: Moment,
+    revision: Revision,
+}
+
+/// A `Confirmations` is the confirmations of all values.
+#[derive(Debug)]
+pub(super) struct Confirmations {
+    values: BTreeMap<ValueName, Confirmation>,
+    ask_at: Moment,
+}
+
+impl Default for Confirmations {
+    fn default() -> Self {
+        Confirmations {
+            values: BTreeMap::new(),
+            ask_at: Moment::NEVER,
+        }
+    }
+}
+
+impl Confirmations {
+    /// Get when the relays are asked next.
+    pub(super) fn next_ask(&self) -> Moment {
+        self.ask_at
+    }
+}
+
+impl RevisionBook {
+    /// Get how long ago the revision in force was known to be the newest;
+    /// `None` where it never was.
+    pub fn confirmed_age(&self, now: Moment, name: &ValueName) -> Option<Duration> {
+        let confirmation = self.confirmations.values.get(name)?;
+        let in_force = self.values.get(name)?.in_force()?;
+        (in_force >= confirmation.revision).then(|| now.since(confirmation.at))
+    }
+
+    /// Take note that the store answered the call in flight.
+    pub(super) fn confirm_by_call(&mut self, name: &ValueName, revision: Revision) {
+        if let Some(sent_at) = self.call_sent_at(name) {
+            self.confirm(name, sent_at, revision);
+        }
+    }
+
+    /// Ask the relays, where it is time.
+    pub(super) fn ask_confirmed(&mut self, now: Moment, actions: &mut Vec<RevisionAction>) {
+        let Some(interval) = self.opts.confirm_interval else {
+            return;
+        };
+        let asked = self.confirmations.ask_at;
+        if asked != Moment::NEVER && now < asked {
+            return;
+        }
+        self.confirmations.ask_at = now.plus(interval);
+        let Some(name) = self.opts.values.first().cloned() else {
+            return;
+        };
+        for host in self.links.keys() {
+            let message = RevisionMessage::AskConfirmed {
+                name: name.clone(),
+                asked_at: now,
+            };
+            actions.push(RevisionAction::Send(host.clone(), message));
+        }
+    }
+
+    /// Answer a peer's question with what this host knows for sure.
+    pub(super) fn answer_confirmed(
+        &self,
+        now: Moment,
+        host: HostName,
+        name: ValueName,
+        asked_at: Moment,
+        actions: &mut Vec<RevisionAction>,
+    ) {
+        let Some(age) = self.confirmed_age(now, &name) else {
+            return;
+        };
+        let book = self.values.get(&name);
+        let Some(revision) = book.and_then(|book| book.in_force()) else {
+            return;
+        };
+        // Rounded up: a younger age than the true one could keep a revoked
+        // key at work.
+        let age_ms = u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX);
+        let message = RevisionMessage::Confirmed {
+            name,
+            asked_at,
+            revision,
+            age_ms,
+        };
+        actions.push(RevisionAction::Send(host, message));
+    }
+
+    /// Take in a peer's answer.
+    pub(super) fn take_confirmed(
+        &mut self,
+        name: &ValueName,
+        asked_at: Moment,
+        revision: Revision,
+        age_ms: u32,
+    ) {
+        // The peer may act by a newer revision, which this host does not have
+        // yet: then nothing is confirmed of the one here.
+        if self.seen(name) < revision {
+            return;
+        }
+        let age = u64::from(age_ms) * 1_000;
+        let at = Moment::from_micros(asked_at.as_micros().saturating_sub(age));
+        self.confirm(name, at, revision);
+    }
+
+    fn confirm(&mut self, name: &ValueName, at: Moment, revision: Revision) {
+        let confirmation = self.confirmations.values.entry(name.clone()).or_default();
+        if at > confirmation.at {
+            *confirmation = Confirmation { at, revision };
+        }
+    }
+}
--- a/bergamotswitch-core/src/revision/mod.rs
+++ b/bergamotswitch-core/src/revision/mod.rs
@@ -9,6 +9,7 @@
 //! for itself.
 
 mod book;
+mod confirmation;
 mod options;
 mod peers;
 mod relay;
@@ -26,6 +27,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::Moment;
 use crate::host::{EntryHost, HostList, HostName};
 use crate::incident::Incident;
 
@@ -84,6 +86,26 @@
     Want(ValueName),
     /// A value, whole.
     Whole(PublishedValue),
+    /// The sender asks since when the receiver knows its revision of a value
+    /// to be the newest.
+    AskConfirmed {
+        /// The value's name.
+        name: ValueName,
+        /// The sender's time of the question.
+        asked_at: Moment,
+    },
+    /// The answer.
+    Confirmed {
+        /// The value's name.
+        name: ValueName,
+        /// The time of the question, as it was asked.
+        asked_at: Moment,
+        /// The revision that the sender acts by.
+        revision: Revision,
+        /// How long ago it was known to be the newest, in milliseconds, when
+        /// the answer was given.
+        age_ms: u32,
+    },
 }
 
 /// The name of the published rules.
@@ -96,6 +118,10 @@
 pub const DOMAINS_VALUE: &str = "domains";
 /// The name of the published limits.
 pub const LIMITS_VALUE: &str = "limits";
+/// The name of the published routes of a gateway.
+pub const ROUTES_VALUE: &str = "routes";
+/// The name of the list of targets that registered at the platform.
+pub const TARGETS_VALUE: &str = "targets";
 /// The name under which the host list spreads; it comes from a service of
 /// its own.
 pub const HOSTS_VALUE: &str = "hosts";
--- a/bergamotswitch-core/src/revision/options.rs
+++ b/bergamotswitch-core/src/revision/options.rs
@@ -44,6 +44,7 @@
     pub(super) read_burst: u32,
     pub(super) call_timeout: Duration,
     pub(super) kept_bases: usize,
+    pub(super) confirm_interval: Option<Duration>,
 }
 
 impl Default for RevisionOptions {
@@ -74,6 +75,7 @@
             read_burst: pace.burst,
             call_timeout: CALL_TIMEOUT,
             kept_bases: KEPT_BASES,
+            confirm_interval: None,
         }
     }
 }
@@ -150,6 +152,13 @@
         self
     }
 
+    /// Set how often relays are asked since when their revisions are known to
+    /// be the newest; they are not asked by default.
+    pub fn with_confirm_interval(mut self, span: Duration) -> Self {
+        self.confirm_interval = Some(span);
+        self
+    }
+
     /// Set what the published limits bound.
     pub fn with_limits(self, limits: &FleetLimits) -> Self {
         let pace = ReadPace::of(limits.reads_per_minute);
--- a/bergamotswitch-core/src/revision/service_reader.rs
+++ b/bergamotswitch-core/src/revision/service_reader.rs
@@ -63,7 +63,7 @@
 /// A `ServiceCall` is a host's calls for one value.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceCall {
-    pending_since: Option<Moment>,
+    pub(super) pending_since: Option<Moment>,
     due_at: Moment,
     failures: u32,
     /// The revision that the call was to go beyond.
--- a/bergamotswitch-core/src/revision/spreading.rs
+++ b/bergamotswitch-core/src/revision/spreading.rs
@@ -61,6 +61,18 @@
                 }
             }
             RevisionMessage::Want(name) => self.send_whole(now, &host, &name, actions),
+            RevisionMessage::AskConfirmed { name, asked_at } => {
+                self.answer_confirmed(now, host, name, asked_at, actions);
+            }
+            RevisionMessage::Confirmed {
+                name,
+                asked_at,
+                revision,
+                age_ms,
+            } => {
+                self.know(now, &host, &name, revision);
+                self.take_confirmed(&name, asked_at, revision, age_ms);
+            }
             RevisionMessage::Whole(value) => {
                 self.know(now, &host, &value.name, value.revision);
                 self.take_value(now, value, actions);
--- /dev/null
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -0,0 +1,348 @@
+//! Provides the state machine of the roster.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{MemberFlags, MemberMark, MemberRecord, RosterAction, RosterMessage, RosterOptions};
+use crate::clock::Moment;
+use crate::host::{EntryHost, HostList, HostName, Standing};
+
+/// The most marks in one message: with the sender's record they stay within
+/// one unfragmented datagram.
+const MARKS_PER_MESSAGE: usize = 64;
+
+/// The most records in one message, for the same reason.
+const RECORDS_PER_MESSAGE: usize = 8;
+
+/// One round in so many also goes to a seed and to a silent host: without
+/// it, two halves of a fleet that a cut has parted would never meet again.
+const ROUNDS_PER_REUNION: u64 = 4;
+
+/// A `KnownMember` is what this host knows of another.
+#[derive(Debug)]
+struct KnownMember {
+    record: MemberRecord,
+    /// When newer news of it came last.
+    heard_at: Moment,
+}
+
+/// A `Roster` is the fleet's hosts as this host has heard of them.
+#[derive(Debug)]
+pub struct Roster {
+    me: EntryHost,
+    flags: MemberFlags,
+    opts: RosterOptions,
+    seeds: Vec<SocketAddr>,
+    members: BTreeMap<HostName, KnownMember>,
+    names: BTreeMap<u32, HostName>,
+    /// What is added to the time since the start to give the own stamp.
+    stamp_base: u64,
+    round_at: Moment,
+    rounds: u64,
+    draws: u64,
+    seed: u64,
+    listed: HostList,
+}
+
+impl Roster {
+    /// Get the roster of a host that has just started. `stamp_base` is the
+    /// time of day in milliseconds at the process's start; `seed` spreads the
+    /// choice of whom to tell.
+    pub fn new(me: EntryHost, seeds: Vec<SocketAddr>, stamp_base: u64, seed: u64) -> Self {
+        Roster {
+            me,
+            flags: MemberFlags::default(),
+            opts: RosterOptions::default(),
+            seeds,
+            members: BTreeMap::new(),
+            names: BTreeMap::new(),
+            stamp_base,
+            round_at: Moment::START,
+            rounds: 0,
+            draws: 0,
+            seed,
+            listed: HostList::default(),
+        }
+    }
+
+    /// Set the options.
+    pub fn with_options(mut self, opts: RosterOptions) -> Self {
+        self.opts = opts;
+        self
+    }
+
+    /// Replace the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Set the own state. A change is told at once: callers must not be sent
+    /// to a host that stops.
+    pub fn set_flags(&mut self, now: Moment, flags: MemberFlags) {
+        if flags != self.flags {
+            self.flags = flags;
+            self.round_at = now;
+        }
+    }
+
+    /// Get when the next round is due.
+    pub fn next_wake(&self) -> Moment {
+        self.round_at
+    }
+
+    /// Count all others as heard of now: the process slept, and its own
+    /// silence is no evidence against them.
+    pub fn woke(&mut self, now: Moment) {
+        for member in self.members.values_mut() {
+            member.heard_at = now;
+        }
+        self.round_at = now;
+    }
+
+    /// Begin a round where one is due.
+    pub fn tick(&mut self, now: Moment) -> Vec<RosterAction> {
+        if now < self.round_at {
+            return Vec::new();
+        }
+        self.round_at = now.plus(self.opts.round_interval);
+        self.rounds += 1;
+        let forget_after = self.opts.forget_after;
+        self.members
+            .retain(|_, member| now.since(member.heard_at) < forget_after);
+        let targets = self.round_targets(now);
+        let message = self.message(now, Vec::new(), Vec::new());
+        targets
+            .into_iter()
+            .map(|to| RosterAction {
+                to,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
+    /// Take in a message; get the answer where one is of use.
+    pub fn hear(&mut self, now: Moment, message: RosterMessage) -> Vec<RosterAction> {
+        let sender = message.sender;
+        let to = sender.host.link_address;
+        let base = sender.stamp;
+        let newcomer = !self.members.contains_key(&sender.host.name);
+        self.learn(now, sender);
+        for record in message.records {
+            self.learn(now, record);
+        }
+        let mut wants = Vec::new();
+        for mark in message.marks {
+            if !self.take_mark(now, base, mark) {
+                wants.push(mark.id);
+            }
+        }
+        wants.truncate(RECORDS_PER_MESSAGE);
+        let records = self.records_of(now, &message.wants);
+        if wants.is_empty() && records.is_empty() && !newcomer {
+            return Vec::new();
+        }
+        let message = self.message(now, records, wants);
+        vec![RosterAction { to, message }]
+    }
+
+    /// Get the hosts that are counted on, this one among them.
+    pub fn hosts(&self, now: Moment) -> HostList {
+        let mut hosts: Vec<EntryHost> = self
+            .live(now)
+            .map(|member| standing_host(&member.record))
+            .collect();
+        hosts.push(standing_host(&self.own_record(now)));
+        hosts.sort_by(|first, second| first.name.cmp(&second.name));
+        HostList {
+            hosts,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Get the hosts that are counted on where they have changed since the
+    /// last call.
+    pub fn changed_hosts(&mut self, now: Moment) -> Option<HostList> {
+        let hosts = self.hosts(now);
+        if hosts == self.listed {
+            return None;
+        }
+        self.listed = hosts.clone();
+        Some(hosts)
+    }
+
+    /// Get the hosts that take callers, this one among them where it does.
+    pub fn ready_hosts(&self, now: Moment) -> Vec<EntryHost> {
+        let own = self.own_record(now);
+        let others = self.live(now).map(|member| &member.record);
+        others
+            .chain(std::iter::once(&own))
+            .filter(|record| record.flags.ready && !record.flags.leaving)
+            .map(|record| record.host.clone())
+            .collect()
+    }
+
+    fn live(&self, now: Moment) -> impl Iterator<Item = &KnownMember> {
+        let members = self.members.values();
+        members.filter(move |member| self.is_heard(now, member))
+    }
+
+    fn is_heard(&self, now: Moment, member: &KnownMember) -> bool {
+        now.since(member.heard_at) < self.opts.silent_after
+    }
+
+    fn own_stamp(&self, now: Moment) -> u64 {
+        self.stamp_base + now.as_micros() / 1_000
+    }
+
+    fn own_record(&self, now: Moment) -> MemberRecord {
+        MemberRecord {
+            host: self.me.clone(),
+            stamp: self.own_stamp(now),
+            flags: self.flags,
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Moment,
+        records: Vec<MemberRecord>,
+        wants: Vec<u32>,
+    ) -> RosterMessage {
+        let sender = self.own_record(now);
+        let skip = self.draw(self.members.len());
+        let known = self.members.values().cycle().skip(skip);
+        let marks = known
+            .take(self.members.len())
+            .filter(|member| self.is_heard(now, member))
+            .take(MARKS_PER_MESSAGE)
+            .map(|member| MemberMark {
+                id: MemberMark::id_of(&member.record.host.name),
+                behind: sender.stamp.wrapping_sub(member.record.stamp) as i64,
+                flags: member.record.flags,
+            })
+            .collect();
+        RosterMessage {
+            sender,
+            marks,
+            records,
+            wants,
+        }
+    }
+
+    fn records_of(&self, now: Moment, ids: &[u32]) -> Vec<MemberRecord> {
+        let known = ids.iter().filter_map(|id| {
+            let member = self.members.get(self.names.get(id)?)?;
+            self.is_heard(now, member).then(|| member.record.clone())
+        });
+        known.take(RECORDS_PER_MESSAGE).collect()
+    }
+
+    /// Take in a mark; get whether its host is known.
+    fn take_mark(&mut self, now: Moment, base: u64, mark: MemberMark) -> bool {
+        if mark.id == MemberMark::id_of(&self.me.name) {
+            self.outgrow(now, base.wrapping_sub(mark.behind as u64));
+            return true;
+        }
+        let Some(name) = self.names.get(&mark.id) else {
+            return false;
+        };
+        let Some(member) = self.members.get_mut(name) else {
+            return false;
+        };
+        let stamp = base.wrapping_sub(mark.behind as u64);
+        if stamp > member.record.stamp {
+            member.record.stamp = stamp;
+            member.record.flags = mark.flags;
+            member.heard_at = now;
+        }
+        true
+    }
+
+    fn learn(&mut self, now: Moment, record: MemberRecord) {
+        if record.host.name == self.me.name {
+            self.outgrow(now, record.stamp);
+            return;
+        }
+        let name = record.host.name.clone();
+        let known = self.members.get(&name);
+        if known.is_some_and(|known| known.record.stamp >= record.stamp) {
+            return;
+        }
+        self.names.insert(MemberMark::id_of(&name), name.clone());
+        let member = KnownMember {
+            record,
+            heard_at: now,
+        };
+        self.members.insert(name, member);
+    }
+
+    /// Keep the own stamp above what others hold of this host. After a
+    /// restart with the time of day set back, others would take news of the
+    /// new run for older than that of the former one and count this host as
+    /// silent.
+    fn outgrow(&mut self, now: Moment, stamp: u64) {
+        let own = self.own_stamp(now);
+        if stamp > own {
+            self.stamp_base += stamp - own + 1;
+            self.round_at = now;
+        }
+    }
+
+    /// Get whom to tell in this round: some that are counted on, all seeds
+    /// while there is nobody, and now and then a seed and a silent host.
+    fn round_targets(&mut self, now: Moment) -> Vec<SocketAddr> {
+        let mut live: Vec<SocketAddr> = self.live(now).map(address_of).collect();
+        if live.is_empty() {
+            return self.other_seeds();
+        }
+        let mut targets = Vec::new();
+        for _ in 0..self.opts.fanout.min(live.len()) {
+            let index = self.draw(live.len());
+            targets.push(live.swap_remove(index));
+        }
+        if self.rounds.is_multiple_of(ROUNDS_PER_REUNION) {
+            let silent = self.members.values();
+            let silent = silent.filter(|member| !self.is_heard(now, member));
+            let silent: Vec<SocketAddr> = silent.map(address_of).collect();
+            targets.extend(self.pick(silent));
+            let seeds = self.other_seeds();
+            targets.extend(self.pick(seeds));
+        }
+        targets
+    }
+
+    fn other_seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| *seed != self.me.link_address).collect()
+    }
+
+    fn pick(&mut self, addresses: Vec<SocketAddr>) -> Option<SocketAddr> {
+        let index = self.draw(addresses.len());
+        addresses.get(index).copied()
+    }
+
+    /// Get a number below `count`; 0 where there is none.
+    fn draw(&mut self, count: usize) -> usize {
+        self.draws += 1;
+        let mut bytes = self.seed.to_le_bytes().to_vec();
+        bytes.extend_from_slice(&self.draws.to_le_bytes());
+        let number = xxh3_64(&bytes).checked_rem(count as u64);
+        number.unwrap_or(0) as usize
+    }
+}
+
+fn address_of(member: &KnownMember) -> SocketAddr {
+    member.record.host.link_address
+}
+
+fn standing_host(record: &MemberRecord) -> EntryHost {
+    EntryHost {
+        standing: match record.flags.leaving {
+            true => Standing::Leaving,
+            false => Standing::Live,
+        },
+        ..record.host.clone()
+    }
+}
--- /dev/null
+++ b/bergamotswitch-core/src/route/table.rs
@@ -0,0 +1,98 @@
+//! Provides the lookup of routes and client accounts.
+
+use std::collections::HashMap;
+
+use super::{KeyedAccount, PoolFacts, Route, RouteBook};
+use crate::client_account::KeyHash;
+use crate::error::Findings;
+use crate::name::{AccountName, PoolName};
+use crate::revision::ROUTES_VALUE;
+
+/// A `RouteTable` finds the route of a call and the account of a key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouteTable {
+    book: RouteBook,
+    by_host: HashMap<String, HashMap<String, usize>>,
+    by_key: HashMap<KeyHash, usize>,
+}
+
+impl RouteTable {
+    /// Get the table of a book.
+    pub fn new(book: RouteBook) -> Self {
+        let mut by_host: HashMap<String, HashMap<String, usize>> = HashMap::new();
+        for (index, route) in book.routes.iter().enumerate() {
+            let prefixes = by_host.entry(route.host.clone()).or_default();
+            prefixes.insert(route.path_prefix.clone(), index);
+        }
+        let mut by_key = HashMap::new();
+        for (index, account) in book.accounts.iter().enumerate() {
+            for hash in &account.key_hashes {
+                by_key.insert(hash.clone(), index);
+            }
+        }
+        RouteTable {
+            book,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// Try to read a table from the published JSON text.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the text lacks.
+    pub fn try_from_json(text: &str) -> Result<Self, Findings> {
+        match serde_json::from_str::<RouteBook>(text) {
+            Ok(book) => Ok(RouteTable::new(book)),
+            Err(error) => {
+                let mut findings = Findings::new();
+                findings.add(format!("{ROUTES_VALUE}:"), error.to_string(), "routes");
+                Err(findings)
+            }
+        }
+    }
+
+    /// Get the book.
+    pub fn book(&self) -> &RouteBook {
+        &self.book
+    }
+
+    /// Get the route of a call: of those of its host name, the one with the
+    /// longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let prefixes = self.by_host.get(host)?;
+        let mut rest = path;
+        while let Some(slash) = rest.rfind('/') {
+            if let Some(index) = prefixes.get(&rest[..=slash]) {
+                return self.book.routes.get(*index);
+            }
+            rest = &rest[..slash];
+        }
+        None
+    }
+
+    /// Get whether calls to routes that are not public need a key.
+    pub fn has_accounts(&self) -> bool {
+        !self.book.accounts.is_empty()
+    }
+
+    /// Get the account that holds a key. The lookup is by the key's hash, of
+    /// which a guesser can choose no part, so its duration tells nothing of
+    /// the keys.
+    pub fn account_of_key(&self, key: &str) -> Option<&KeyedAccount> {
+        let index = self.by_key.get(&KeyHash::of(key))?;
+        self.book.accounts.get(*index)
+    }
+
+    /// Get an account by its name.
+    pub fn account(&self, name: &AccountName) -> Option<&KeyedAccount> {
+        let mut accounts = self.book.accounts.iter();
+        accounts.find(|account| account.name == *name)
+    }
+
+    /// Get what is published of a pool.
+    pub fn pool(&self, name: &PoolName) -> Option<&PoolFacts> {
+        self.book.pools.iter().find(|pool| pool.name == *name)
+    }
+}
--- a/bergamotswitch-core/src/settings.rs
+++ b/bergamotswitch-core/src/settings.rs
@@ -1,17 +1,18 @@
 //! Provides host settings: what a process is told locally at its start.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::Serialize;
 
 use crate::error::Findings;
 use crate::failure_domain::DomainName;
 use crate::host::{HostList, HostName};
-use crate::publication::PeerAddress;
 use crate::publication::json_node::{JsonNode, ReadJson, read_text};
 use crate::publication::named_choice::read_choice;
 use crate::publication::object_reader::ObjectReader;
 use crate::publication::repeats::refuse_repeated_addresses;
+use crate::publication::{LinkKey, PeerAddress};
 
 /// A `LogFormat` is how log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -54,9 +55,22 @@
     }
 }
 
+/// A `LogOutput` is where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogOutput {
+    /// Standard error, line by line.
+    #[default]
+    Stderr,
+    /// Standard output, from a bounded buffer that never holds up the loop.
+    Stdout,
+}
+
 /// A `LogSettings` says what is logged, and how.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct LogSettings {
+    /// Where lines go.
+    pub output: LogOutput,
     /// How lines are written.
     pub format: LogFormat,
     /// What is logged.
@@ -64,7 +78,7 @@
 }
 
 /// A `HostSettings` is what a process is told locally; all else is published.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct HostSettings {
     /// The host's name, as in the host list.
     pub name: HostName,
@@ -78,10 +92,44 @@
     pub configuration_services: Vec<SocketAddr>,
     /// The instances of the host list.
     pub host_lists: Vec<SocketAddr>,
+    /// Where it serves as a gateway, which reads no services of the above.
+    pub gateway: Option<GatewaySettings>,
     /// What is logged.
     pub log: LogSettings,
 }
 
+/// A `GatewaySettings` is what a process is told that serves the users'
+/// platform.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct GatewaySettings {
+    /// Where it tells whether it is ready.
+    pub readiness_address: SocketAddr,
+    /// Where it tells where to connect.
+    pub directory_address: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics_address: SocketAddr,
+    /// Where the platform's store is.
+    pub store_address: SocketAddr,
+    /// Hosts to ask first for the others; they may be down.
+    pub seeds: Vec<SocketAddr>,
+    /// The secret that the hosts share.
+    #[serde(skip)]
+    pub link_key: String,
+    /// Its share of a processor, in cores.
+    pub cores: f64,
+    /// Its memory, in megabytes.
+    pub memory_mb: u64,
+    /// How long a revoked key may still work, in milliseconds; no bound where
+    /// absent.
+    pub revoke_ms: Option<u64>,
+    /// The retries of a pool for each request to it.
+    pub retry_ratio: f64,
+    /// The retries that all hosts together may make beyond that.
+    pub retry_slack: f64,
+    /// How long a planned stop may last, in seconds.
+    pub grace_s: f64,
+}
+
 /// The name under which findings place the settings.
 const SETTINGS_INPUT: &str = "settings";
 
@@ -130,8 +178,15 @@
         let domain = object.required("domain");
         let caller_address = object.required("caller_address");
         let link_address = object.required("link_address");
-        let services = object.required::<Vec<PeerAddress>>("configuration_services");
-        let host_lists = object.required::<Vec<PeerAddress>>("host_lists");
+        let gateway = object.optional("gateway");
+        let has_gateway = node.field("gateway").is_some();
+        let (services, host_lists) = match has_gateway {
+            true => (Some(Vec::new()), Some(Vec::new())),
+            false => (
+                object.required::<Vec<PeerAddress>>("configuration_services"),
+                object.required::<Vec<PeerAddress>>("host_lists"),
+            ),
+        };
         let log = object.or_default("log");
         object.finish();
         refuse_shared_address(node, caller_address, link_address, findings);
@@ -143,6 +198,7 @@
             link_address: link_address?,
             configuration_services: addresses(services?),
             host_lists: addresses(host_lists?),
+            gateway: gateway?,
             log: log?,
         })
     }
@@ -176,19 +232,77 @@
     list.into_iter().map(|address| address.0).collect()
 }
 
+/// The allowed shares of a processor, in cores.
+const CORE_RANGE: RangeInclusive<f64> = 0.01..=1024.0;
+/// The allowed memory, in megabytes.
+const MEMORY_RANGE: RangeInclusive<u64> = 16..=1_048_576;
+/// The allowed times in which a revoked key may still work, in milliseconds.
+const REVOKE_RANGE: RangeInclusive<u64> = 1_000..=3_600_000;
+/// The allowed retries for each request.
+const RATIO_RANGE: RangeInclusive<f64> = 0.0..=10.0;
+/// The allowed retries of all hosts beyond that.
+const SLACK_RANGE: RangeInclusive<f64> = 0.0..=1_000_000.0;
+/// The allowed lengths of a planned stop, in seconds.
+const GRACE_RANGE: RangeInclusive<f64> = 1.0..=3_600.0;
+
+impl ReadJson for GatewaySettings {
+    fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
+        let mut object = ObjectReader::open(node, findings)?;
+        let readiness_address = object.required("readiness_address");
+        let directory_address = object.required("directory_address");
+        let metrics_address = object.required("metrics_address");
+        let store_address = object.required::<PeerAddress>("store_address");
+        let seeds = match object.take("seeds") {
+            Some(list) if !list.is_empty_list() => ReadJson::read(&list, object.findings()),
+            _ => Some(Vec::<PeerAddress>::new()),
+        };
+        let link_key = object.required::<LinkKey>("link_key");
+        let cores = object.fraction("cores", &CORE_RANGE);
+        let memory_mb = object.number("memory_mb", &MEMORY_RANGE);
+        let revoke_ms = object.number("revoke_ms", &REVOKE_RANGE);
+        let retry_ratio = object.fraction("retry_ratio", &RATIO_RANGE);
+        let retry_slack = object.fraction("retry_slack", &SLACK_RANGE);
+        let grace_s = object.fraction("grace_s", &GRACE_RANGE);
+        object.finish();
+        Some(GatewaySettings {
+            readiness_address: readiness_address?,
+            directory_address: directory_address?,
+            metrics_address: metrics_address?,
+            store_address: store_address?.0,
+            seeds: addresses(seeds?),
+            link_key: link_key?.0,
+            cores: cores?.unwrap_or(1.0),
+            memory_mb: memory_mb?.unwrap_or(256),
+            revoke_ms: revoke_ms?,
+            retry_ratio: retry_ratio?.unwrap_or(0.1),
+            retry_slack: retry_slack?.unwrap_or(0.0),
+            grace_s: grace_s?.unwrap_or(30.0),
+        })
+    }
+}
+
 impl ReadJson for LogSettings {
     fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
         let mut object = ObjectReader::open(node, findings)?;
+        let output = object.or_default("output");
         let format = object.or_default("format");
         let level = object.or_default("level");
         object.finish();
         Some(LogSettings {
+            output: output?,
             format: format?,
             level: level?,
         })
     }
 }
 
+impl ReadJson for LogOutput {
+    fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
+        let choices = [("stderr", LogOutput::Stderr), ("stdout", LogOutput::Stdout)];
+        read_choice(node, &choices, findings)
+    }
+}
+
 impl ReadJson for LogFormat {
     fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
         let choices = [("text", LogFormat::Text), ("json", LogFormat::Json)];
--- a/bergamotswitch-core/src/target.rs
+++ b/bergamotswitch-core/src/target.rs
@@ -29,6 +29,9 @@
     /// The most tokens (prompt and output) that it may hold at once.
     #[serde(default = "default_token_limit")]
     pub token_limit: u32,
+    /// The requests that it serves at once, where it says so.
+    #[serde(default)]
+    pub slots: Option<u32>,
     /// What an engine should have loaded; nothing orders it where absent.
     #[serde(default)]
     pub load: Option<EngineLoad>,
--- /dev/null
+++ b/bergamotswitch-core/src/target_list.rs
@@ -0,0 +1,226 @@
+//! Provides the list of targets as registered at the platform's store, and
+//! the register that keeps it up to date from reads and changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Moment;
+use crate::error::Findings;
+use crate::host::Standing;
+use crate::name::{DomainName, PoolName, TargetName};
+use crate::revision::{Revision, TARGETS_VALUE};
+
+/// How long after the store's return entries that are gone are still counted
+/// on. Entries lapse while the store is away because no heartbeat reaches it;
+/// those of live targets are back within two seconds of its return. Dropped at
+/// once, all targets of a healthy service would be gone for that time; one
+/// would see every request refused just after an outage.
+const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
+
+/// Steps of the published revision for one revision of the store: the list as
+/// it was read, and the list once lapsed entries were dropped.
+const STEPS_PER_REVISION: u64 = 2;
+
+/// A `TargetEntry` is one registered target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetEntry {
+    /// The target's name; each start of a target has another one.
+    pub name: TargetName,
+    /// The pool that it serves.
+    pub pool: PoolName,
+    /// The failure domain in which it stands.
+    pub domain: DomainName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The requests that it serves at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub standing: Standing,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub warming_ms: u64,
+}
+
+/// A `TargetChange` is one change of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// The entry is as given.
+    Set(TargetEntry),
+    /// The entry is gone.
+    Gone(TargetName),
+}
+
+/// A `TargetNews` is what a read or a watch of the store brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TargetNews {
+    /// All entries as of a revision.
+    Whole {
+        /// The entries.
+        entries: Vec<TargetEntry>,
+        /// The store's revision.
+        as_of: u64,
+    },
+    /// The changes up to a revision, in order.
+    Changes {
+        /// The changes, each with its revision.
+        changes: Vec<(u64, TargetChange)>,
+        /// The store's revision.
+        as_of: u64,
+    },
+}
+
+/// A `TargetList` is the published form of all entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetList {
+    /// The entries.
+    pub targets: Vec<TargetEntry>,
+}
+
+impl TargetList {
+    /// Try to read a list from its JSON text.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the text lacks.
+    pub fn try_from_json(text: &str) -> Result<Self, Findings> {
+        serde_json::from_str(text).map_err(|error| {
+            let mut findings = Findings::new();
+            findings.add(format!("{TARGETS_VALUE}:"), error.to_string(), "targets");
+            findings
+        })
+    }
+}
+
+/// A `TargetRegister` is a reading host's copy of the store's entries.
+#[derive(Debug, Default)]
+pub struct TargetRegister {
+    entries: BTreeMap<TargetName, TargetEntry>,
+    /// Entries that are gone from the store and still counted on.
+    lapsed: BTreeMap<TargetName, TargetEntry>,
+    /// The store's revision up to which the entries are complete.
+    as_of: u64,
+    /// Whether lapsed entries were dropped at this revision.
+    dropped: bool,
+    /// Whether a call failed since the last one that succeeded.
+    failing: bool,
+    hold_until: Moment,
+}
+
+impl TargetRegister {
+    /// Take over a list that a peer read, where it is newer.
+    pub fn adopt(&mut self, revision: Revision, list: &TargetList) {
+        let as_of = revision.0 / STEPS_PER_REVISION;
+        if as_of <= self.as_of {
+            return;
+        }
+        self.as_of = as_of;
+        self.dropped = !revision.0.is_multiple_of(STEPS_PER_REVISION);
+        self.lapsed.clear();
+        let entries = list.targets.iter();
+        self.entries = entries
+            .map(|entry| (entry.name.clone(), entry.clone()))
+            .collect();
+    }
+
+    /// Note that a call failed.
+    pub fn note_failure(&mut self) {
+        self.failing = true;
+    }
+
+    /// Take in news; get whether the list has changed.
+    pub fn take(&mut self, now: Moment, news: TargetNews) -> bool {
+        if std::mem::take(&mut self.failing) {
+            self.hold_until = now.plus(LAPSE_HOLD);
+        }
+        let before = self.list();
+        match news {
+            TargetNews::Whole { entries, as_of } => self.take_whole(now, entries, as_of),
+            TargetNews::Changes { changes, as_of } => self.take_changes(now, changes, as_of),
+        }
+        self.list() != before
+    }
+
+    /// Drop lapsed entries whose time is over; get whether there were any.
+    pub fn drop_lapsed(&mut self, now: Moment) -> bool {
+        if self.lapsed.is_empty() || now < self.hold_until {
+            return false;
+        }
+        self.lapsed.clear();
+        self.dropped = true;
+        true
+    }
+
+    /// Get when [`TargetRegister::drop_lapsed`] is due.
+    pub fn next_due(&self) -> Moment {
+        match self.lapsed.is_empty() {
+            true => Moment::NEVER,
+            false => self.hold_until,
+        }
+    }
+
+    /// Get the revision under which the list is published.
+    pub fn revision(&self) -> Revision {
+        Revision(self.as_of * STEPS_PER_REVISION + u64::from(self.dropped))
+    }
+
+    /// Get the list, lapsed entries included.
+    pub fn list(&self) -> TargetList {
+        let entries = self.entries.values().chain(self.lapsed.values());
+        TargetList {
+            targets: entries.cloned().collect(),
+        }
+    }
+
+    fn take_whole(&mut self, now: Moment, entries: Vec<TargetEntry>, as_of: u64) {
+        // An answer that was overtaken must not undo later changes.
+        if as_of < self.as_of {
+            return;
+        }
+        let mut former = std::mem::take(&mut self.entries);
+        for entry in entries {
+            former.remove(&entry.name);
+            self.set(entry);
+        }
+        for (name, entry) in former {
+            self.lapse(now, name, entry);
+        }
+        self.advance(as_of);
+    }
+
+    fn take_changes(&mut self, now: Moment, changes: Vec<(u64, TargetChange)>, as_of: u64) {
+        for (revision, change) in changes {
+            if revision <= self.as_of {
+                continue;
+            }
+            match change {
+                TargetChange::Set(entry) => self.set(entry),
+                TargetChange::Gone(name) => {
+                    if let Some(entry) = self.entries.remove(&name) {
+                        self.lapse(now, name, entry);
+                    }
+                }
+            }
+        }
+        self.advance(as_of.max(self.as_of));
+    }
+
+    fn set(&mut self, entry: TargetEntry) {
+        self.lapsed.remove(&entry.name);
+        self.entries.insert(entry.name.clone(), entry);
+    }
+
+    fn lapse(&mut self, now: Moment, name: TargetName, entry: TargetEntry) {
+        if now < self.hold_until {
+            self.lapsed.insert(name, entry);
+        }
+    }
+
+    fn advance(&mut self, as_of: u64) {
+        if as_of > self.as_of {
+            self.as_of = as_of;
+            self.dropped = false;
+        }
+    }
+}
--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -9,6 +9,7 @@
 use bergamotswitch_core::refusal::Refusal;
 use bergamotswitch_core::request::RequestId;
 use bytes::Bytes;
+use http::HeaderMap;
 use tokio::sync::watch;
 
 use crate::input::{NodeInput, NodeSender};
@@ -20,8 +21,10 @@
     Head {
         /// The HTTP status.
         status: u16,
-        /// The content type.
+        /// The content type, where the fields do not hold it.
         content_type: String,
+        /// The target's fields that its caller gets.
+        fields: HeaderMap,
     },
     /// One server-sent event's data of an engine (without `data: `), or a
     /// piece of a plain service's body.
@@ -58,6 +61,8 @@
     overlong: bool,
     /// How often the answer began anew.
     beginnings: u64,
+    /// The id of the last event of a stream that another target may carry on.
+    last_event: Option<String>,
 }
 
 impl AnswerLog {
@@ -141,6 +146,19 @@
         self.length.send_replace(len);
     }
 
+    /// Add an event of a stream that another target may carry on after it.
+    pub fn push_event(&self, bytes: Bytes, id: Option<String>) {
+        if id.is_some() {
+            lock(&self.log).last_event = id;
+        }
+        self.push(AnswerPart::Data(bytes));
+    }
+
+    /// Get the id of the last event that was added.
+    pub fn last_event(&self) -> Option<String> {
+        lock(&self.log).last_event.clone()
+    }
+
     /// Drop what was written: an attempt failed before any caller saw it.
     pub fn clear(&self) {
         let mut log = lock(&self.log);
@@ -148,6 +166,7 @@
         log.bytes = 0;
         log.overlong = false;
         log.beginnings += 1;
+        log.last_event = None;
         drop(log);
         self.length.send_replace(0);
     }
@@ -216,16 +235,16 @@
         }
     }
 
-    /// Wait until the answer is over, or has a part for which `shows` says
-    /// that the caller can be shown it. Get the answer's first part then,
+    /// Wait until the answer is over, or has parts of which `shows` says that
+    /// the caller can be shown them. Get the answer's first part then,
     /// without passing it; none where the answer was dropped unfinished. What
     /// is taken earlier could belong to an attempt that is dropped.
-    pub async fn begun(&mut self, shows: impl Fn(&AnswerPart) -> bool) -> Option<AnswerPart> {
+    pub async fn begun(&mut self, shows: impl Fn(&[AnswerPart]) -> bool) -> Option<AnswerPart> {
         loop {
             self.length.mark_unchanged();
             let first = {
                 let log = lock(&self.log);
-                let begun = log.is_over() || log.parts.iter().any(&shows);
+                let begun = log.is_over() || shows(&log.parts);
                 begun.then(|| log.parts.first().cloned())
             };
             if let Some(first) = first {
--- a/bergamotswitch-net/src/caller/early_answer.rs
+++ b/bergamotswitch-net/src/caller/early_answer.rs
@@ -16,11 +16,11 @@
     EventBytes, answer_events, comment, error_event, error_events, refusal_events,
 };
 use super::fields::{INCARNATION_FIELD, REQUEST_FIELD};
-use super::follower::AnswerFollower;
 use super::forward::{OriginalCall, forward};
 use super::reception::{CheckedCall, HandedOver, hand_over};
 use super::whole_answer::{WholeAnswer, begins_stream, is_engine_stream};
 use crate::answer::AnswerPart;
+use crate::follower::{AnswerFollower, has_output};
 
 /// Get whether the caller must be told this run before the request can be
 /// dispatched. Its connection may break at any moment; without the run a
@@ -77,7 +77,7 @@
     original: OriginalCall,
     usage: bool,
 ) -> BoxStream<'static, EventBytes> {
-    if begins_stream(&follower.begun().await) {
+    if begins_stream(&follower.begun(has_output).await) {
         return answer_events(follower, usage);
     }
     let mut parts = follower.whole().await;
--- a/bergamotswitch-net/src/caller/engine_call.rs
+++ b/bergamotswitch-net/src/caller/engine_call.rs
@@ -10,12 +10,12 @@
 use super::engine_check::{AnswerWish, check_engine_call};
 use super::event_stream::{answer_events, write_stream};
 use super::fields::REQUEST_FIELD;
-use super::follower::AnswerFollower;
 use super::forward::{OriginalCall, forward_back};
 use super::reception::{CheckedCall, HandedOver, hand_over};
 use super::refusal_page::text_value;
 use super::whole_answer::{WholeAnswer, begins_stream};
 use crate::answer::AnswerPart;
+use crate::follower::{AnswerFollower, has_output};
 
 /// An `EngineCall` handles one form of requests to engines.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
     ) {
         let id = text_value(follower.id());
         res.headers_mut().insert(REQUEST_FIELD, id);
-        if wish.stream && begins_stream(&follower.begun().await) {
+        if wish.stream && begins_stream(&follower.begun(has_output).await) {
             write_stream(answer_events(follower, wish.usage), res);
             return;
         }
--- a/bergamotswitch-net/src/caller/engine_check.rs
+++ b/bergamotswitch-net/src/caller/engine_check.rs
@@ -1,6 +1,6 @@
 //! Provides the checks of requests to engines.
 
-use bergamotswitch_core::entry::Submission;
+use bergamotswitch_core::entry::{CallTerms, Submission};
 use bergamotswitch_core::error::Findings;
 use bergamotswitch_core::pool::{PoolKind, PoolName};
 use bergamotswitch_core::publication::Publication;
@@ -72,12 +72,14 @@
         cost: body.cost,
         prefixes: body.prefixes,
         streaming: body.stream,
+        terms: CallTerms::default(),
     };
     let call = OutgoingCall {
         method: Method::POST,
         path: form.path().to_owned(),
         content_type: JSON_TYPE.to_owned(),
         body: body.outgoing,
+        routed: None,
     };
     let wish = AnswerWish {
         stream: body.stream,
--- a/bergamotswitch-net/src/caller/event_stream.rs
+++ b/bergamotswitch-net/src/caller/event_stream.rs
@@ -10,9 +10,9 @@
 use serde_json::Value;
 
 use super::assembly::DONE_MARK;
-use super::follower::AnswerFollower;
 use super::refusal_page::RefusalPage;
 use crate::answer::AnswerPart;
+use crate::follower::AnswerFollower;
 
 /// The content type of streams.
 pub(super) const EVENT_STREAM_TYPE: &str = "text/event-stream";
--- a/bergamotswitch-net/src/caller/mod.rs
+++ b/bergamotswitch-net/src/caller/mod.rs
@@ -12,7 +12,6 @@
 mod engine_members;
 mod event_stream;
 mod fields;
-mod follower;
 mod forward;
 mod lookup;
 mod reception;
--- a/bergamotswitch-net/src/caller/refusal_page.rs
+++ b/bergamotswitch-net/src/caller/refusal_page.rs
@@ -125,6 +125,8 @@
         RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         RefusalReason::UnknownAccount => StatusCode::UNAUTHORIZED,
         RefusalReason::UnknownPool => StatusCode::NOT_FOUND,
+        RefusalReason::NoRoute => StatusCode::NOT_FOUND,
+        RefusalReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::NoRule => StatusCode::FORBIDDEN,
         RefusalReason::KeyReused => StatusCode::CONFLICT,
         RefusalReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
@@ -138,6 +140,7 @@
         | RefusalReason::OutcomeUnknown
         | RefusalReason::Stopping
         | RefusalReason::NotReady
+        | RefusalReason::KeyUnconfirmed
         | RefusalReason::CallerLeft => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -162,6 +165,9 @@
         RefusalReason::Stopping => "this host is stopping",
         RefusalReason::NotReady => "this host has no valid configuration yet",
         RefusalReason::CallerLeft => "the caller left",
+        RefusalReason::OverQuota => "the client account has used up its quota",
+        RefusalReason::NoRoute => "no route leads anywhere from here",
+        RefusalReason::KeyUnconfirmed => "it is not known whether this key still holds",
     }
 }
 
--- a/bergamotswitch-net/src/caller/service_call.rs
+++ b/bergamotswitch-net/src/caller/service_call.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bergamotswitch_core::entry::Submission;
+use bergamotswitch_core::entry::{CallTerms, Submission};
 use bergamotswitch_core::error::Findings;
 use bergamotswitch_core::pool::{PoolKind, PoolName};
 use bergamotswitch_core::refusal::RefusalReason;
@@ -124,12 +124,14 @@
             cost: CALL_COST,
             prefixes: Vec::new(),
             streaming: false,
+            terms: CallTerms::default(),
         };
         let call = OutgoingCall {
             method: req.method().clone(),
             path: path.target,
             content_type: content_type(req),
             body: original.body.clone(),
+            routed: None,
         };
         Ok(CheckedCall {
             submission,
--- a/bergamotswitch-net/src/caller/whole_answer.rs
+++ b/bergamotswitch-net/src/caller/whole_answer.rs
@@ -36,6 +36,7 @@
                 AnswerPart::Head {
                     status,
                     content_type,
+                    ..
                 } => {
                     answer.status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                     answer.content_type = content_type;
@@ -108,6 +109,7 @@
         AnswerPart::Head {
             status,
             content_type,
+            ..
         } => is_engine_stream(*status, content_type),
         AnswerPart::Data(_) => true,
         AnswerPart::End | AnswerPart::Refused(_) | AnswerPart::Forward(_) => false,
--- a/bergamotswitch-net/src/caller/follower.rs
+++ b/bergamotswitch-net/src/follower.rs
@@ -34,7 +34,7 @@
 
 /// An `AnswerFollower` is one caller that follows a request's answer.
 #[derive(Debug)]
-pub(super) struct AnswerFollower {
+pub(crate) struct AnswerFollower {
     id: RequestId,
     reader: AnswerReader,
     guard: LeaveGuard,
@@ -42,7 +42,7 @@
 
 impl AnswerFollower {
     /// Get a follower of a request.
-    pub(super) fn new(node: &NodeSender, id: RequestId, reader: AnswerReader) -> Self {
+    pub(crate) fn new(node: &NodeSender, id: RequestId, reader: AnswerReader) -> Self {
         AnswerFollower {
             id,
             reader,
@@ -54,23 +54,20 @@
     }
 
     /// Get the request's id.
-    pub(super) fn id(&self) -> RequestId {
+    pub(crate) fn id(&self) -> RequestId {
         self.id
     }
 
-    /// Wait until some output of an engine came, or the answer is over, and
-    /// get the answer's first part without passing it. Until then the attempt
-    /// may be followed by another one.
-    pub(super) async fn begun(&mut self) -> AnswerPart {
-        self.reader
-            .begun(has_output)
-            .await
-            .unwrap_or_else(dropped_part)
+    /// Wait until the answer has parts that `shows` says the caller can be
+    /// shown, or is over, and get its first part without passing it. Until then
+    /// the attempt may be followed by another one.
+    pub(crate) async fn begun(&mut self, shows: impl Fn(&[AnswerPart]) -> bool) -> AnswerPart {
+        self.reader.begun(shows).await.unwrap_or_else(dropped_part)
     }
 
     /// Get the next part. After the last one there is none; an answer that
     /// was dropped unfinished or began anew ends with a refusal.
-    pub(super) async fn next(&mut self) -> AnswerPart {
+    pub(crate) async fn next(&mut self) -> AnswerPart {
         match self.reader.next().await {
             Some(part) => {
                 if part.is_last() {
@@ -86,7 +83,7 @@
 
     /// Wait until the answer is over, and get its parts; the last one is
     /// always there.
-    pub(super) async fn whole(mut self) -> Vec<AnswerPart> {
+    pub(crate) async fn whole(mut self) -> Vec<AnswerPart> {
         let mut parts = self.reader.whole().await;
         self.guard.disarm();
         if parts.is_empty() {
@@ -96,15 +93,15 @@
     }
 }
 
-/// Get whether a part has output by the same measure by which the loop is
+/// Get whether some part has output by the same measure by which the loop is
 /// told of the first token: from then on no attempt follows a streamed one.
-fn has_output(part: &AnswerPart) -> bool {
-    match part {
+pub(crate) fn has_output(parts: &[AnswerPart]) -> bool {
+    parts.iter().any(|part| match part {
         AnswerPart::Data(data) => {
             serde_json::from_slice(data).is_ok_and(|chunk: StreamChunk| chunk.has_output())
         }
         _ => false,
-    }
+    })
 }
 
 /// Get the last part of an answer that was dropped unfinished.
--- /dev/null
+++ b/bergamotswitch-net/src/gateway/listener.rs
@@ -0,0 +1,111 @@
+//! Provides the listening and the connections of the gateway.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
+
+use super::GatewayDesk;
+use super::answer_body::AnswerBody;
+
+/// The least buffer for a head that the library takes.
+const MIN_BUFFER: usize = 8_192;
+
+/// The idle time after which the kernel probes a caller's connection, and how
+/// often it does: callers whose machine lost power are noticed within some
+/// ten seconds, and what runs for them ends.
+const KEEPALIVE: Duration = Duration::from_secs(4);
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// The pause after an accept that failed for want of descriptors: at once it
+/// would fail again, and the loop would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A `ListenerGuard` ends its listener when it is dropped.
+#[derive(Debug)]
+pub(super) struct ListenerGuard(AbortHandle);
+
+impl Drop for ListenerGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Try to answer what comes on a listener by `handler`.
+pub(super) fn serve<Handler, Answer>(
+    listener: std::net::TcpListener,
+    desk: &Arc<GatewayDesk>,
+    handler: Handler,
+) -> io::Result<ListenerGuard>
+where
+    Handler: Fn(Arc<GatewayDesk>, Request<Incoming>) -> Answer + Copy + Send + Sync + 'static,
+    Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    listener.set_nonblocking(true)?;
+    let socket = SockRef::from(&listener);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_nodelay(true)?;
+    let listener = TcpListener::from_std(listener)?;
+    let desk = Arc::clone(desk);
+    let task = tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    drop(tokio::spawn(connection(Arc::clone(&desk), stream, handler)))
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    });
+    Ok(ListenerGuard(task.abort_handle()))
+}
+
+async fn connection<Handler, Answer>(desk: Arc<GatewayDesk>, stream: TcpStream, handler: Handler)
+where
+    Handler: Fn(Arc<GatewayDesk>, Request<Incoming>) -> Answer + Copy + Send + Sync + 'static,
+    Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let limits = desk.publication.borrow().routes.book().limits;
+    let service = service_fn(|request| {
+        let desk = Arc::clone(&desk);
+        async move {
+            let chunked = bergamotswitch_platform::call::is_chunked(request.headers());
+            let stopping = *desk.stopping.borrow();
+            let mut response = handler(desk, request).await;
+            // Where a body came in chunks, a length that stood beside them is
+            // not seen here: what follows on the connection might be the rest
+            // of a body in the eyes of whoever stands before the caller, and
+            // would run as a request that nobody sent.
+            if chunked || stopping {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    // The library's bound on the time for a head counts from the end of the
+    // call before, so it bounds the idle time.
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
+        .max_buf_size(MIN_BUFFER.max(limits.max_header_bytes as usize))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("caller's connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/bergamotswitch-net/src/handover.rs
@@ -0,0 +1,68 @@
+//! Provides the handing of a checked request to the loop.
+
+use bergamotswitch_core::entry::{Reception, Submission};
+use bergamotswitch_core::host::HostIncarnation;
+use bergamotswitch_core::refusal::Refusal;
+use tokio::sync::oneshot;
+
+use crate::follower::AnswerFollower;
+use crate::input::{NodeInput, NodeSender, OutgoingCall, Received};
+
+/// A `HandedOver` is what became of a request that was handed to the loop.
+#[derive(Debug)]
+pub(crate) enum HandedOver {
+    /// It is here.
+    Here(Box<AnswerFollower>),
+    /// Another run of a host holds it.
+    Elsewhere(HostIncarnation),
+    /// It is refused.
+    Refused(Refusal),
+    /// There is no loop any more that could have taken it.
+    LoopGone,
+    /// It was taken, and its answer dropped.
+    AnswerDropped,
+}
+
+/// Hand a request to the loop and wait for its reception.
+///
+/// The wait is a task of its own. A caller may leave between the submission
+/// and its reception; the request's id is not known then, and the loop would
+/// never be told. The task always learns the id, and what it made of it is
+/// dropped, with the follower's guard in it, where nobody takes it.
+pub(crate) async fn hand_over(
+    node: &NodeSender,
+    submission: Submission,
+    call: OutgoingCall,
+) -> HandedOver {
+    let (reply, received) = oneshot::channel();
+    let input = NodeInput::Submit {
+        submission: Box::new(submission),
+        call: Box::new(call),
+        reply,
+    };
+    if node.send(input).is_err() {
+        return HandedOver::LoopGone;
+    }
+    let (taker, taken) = oneshot::channel();
+    let node = node.clone();
+    tokio::spawn(async move {
+        let handed_over = match received.await {
+            Ok(received) => from_received(&node, received),
+            Err(_) => HandedOver::AnswerDropped,
+        };
+        // Where the caller has left, this drops the follower.
+        let _ = taker.send(handed_over);
+    });
+    taken.await.unwrap_or(HandedOver::AnswerDropped)
+}
+
+fn from_received(node: &NodeSender, received: Received) -> HandedOver {
+    match (received.reception, received.answer) {
+        (Reception::Accepted(id) | Reception::Attached(id), Some(reader)) => {
+            HandedOver::Here(Box::new(AnswerFollower::new(node, id, reader)))
+        }
+        (Reception::Accepted(_) | Reception::Attached(_), None) => HandedOver::AnswerDropped,
+        (Reception::Forward(holder), _) => HandedOver::Elsewhere(holder),
+        (Reception::Refused(refusal), _) => HandedOver::Refused(refusal),
+    }
+}
--- a/bergamotswitch-net/src/input.rs
+++ b/bergamotswitch-net/src/input.rs
@@ -2,17 +2,21 @@
 
 use bergamotswitch_core::address::{AddressAnswer, AddressQuery};
 use bergamotswitch_core::entry::{AttemptEvent, OutcomeQuery, OutcomeView, Reception, Submission};
-use bergamotswitch_core::host::HostIncarnation;
+use bergamotswitch_core::host::{EntryHost, HostIncarnation};
 use bergamotswitch_core::link::LinkEvent;
 use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::request::{AttemptId, RequestId};
 use bergamotswitch_core::revision::{PublishedValue, ValueName};
+use bergamotswitch_core::roster::RosterMessage;
+use bergamotswitch_core::settings::HostSettings;
 use bergamotswitch_core::target::{LoadReport, TargetName};
+use bergamotswitch_core::target_list::TargetNews;
 use bergamotswitch_core::{request::PrefixHash, rules::Tier};
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::AnswerReader;
+use crate::target_client::routed_call::RoutedCall;
 
 /// An `OutgoingCall` is what is sent to a target, once permitted.
 #[derive(Clone, Debug)]
@@ -26,6 +30,8 @@
     /// The body. For engines it asks for a stream, whatever the caller wants:
     /// only a stream can be proven alive and resumed.
     pub body: Bytes,
+    /// What else a target is told of a gateway's call.
+    pub routed: Option<RoutedCall>,
 }
 
 /// A `Received` is the loop's answer to a submission.
@@ -56,7 +62,7 @@
         /// What the decisions need.
         submission: Box<Submission>,
         /// What is sent to a target.
-        call: OutgoingCall,
+        call: Box<OutgoingCall>,
         /// Where the reception goes.
         reply: oneshot::Sender<Received>,
     },
@@ -66,12 +72,24 @@
     Outcome(OutcomeQuery, oneshot::Sender<OutcomeView>),
     /// A question for an address.
     Address(AddressQuery, oneshot::Sender<AddressAnswer>),
+    /// A question for the hosts that take callers.
+    ReadyHosts(oneshot::Sender<Vec<EntryHost>>),
+    /// A question whether this host takes callers.
+    IsReady(oneshot::Sender<bool>),
+    /// A question whether keys and routes may be relied on now.
+    KeysTrusted(oneshot::Sender<bool>),
     /// A question for this host's view, answered as JSON.
     Status(oneshot::Sender<serde_json::Value>),
     /// A link's news.
     Link(LinkEvent),
     /// The platform's news.
     Platform(PlatformEvent),
+    /// The store told of registered targets.
+    Targets(TargetNews),
+    /// Another host told what it knows of the fleet.
+    Gossip(Box<RosterMessage>),
+    /// The settings file has changed.
+    Settings(Box<HostSettings>),
     /// An attempt's progress.
     Attempt(AttemptId, AttemptEvent),
     /// A request's answer is longer than one may be.
--- a/bergamotswitch-net/src/journal.rs
+++ b/bergamotswitch-net/src/journal.rs
@@ -4,11 +4,13 @@
 use std::io;
 
 use bergamotswitch_core::incident::{Incident, Level};
-use bergamotswitch_core::settings::{LogFormat, LogLevel, LogSettings};
+use bergamotswitch_core::settings::{LogFormat, LogLevel, LogOutput, LogSettings};
 use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 
+use crate::line_buffer::{LineBuffer, LineFormat};
+
 /// The target of the log lines of this system.
 pub const LOG_TARGET: &str = "bergamotswitch";
 
@@ -38,10 +40,17 @@
         .default(LevelFilter::Warn.min(level))
         .module(LOG_TARGET, level)
         .build();
-    let logger = Logger::with(spec).log_to_stderr().use_utc();
-    match settings.format {
-        LogFormat::Text => logger.format(text_line).start(),
-        LogFormat::Json => logger.format(flexi_logger::json_format).start(),
+    let logger = Logger::with(spec).use_utc();
+    let format: LineFormat = match settings.format {
+        LogFormat::Text => text_line,
+        LogFormat::Json => flexi_logger::json_format,
+    };
+    match settings.output {
+        LogOutput::Stderr => logger.log_to_stderr().format(format).start(),
+        LogOutput::Stdout => {
+            let buffer = LineBuffer::to_stdout(format);
+            logger.log_to_writer(Box::new(buffer)).start()
+        }
     }
 }
 
--- a/bergamotswitch-net/src/lib.rs
+++ b/bergamotswitch-net/src/lib.rs
@@ -4,12 +4,19 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod boot_clock;
 pub mod caller;
+mod follower;
+pub mod gateway;
+pub mod gossip;
+mod handover;
 pub mod input;
 pub mod journal;
+mod line_buffer;
 pub mod link;
 pub mod metrics;
 pub mod node;
 pub mod operator;
 pub mod platform;
+pub mod store_source;
 pub mod target_client;
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -68,6 +68,10 @@
     Want = "want", LinkMessage::Revision(RevisionMessage::Want(_)),
     /// A whole value.
     Whole = "whole", LinkMessage::Revision(RevisionMessage::Whole(_)),
+    /// A question since when a revision is the newest.
+    AskConfirmed = "ask-confirmed", LinkMessage::Revision(RevisionMessage::AskConfirmed { .. }),
+    /// The answer to it.
+    Confirmed = "confirmed", LinkMessage::Revision(RevisionMessage::Confirmed { .. }),
 }
 
 /// A `KindCount` is what went one way of one kind.
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -1,5 +1,6 @@
 //! Provides the loop itself.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,29 +11,91 @@
 use bergamotswitch_core::pool::PoolKind;
 use bergamotswitch_core::publication::{FleetLimits, Publication};
 use bergamotswitch_core::request::{AttemptId, RequestId};
-use bergamotswitch_core::rules::Tier;
+use bergamotswitch_core::revision::{HOSTS_VALUE, ValueName};
+use bergamotswitch_core::settings::HostSettings;
 use bergamotswitch_core::target::PoolTarget;
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
-use super::gauges;
 use super::load_gauge::LoadGauge;
 use super::open_request::{OpenRequest, OpenRequests};
+use super::request_label::RequestLabel;
+use super::seams::{CallerDoor, ValueSource};
 use super::stop::StopPhase;
-use super::{NodeError, NodeSetup};
+use super::{NodeDoors, NodeError, NodeSetup};
+use super::{gateway_setup, gauges};
 use crate::answer::AnswerPart;
-use crate::caller::{self, CallerDesk, CallerOptions, HttpServer};
+use crate::boot_clock::BootClock;
+use crate::caller::{self, CallerDesk, CallerOptions};
+use crate::gateway::GatewayServer;
+use crate::gossip::GossipSocket;
 use crate::input::{HostSelf, NodeInput, NodeSender, OutgoingCall, PlatformEvent, Received};
 use crate::journal;
 use crate::link::{LinkHub, LinkOptions};
 use crate::metrics::{NodeMetrics, OwnerTotals};
 use crate::platform::{PlatformClient, PlatformOptions};
+use crate::store_source::StoreSource;
 use crate::target_client::{TargetClient, TargetClientOptions};
 
 /// How often gauges are brought up to date.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How many times as long as they were told some callers of the gateway keep
+/// an address, and a little more for those on their way.
+const GATEWAY_LIFETIMES: u32 = 4;
+
+/// A `HostParts` is the parts of a host that differ between the project's own
+/// interface and the users' platform.
+struct HostParts {
+    callers: CallerDoor,
+    platform: ValueSource,
+    targets: TargetClient,
+    gossip: Option<GossipSocket>,
+}
+
+impl HostParts {
+    fn try_new(
+        doors: NodeDoors,
+        settings: &HostSettings,
+        desk: CallerDesk,
+    ) -> Result<Self, NodeError> {
+        let node = desk.node.clone();
+        let (sockets, gateway) = match (doors, &settings.gateway) {
+            (NodeDoors::Gateway(sockets), Some(gateway)) => (sockets, gateway),
+            (NodeDoors::Gateway(_), None) => {
+                return Err(NodeError::Serve(io::ErrorKind::InvalidInput.into()));
+            }
+            (NodeDoors::Api(listener), _) => {
+                let services = settings.configuration_services.clone();
+                let host_lists = settings.host_lists.clone();
+                let opts = PlatformOptions::default();
+                let client = PlatformClient::new(services, host_lists, opts, node.clone());
+                let server = caller::serve(listener, desk).map_err(NodeError::Serve)?;
+                return Ok(HostParts {
+                    callers: CallerDoor::Api(server),
+                    platform: ValueSource::Services(client),
+                    targets: TargetClient::new(TargetClientOptions::default(), node),
+                    gossip: None,
+                });
+            }
+        };
+        let server = GatewayServer::try_new(
+            sockets,
+            node.clone(),
+            desk.publication,
+            desk.metrics,
+            gateway_setup::body_bytes(gateway),
+        );
+        let gossip = GossipSocket::try_new(settings.link_address, node.clone());
+        Ok(HostParts {
+            callers: CallerDoor::Gateway(server.map_err(NodeError::Serve)?),
+            platform: ValueSource::Store(StoreSource::new(gateway.store_address, node.clone())),
+            targets: TargetClient::new(gateway_setup::target_options(), node),
+            gossip: Some(gossip.map_err(NodeError::Serve)?),
+        })
+    }
+}
+
 /// A `HostNode` is one entry host's process: it owns every machine and every
 /// client, and one loop on one thread drives them.
 pub struct HostNode {
@@ -41,14 +104,18 @@
     open: OpenRequests,
     targets: TargetClient,
     links: LinkHub,
-    platform: PlatformClient,
+    platform: ValueSource,
+    gossip: Option<GossipSocket>,
+    settings: HostSettings,
     metrics: Arc<NodeMetrics>,
     publication: watch::Sender<Arc<Publication>>,
-    callers: HttpServer,
+    callers: CallerDoor,
     inbox: mpsc::UnboundedReceiver<NodeInput>,
     sender: NodeSender,
     stop: StopPhase,
-    started: Instant,
+    clock: BootClock,
+    keys_trusted: bool,
+    store_failing: bool,
     gauges_due: Moment,
     load: LoadGauge,
     owner_totals: OwnerTotals,
@@ -72,35 +139,33 @@
             sender.clone(),
         )
         .map_err(NodeError::Link)?;
+        let metrics = Arc::clone(&setup.metrics);
         let desk = CallerDesk {
             node: sender.clone(),
             publication: published,
             me: me.clone(),
-            metrics: Arc::clone(&setup.metrics),
+            metrics,
             opts: CallerOptions::default(),
         };
-        let callers = caller::serve(setup.callers, desk).map_err(NodeError::Serve)?;
-        let platform = PlatformClient::new(
-            setup.settings.configuration_services.clone(),
-            setup.settings.host_lists.clone(),
-            PlatformOptions::default(),
-            sender.clone(),
-        );
-        let targets = TargetClient::new(TargetClientOptions::default(), sender.clone());
+        let parts = HostParts::try_new(setup.doors, &setup.settings, desk)?;
         Ok(HostNode {
             me,
             core,
             open: OpenRequests::new(FleetLimits::default().max_answer_bytes, sender.clone()),
-            targets,
+            targets: parts.targets,
             links,
-            platform,
+            platform: parts.platform,
+            gossip: parts.gossip,
+            settings: setup.settings,
             metrics: setup.metrics,
             publication,
-            callers,
+            callers: parts.callers,
             inbox,
             sender,
             stop: StopPhase::Serving,
-            started: Instant::now(),
+            clock: BootClock::start(),
+            keys_trusted: false,
+            store_failing: false,
             gauges_due: Moment::START,
             load: LoadGauge::default(),
             owner_totals: OwnerTotals::default(),
@@ -123,13 +188,13 @@
         self.handle(NodeEvent::Tick);
         while !self.stop.may_close(self.now(), self.core.is_idle()) {
             let wake = self.core.next_wake().min(self.stop.next_wake());
-            let wake = self.started + Duration::from_micros(wake.as_micros());
+            let pause = wake.since(self.now());
             tokio::select! {
                 input = self.inbox.recv() => match input {
                     Some(input) => self.on_input(input),
                     None => break,
                 },
-                () = tokio::time::sleep_until(wake) => self.handle(NodeEvent::Tick),
+                () = tokio::time::sleep(pause) => self.handle(NodeEvent::Tick),
             }
             self.refresh_gauges();
         }
@@ -142,8 +207,7 @@
         let HostNode {
             callers, mut inbox, ..
         } = self;
-        callers.stop();
-        let mut closing = Box::pin(callers.stopped());
+        let mut closing = Box::pin(callers.close());
         loop {
             tokio::select! {
                 _ = &mut closing => break,
@@ -155,8 +219,7 @@
     }
 
     fn now(&self) -> Moment {
-        let micros = self.started.elapsed().as_micros();
-        Moment::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     fn on_input(&mut self, input: NodeInput) {
@@ -166,9 +229,9 @@
                 call,
                 reply,
             } => {
-                let tier = submission.verdict.tier;
+                let label = RequestLabel::of(self.now(), &submission, &call);
                 let (reception, actions) = self.core.submit(self.now(), *submission);
-                let received = self.receive(reception, call, tier);
+                let received = self.receive(reception, *call, label);
                 self.carry_out(actions);
                 // A caller that is gone by now dropped its end; its guard
                 // tells the loop so by `CallerLeft`.
@@ -185,15 +248,36 @@
             NodeInput::Address(query, reply) => {
                 let _ = reply.send(self.core.address(&query));
             }
+            NodeInput::ReadyHosts(reply) => {
+                let _ = reply.send(self.core.ready_hosts(self.now()));
+            }
+            NodeInput::IsReady(reply) => {
+                let ready = self.core.is_ready(self.now()) && self.stop == StopPhase::Serving;
+                let _ = reply.send(ready);
+            }
+            NodeInput::KeysTrusted(reply) => {
+                let _ = reply.send(self.core.trusts_keys(self.now()));
+            }
+            NodeInput::Targets(news) => {
+                self.note_store(true);
+                self.handle(NodeEvent::Targets(news));
+            }
+            NodeInput::Gossip(message) => self.handle(NodeEvent::Gossip(message)),
+            NodeInput::Settings(settings) => self.reload(*settings),
             NodeInput::Status(reply) => {
                 let _ = reply.send(self.status());
             }
             NodeInput::Link(event) => self.handle(NodeEvent::Link(event)),
-            NodeInput::Platform(PlatformEvent::Read(value)) => self.handle(NodeEvent::Read(value)),
+            NodeInput::Platform(PlatformEvent::Read(value)) => {
+                self.note_store(true);
+                self.handle(NodeEvent::Read(value));
+            }
             NodeInput::Platform(PlatformEvent::Unchanged(name)) => {
+                self.note_store(true);
                 self.handle(NodeEvent::Unchanged(name));
             }
             NodeInput::Platform(PlatformEvent::Failed(name)) => {
+                self.note_store(false);
                 self.handle(NodeEvent::ReadFailed(name));
             }
             NodeInput::Attempt(id, event) => self.handle(NodeEvent::Attempt(id, event)),
@@ -217,19 +301,26 @@
         if self.stop == StopPhase::Serving {
             self.note(Incident::StopBegun, "");
         }
-        let lifetime = self.core.publication().limits.address_lifetime_ms;
-        let lifetime = Duration::from_millis(lifetime);
+        let lifetime = self.stop_lifetime();
+        self.callers.lapse();
         self.stop = self.stop.begin(self.now(), lifetime);
         self.handle(NodeEvent::Stop);
     }
 
-    fn receive(&mut self, reception: Reception, call: OutgoingCall, tier: Tier) -> Received {
+    fn receive(
+        &mut self,
+        reception: Reception,
+        call: OutgoingCall,
+        label: RequestLabel,
+    ) -> Received {
         let answer = match &reception {
-            Reception::Accepted(id) => Some(self.open.open(*id, call)),
+            Reception::Accepted(id) => Some(self.open.open(*id, call, label)),
             Reception::Attached(id) => self.open.attach(*id),
             Reception::Forward(_) => None,
             Reception::Refused(refusal) => {
-                self.metrics.refused(refusal.reason(), Some(tier));
+                self.metrics.refused(refusal.reason(), Some(label.tier));
+                let conclusion = Conclusion::Refused(refusal.clone());
+                label.note_end(self.clock.now(), None, &conclusion);
                 None
             }
         };
@@ -253,11 +344,16 @@
                 // Where no link is up the machines repeat what matters.
                 self.links.send(&host, &message);
             }
+            NodeAction::Gossip(action) => {
+                if let Some(gossip) = &self.gossip {
+                    gossip.send(&action);
+                }
+            }
             NodeAction::Connect(host) => self.links.connect(&host),
             NodeAction::Disconnect(host) => self.links.disconnect(&host),
             NodeAction::Read(name) => self.platform.read(&name),
             NodeAction::Watch(name, after) => self.platform.watch(&name, after),
-            NodeAction::Published(_) => self.publish(),
+            NodeAction::Published(name) => self.publish(&name),
             NodeAction::WatchTargets(targets) => self.targets.watch_targets(&targets),
             NodeAction::Start {
                 attempt,
@@ -289,20 +385,28 @@
     }
 
     fn start(&mut self, attempt: AttemptId, target: &PoolTarget, kind: PoolKind) {
-        let Some(request) = self.open.get(attempt.request) else {
+        let now = self.now();
+        let Some(request) = self.open.get_mut(attempt.request) else {
             return;
         };
+        request.label.note_target(now, &target.name);
         let Some(call) = &request.call else {
             return;
         };
-        // What an earlier attempt delivered was seen by nobody: the desk
-        // starts no further attempt once output was passed on.
-        request.answer.clear();
+        // What an earlier attempt delivered was seen by nobody, but for events
+        // of a stream that this one carries on after the last of them.
+        if request.answer.last_event().is_none() {
+            request.answer.clear();
+        }
         let answer = request.answer.clone();
         self.targets.start(attempt, target, kind, call, answer);
     }
 
     fn conclude(&mut self, id: RequestId, conclusion: Conclusion) {
+        let now = self.now();
+        if let Some(request) = self.open.get(id) {
+            request.label.note_end(now, Some(id), &conclusion);
+        }
         let part = match conclusion {
             Conclusion::Answered | Conclusion::TargetError => AnswerPart::End,
             Conclusion::Refused(refusal) => AnswerPart::Refused(refusal),
@@ -316,17 +420,72 @@
         self.handle(NodeEvent::AnswerSize(id, bytes));
     }
 
-    fn publish(&mut self) {
+    fn publish(&mut self, name: &ValueName) {
         let publication = self.core.publication();
         let limits = &publication.limits;
-        self.targets
-            .set_options(TargetClientOptions::default().with_limits(limits));
-        self.platform
-            .set_opts(PlatformOptions::default().with_limits(limits));
+        if self.settings.gateway.is_none() {
+            self.targets
+                .set_options(TargetClientOptions::default().with_limits(limits));
+        }
+        self.platform.set_limits(limits);
         self.open.set_max_answer_bytes(limits.max_answer_bytes);
         self.links
             .set_roster(&publication.hosts, &publication.limits.link_key);
         self.publication.send_replace(Arc::new(publication.clone()));
+        if publication.routed && name.as_str() == HOSTS_VALUE {
+            let hosts = &publication.hosts.hosts;
+            let names: Vec<&str> = hosts.iter().map(|host| host.name.as_str()).collect();
+            self.note(Incident::HostsChanged, &names.join(","));
+        }
+    }
+
+    /// Get how long a stopping host still takes callers. At the gateway some
+    /// callers keep an address three times as long as they were told.
+    fn stop_lifetime(&self) -> Duration {
+        let lifetime = self.core.publication().limits.address_lifetime_ms;
+        let lifetime = Duration::from_millis(lifetime);
+        match self.callers {
+            CallerDoor::Api(_) => lifetime,
+            CallerDoor::Gateway(_) => lifetime * GATEWAY_LIFETIMES,
+        }
+    }
+
+    /// Put changed settings in force, as far as that needs no new start.
+    fn reload(&mut self, settings: HostSettings) {
+        let Some(gateway) = settings.gateway.clone() else {
+            return;
+        };
+        self.handle(NodeEvent::Seeds(gateway.seeds));
+        self.settings = settings;
+        self.note(Incident::SettingsReloaded, "seeds");
+    }
+
+    /// Note a change of whether the store answers.
+    fn note_store(&mut self, answered: bool) {
+        let failing = !answered;
+        if failing == self.store_failing || self.settings.gateway.is_none() {
+            return;
+        }
+        self.store_failing = failing;
+        let incident = match failing {
+            true => Incident::ServiceUnreachable,
+            false => Incident::ServiceReachable,
+        };
+        self.note(incident, "store");
+    }
+
+    /// Note a change of whether keys are relied on.
+    fn note_keys(&mut self) {
+        let trusted = self.core.trusts_keys(self.now());
+        if trusted == self.keys_trusted || self.settings.gateway.is_none() {
+            return;
+        }
+        self.keys_trusted = trusted;
+        let incident = match trusted {
+            true => Incident::KeysConfirmed,
+            false => Incident::KeysUnconfirmed,
+        };
+        self.note(incident, "");
     }
 
     fn note(&self, incident: Incident, text: &str) {
@@ -351,6 +510,7 @@
             return;
         }
         self.gauges_due = now.plus(GAUGE_INTERVAL);
+        self.note_keys();
         let view = self.core.view(now);
         let load = self.load.measure(now, &view.desk);
         gauges::refresh(&self.metrics, &view);
--- a/bergamotswitch-net/src/node/mod.rs
+++ b/bergamotswitch-net/src/node/mod.rs
@@ -2,9 +2,12 @@
 //! and decisions into I/O.
 
 mod drive;
+mod gateway_setup;
 mod gauges;
 mod load_gauge;
 mod open_request;
+mod request_label;
+mod seams;
 mod stop;
 
 use std::fmt;
@@ -15,6 +18,7 @@
 use bergamotswitch_core::node::NodeOptions;
 use bergamotswitch_core::settings::HostSettings;
 
+use crate::gateway::GatewaySockets;
 use crate::input::HostSelf;
 use crate::link::LinkError;
 use crate::metrics::NodeMetrics;
@@ -44,6 +48,29 @@
 
 impl std::error::Error for NodeError {}
 
+/// A `NodeDoors` is the sockets on which a host listens for callers.
+#[derive(Debug)]
+pub enum NodeDoors {
+    /// For the project's own interface.
+    Api(TcpListener),
+    /// For the users' platform.
+    Gateway(GatewaySockets),
+}
+
+impl NodeDoors {
+    /// Get where callers connect.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system's answer.
+    pub fn caller_address(&self) -> std::io::Result<SocketAddr> {
+        match self {
+            NodeDoors::Api(listener) => listener.local_addr(),
+            NodeDoors::Gateway(sockets) => sockets.callers.local_addr(),
+        }
+    }
+}
+
 /// A `NodeSetup` is what a host's process starts from: checked settings and
 /// the sockets that it listens on.
 #[derive(Debug)]
@@ -53,7 +80,7 @@
     /// This run.
     pub me: HostSelf,
     /// Where callers connect.
-    pub callers: TcpListener,
+    pub doors: NodeDoors,
     /// Where peers connect.
     pub peers: TcpListener,
     /// The options of the decisions.
@@ -70,7 +97,19 @@
     ///
     /// Returns [`NodeError::Listen`] where an address is taken.
     pub fn try_new(settings: HostSettings) -> Result<Self, NodeError> {
-        let callers = listen(settings.caller_address)?;
+        let doors = match &settings.gateway {
+            None => NodeDoors::Api(listen(settings.caller_address)?),
+            Some(gateway) => NodeDoors::Gateway(GatewaySockets {
+                callers: listen(settings.caller_address)?,
+                readiness: listen(gateway.readiness_address)?,
+                directory: listen(gateway.directory_address)?,
+                metrics: listen(gateway.metrics_address)?,
+            }),
+        };
+        let opts = match &settings.gateway {
+            None => NodeOptions::default(),
+            Some(gateway) => gateway_setup::options(&settings, gateway),
+        };
         let peers = listen(settings.link_address)?;
         let run = HostIncarnation {
             host: settings.name.clone(),
@@ -83,9 +122,9 @@
         Ok(NodeSetup {
             settings,
             me,
-            callers,
+            doors,
             peers,
-            opts: NodeOptions::default(),
+            opts,
             metrics: Arc::new(NodeMetrics::new()),
         })
     }
@@ -98,8 +137,5 @@
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    let fail = |error| NodeError::Listen(address, error);
-    let listener = TcpListener::bind(address).map_err(fail)?;
-    listener.set_nonblocking(true).map_err(fail)?;
-    Ok(listener)
+    seams::listen(address).map_err(|error| NodeError::Listen(address, error))
 }
--- a/bergamotswitch-net/src/node/open_request.rs
+++ b/bergamotswitch-net/src/node/open_request.rs
@@ -4,6 +4,7 @@
 
 use bergamotswitch_core::request::RequestId;
 
+use super::request_label::RequestLabel;
 use crate::answer::{AnswerBound, AnswerReader, AnswerWriter};
 use crate::input::{NodeSender, OutgoingCall};
 
@@ -13,6 +14,8 @@
     /// What is sent; dropped when the request ends.
     pub call: Option<OutgoingCall>,
     pub answer: AnswerWriter,
+    /// What log lines say of it.
+    pub label: RequestLabel,
     followers: usize,
 }
 
@@ -37,7 +40,7 @@
         self.max_answer_bytes = bytes as usize;
     }
 
-    pub fn open(&mut self, id: RequestId, call: OutgoingCall) -> AnswerReader {
+    pub fn open(&mut self, id: RequestId, call: OutgoingCall, label: RequestLabel) -> AnswerReader {
         let answer = AnswerWriter::bounded(AnswerBound {
             bytes: self.max_answer_bytes,
             request: id,
@@ -47,6 +50,7 @@
         let request = OpenRequest {
             call: Some(call),
             answer,
+            label,
             followers: 1,
         };
         self.requests.insert(id, request);
@@ -69,6 +73,10 @@
         request.followers == 0
     }
 
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut OpenRequest> {
+        self.requests.get_mut(&id)
+    }
+
     pub fn get(&self, id: RequestId) -> Option<&OpenRequest> {
         self.requests.get(&id)
     }
--- /dev/null
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -0,0 +1,88 @@
+//! Provides what log lines say of a gateway's request.
+
+use std::fmt::Display;
+
+use bergamotswitch_core::clock::Moment;
+use bergamotswitch_core::entry::{Conclusion, Submission};
+use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::request::RequestId;
+use bergamotswitch_core::rules::{RuleName, Tier};
+use bergamotswitch_core::target::TargetName;
+
+use crate::input::OutgoingCall;
+use crate::journal;
+
+/// A `RequestLabel` is what the line about a request's end says of it.
+#[derive(Debug)]
+pub(super) struct RequestLabel {
+    /// The caller's id; none for the project's own interface, whose callers
+    /// are told the internal one.
+    caller_id: Option<String>,
+    rule: RuleName,
+    /// The tier.
+    pub(super) tier: Tier,
+    received_at: Moment,
+    started_at: Option<Moment>,
+    targets: Vec<TargetName>,
+}
+
+impl RequestLabel {
+    /// Get the label of a request that was received now.
+    pub(super) fn of(now: Moment, submission: &Submission, call: &OutgoingCall) -> Self {
+        let routed = call.routed.as_ref();
+        RequestLabel {
+            caller_id: routed.map(|routed| routed.request_id.clone()),
+            rule: submission.verdict.rule.clone(),
+            tier: submission.verdict.tier,
+            received_at: now,
+            started_at: None,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Note a target to which it is sent.
+    pub(super) fn note_target(&mut self, now: Moment, target: &TargetName) {
+        if self.caller_id.is_some() {
+            self.started_at.get_or_insert(now);
+            self.targets.push(target.clone());
+        }
+    }
+
+    /// Write the line about its end.
+    pub(super) fn note_end(&self, now: Moment, id: Option<RequestId>, conclusion: &Conclusion) {
+        let Some(caller_id) = &self.caller_id else {
+            return;
+        };
+        let (outcome, reason, ran) = match conclusion {
+            Conclusion::Answered => ("answered", "", ""),
+            Conclusion::TargetError => ("target-error", "", ""),
+            Conclusion::Refused(refusal) => (
+                "refused",
+                refusal.reason().as_str(),
+                refusal.claim().as_str(),
+            ),
+        };
+        let id = id.map_or(String::new(), |id| id.sequence.to_string());
+        let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
+        let targets = names.join(",");
+        let waited = self
+            .started_at
+            .unwrap_or(now)
+            .since(self.received_at)
+            .as_millis();
+        let took = now.since(self.received_at).as_millis();
+        let pairs: [(&str, &dyn Display); 10] = [
+            ("request", caller_id),
+            ("number", &id),
+            ("route", &self.rule),
+            ("tier", &self.tier.0),
+            ("outcome", &outcome),
+            ("reason", &reason),
+            ("ran", &ran),
+            ("waited_ms", &waited),
+            ("took_ms", &took),
+            ("targets", &targets),
+        ];
+        journal::write(Incident::RequestEnded, &pairs);
+    }
+}
--- /dev/null
+++ b/bergamotswitch-net/src/store_source/connection.rs
@@ -0,0 +1,144 @@
+//! Provides the connection to the store.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bergamotswitch_platform::store::StoreFault;
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// How long a connection may take to be established: the store is a
+/// millisecond away, and a lost opening packet is repeated after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// The most bytes of an answer: a page has about a megabyte, and its values
+/// are written a third longer.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// A `CallLoss` is why a call brought nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallLoss {
+    /// No connection, or it broke.
+    Connection,
+    /// No whole answer came in time.
+    Timeout,
+    /// The store refused.
+    Status(StatusCode),
+    /// The answer cannot be used.
+    Fault(StoreFault),
+    /// There were more pages than a read may have.
+    TooMany,
+}
+
+impl fmt::Display for CallLoss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallLoss::Connection => write!(f, "no connection"),
+            CallLoss::Timeout => write!(f, "no answer in time"),
+            CallLoss::Status(status) => write!(f, "status {status}"),
+            CallLoss::Fault(fault) => write!(f, "{fault}"),
+            CallLoss::TooMany => write!(f, "too many pages"),
+        }
+    }
+}
+
+/// A `ConnectionTask` moves the connection's bytes. Its drop closes the
+/// socket.
+#[derive(Debug)]
+struct ConnectionTask(JoinHandle<()>);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+#[derive(Debug)]
+struct OpenConnection {
+    sender: SendRequest<Empty<Bytes>>,
+    _task: ConnectionTask,
+}
+
+/// A `StoreConnection` is a kept connection to the store. After any loss the
+/// next call takes a new one: where an answer was lost, nothing more comes
+/// over the old one.
+#[derive(Debug)]
+pub(super) struct StoreConnection {
+    address: SocketAddr,
+    open: Option<OpenConnection>,
+}
+
+impl StoreConnection {
+    /// Get a connection that is not open yet.
+    pub(super) fn new(address: SocketAddr) -> Self {
+        StoreConnection {
+            address,
+            open: None,
+        }
+    }
+
+    /// Make one call and count it.
+    pub(super) async fn get(
+        &mut self,
+        path: &str,
+        limit: Duration,
+        calls: &AtomicU64,
+    ) -> Result<(StatusCode, Bytes), CallLoss> {
+        let kept = self.open.take().filter(|open| open.sender.is_ready());
+        let mut open = match kept {
+            Some(open) => open,
+            None => self.dial().await?,
+        };
+        calls.fetch_add(1, Ordering::Relaxed);
+        let exchanged = timeout(limit, self.exchange(&mut open, path)).await;
+        let answer = exchanged.map_err(|_| CallLoss::Timeout)??;
+        self.open = Some(open);
+        Ok(answer)
+    }
+
+    async fn dial(&self) -> Result<OpenConnection, CallLoss> {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let stream = connecting
+            .await
+            .map_err(|_| CallLoss::Timeout)?
+            .map_err(|_| CallLoss::Connection)?;
+        let handshake = http1::handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|_| CallLoss::Connection)?;
+        let task = tokio::spawn(async move {
+            // The call sees the same error at its end.
+            let _ = connection.await;
+        });
+        Ok(OpenConnection {
+            sender,
+            _task: ConnectionTask(task),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        open: &mut OpenConnection,
+        path: &str,
+    ) -> Result<(StatusCode, Bytes), CallLoss> {
+        let request = Request::builder()
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|_| CallLoss::Connection)?;
+        let sending = open.sender.send_request(request);
+        let answer = sending.await.map_err(|_| CallLoss::Connection)?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|_| CallLoss::Connection)?;
+        Ok((status, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/bergamotswitch-net/src/store_source/cursor.rs
@@ -0,0 +1,116 @@
+//! Provides the place up to which the store's changes of one prefix are known.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use bergamotswitch_platform::store::{self, StoreChange, StoreItem};
+use bytes::Bytes;
+use http::StatusCode;
+
+use super::connection::{CallLoss, StoreConnection};
+
+/// How long the store may take for an answer beyond the wait that it was
+/// asked for. It answers in milliseconds; on bad days it takes sixty times
+/// as long.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The most pages of one read: some ten thousand items.
+const MAX_PAGES: usize = 32;
+
+/// A `StoreNews` is what one step brought.
+#[derive(Debug)]
+pub(super) enum StoreNews {
+    /// All items as of a revision.
+    Whole {
+        /// The items.
+        items: Vec<StoreItem>,
+        /// The revision.
+        as_of: u64,
+    },
+    /// The changes since the step before.
+    Changes {
+        /// The changes, in order.
+        changes: Vec<StoreChange>,
+        /// The revision that they lead to.
+        as_of: u64,
+    },
+}
+
+/// A `StoreCursor` reads the items of one prefix once and then follows their
+/// changes.
+#[derive(Debug)]
+pub(super) struct StoreCursor {
+    connection: StoreConnection,
+    prefix: &'static str,
+    wait: Duration,
+    /// The revision up to which changes are known; none before the first read
+    /// and after the store has dropped its history.
+    as_of: Option<u64>,
+}
+
+impl StoreCursor {
+    /// Get a cursor before the first read.
+    pub(super) fn new(address: SocketAddr, prefix: &'static str, wait: Duration) -> Self {
+        StoreCursor {
+            connection: StoreConnection::new(address),
+            prefix,
+            wait,
+            as_of: None,
+        }
+    }
+
+    /// Make the next step: a read of all items, or a watch.
+    pub(super) async fn next(&mut self, calls: &AtomicU64) -> Result<StoreNews, CallLoss> {
+        let Some(beyond) = self.as_of else {
+            return self.read_all(calls).await;
+        };
+        let path = store::watch_path(self.prefix, beyond, self.wait);
+        let limit = self.wait + ANSWER_TIMEOUT;
+        let (status, body) = self.connection.get(&path, limit, calls).await?;
+        if status == StatusCode::GONE {
+            // What changed in the gap is not known any more.
+            self.as_of = None;
+            return self.read_all(calls).await;
+        }
+        let body = checked(status, body)?;
+        let found = store::read_changes(&body).map_err(CallLoss::Fault)?;
+        self.as_of = Some(found.as_of.max(beyond));
+        Ok(StoreNews::Changes {
+            changes: found.changes,
+            as_of: found.as_of,
+        })
+    }
+
+    async fn read_all(&mut self, calls: &AtomicU64) -> Result<StoreNews, CallLoss> {
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut as_of = None;
+        for _ in 0..MAX_PAGES {
+            let after = items.last().map(|item| item.key.clone());
+            let path = store::page_path(self.prefix, after.as_deref());
+            let (status, body) = self.connection.get(&path, ANSWER_TIMEOUT, calls).await?;
+            let body = checked(status, body)?;
+            let page = store::read_page(&body).map_err(CallLoss::Fault)?;
+            // Pages are no snapshot: what changed while they were read is
+            // told again by the first watch, which begins before all of them.
+            let first = *as_of.get_or_insert(page.as_of);
+            let has_more = page.has_more && !page.items.is_empty();
+            items.extend(page.items);
+            if !has_more {
+                self.as_of = Some(first);
+                return Ok(StoreNews::Whole {
+                    items,
+                    as_of: first,
+                });
+            }
+        }
+        Err(CallLoss::TooMany)
+    }
+}
+
+fn checked(status: StatusCode, body: Bytes) -> Result<Bytes, CallLoss> {
+    match status {
+        StatusCode::OK => Ok(body),
+        other => Err(CallLoss::Status(other)),
+    }
+}
--- /dev/null
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -0,0 +1,192 @@
+//! Provides the reading of routes and targets from the platform's store: one
+//! call in flight for each, a read of all items first, then watches.
+
+mod connection;
+mod cursor;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::revision::{
+    PublishedValue, ROUTES_VALUE, Revision, TARGETS_VALUE, ValueName,
+};
+use bergamotswitch_core::target_list::{TargetChange, TargetNews};
+use bergamotswitch_platform::store::{StoreChange, StoreItem};
+use bergamotswitch_platform::{config, registration};
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+
+use crate::input::{NodeInput, NodeSender, PlatformEvent};
+use crate::journal;
+use connection::CallLoss;
+use cursor::{StoreCursor, StoreNews};
+
+/// How long a watch of the routes waits. A watch confirms the moment at which
+/// it was sent, so this bounds the age of what is known of keys; keys cease
+/// to be relied on at an age of five seconds. Each watch is one call: at one
+/// a second, two readers in each of three failure domains make six a second
+/// of the 2,000 that the store bears.
+const ROUTES_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long a watch of the targets waits. A target that leaves must get no
+/// new work within two seconds, so a watch whose connection went silent must
+/// be given up well before.
+const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
+
+/// A `ReadTask` is the call in flight for one value. Its drop ends it.
+#[derive(Debug)]
+struct ReadTask(JoinHandle<()>);
+
+impl Drop for ReadTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A `StoreSource` reads and watches the store. Each read or watch ends with
+/// one event, unless a later one takes its place.
+#[derive(Debug)]
+pub struct StoreSource {
+    address: SocketAddr,
+    node: NodeSender,
+    calls: Arc<AtomicU64>,
+    cursors: BTreeMap<ValueName, Arc<Mutex<StoreCursor>>>,
+    tasks: BTreeMap<ValueName, ReadTask>,
+}
+
+impl StoreSource {
+    /// Get a source that reads the store at this address; it must be used on
+    /// a tokio runtime.
+    pub fn new(address: SocketAddr, node: NodeSender) -> Self {
+        StoreSource {
+            address,
+            node,
+            calls: Arc::default(),
+            cursors: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+        }
+    }
+
+    /// Get the number of calls made.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Get a value's news: all of it at first, changes from then on.
+    pub fn read(&mut self, name: &ValueName) {
+        let cursor = self.cursor(name);
+        let calls = Arc::clone(&self.calls);
+        let node = self.node.clone();
+        let value = name.clone();
+        let task = tokio::spawn(async move {
+            let mut cursor = cursor.lock().await;
+            let news = cursor.next(&calls).await;
+            let input = match news {
+                Ok(news) => input_of(&value, news),
+                Err(loss) => failed(&value, loss),
+            };
+            // The loop is gone only while the process ends.
+            let _ = node.send(input);
+        });
+        self.tasks.insert(name.clone(), ReadTask(task));
+    }
+
+    fn cursor(&mut self, name: &ValueName) -> Arc<Mutex<StoreCursor>> {
+        let address = self.address;
+        let cursor = self.cursors.entry(name.clone()).or_insert_with(|| {
+            let cursor = match name.as_str() {
+                TARGETS_VALUE => StoreCursor::new(address, registration::KEY_PREFIX, TARGETS_WAIT),
+                _ => StoreCursor::new(address, config::KEY, ROUTES_WAIT),
+            };
+            Arc::new(Mutex::new(cursor))
+        });
+        Arc::clone(cursor)
+    }
+}
+
+fn input_of(name: &ValueName, news: StoreNews) -> NodeInput {
+    match name.as_str() {
+        TARGETS_VALUE => NodeInput::Targets(target_news(news)),
+        ROUTES_VALUE => NodeInput::Platform(routes_event(name, news)),
+        _ => NodeInput::Platform(PlatformEvent::Failed(name.clone())),
+    }
+}
+
+fn failed(name: &ValueName, loss: CallLoss) -> NodeInput {
+    log::debug!("store call for {name} failed: {loss}");
+    NodeInput::Platform(PlatformEvent::Failed(name.clone()))
+}
+
+fn target_news(news: StoreNews) -> TargetNews {
+    match news {
+        StoreNews::Whole { items, as_of } => TargetNews::Whole {
+            entries: items.iter().filter_map(entry_of).collect(),
+            as_of,
+        },
+        StoreNews::Changes { changes, as_of } => TargetNews::Changes {
+            changes: changes.iter().filter_map(change_of).collect(),
+            as_of,
+        },
+    }
+}
+
+fn entry_of(item: &StoreItem) -> Option<bergamotswitch_core::target_list::TargetEntry> {
+    match registration::read(&item.key, &item.value) {
+        Ok(entry) => Some(entry),
+        Err(fault) => {
+            journal::write(
+                Incident::EntryUnreadable,
+                &[("key", &item.key), ("cause", &fault)],
+            );
+            None
+        }
+    }
+}
+
+fn change_of(change: &StoreChange) -> Option<(u64, TargetChange)> {
+    match change {
+        StoreChange::Set(item) => {
+            let entry = entry_of(item)?;
+            Some((item.revision, TargetChange::Set(entry)))
+        }
+        StoreChange::Removed { key, revision } => {
+            let name = registration::target_name(key)?;
+            Some((*revision, TargetChange::Gone(name)))
+        }
+    }
+}
+
+/// Get the event of the newest routes among the news.
+fn routes_event(name: &ValueName, news: StoreNews) -> PlatformEvent {
+    let newest = match news {
+        StoreNews::Whole { items, .. } => items.into_iter().find(|item| item.key == config::KEY),
+        StoreNews::Changes { changes, .. } => changes.into_iter().rev().find_map(set_routes),
+    };
+    let Some(item) = newest else {
+        return PlatformEvent::Unchanged(name.clone());
+    };
+    let book = config::read(&item.value);
+    let body = book.ok().and_then(|book| serde_json::to_string(&book).ok());
+    match body {
+        Some(body) => PlatformEvent::Read(PublishedValue {
+            name: name.clone(),
+            revision: Revision(item.revision),
+            body,
+        }),
+        None => {
+            journal::write(Incident::EntryUnreadable, &[("key", &item.key)]);
+            PlatformEvent::Failed(name.clone())
+        }
+    }
+}
+
+fn set_routes(change: StoreChange) -> Option<StoreItem> {
+    match change {
+        StoreChange::Set(item) if item.key == config::KEY => Some(item),
+        _ => None,
+    }
+}
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -11,7 +11,7 @@
 use bergamotswitch_core::target::PoolTarget;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -145,7 +145,7 @@
         verdict: impl Future<Output = SilenceVerdict>,
     ) -> Result<FirstResponse, SendLoss> {
         let address = self.target.address;
-        let kept = self.kept.take(address, self.options.idle_reuse);
+        let kept = self.kept.take(address);
         let mut is_kept = kept.is_some();
         let mut connection = match kept {
             Some(connection) => connection,
@@ -206,6 +206,7 @@
         self.answer.push(AnswerPart::Head {
             status: head.status.as_u16(),
             content_type: content_type.to_owned(),
+            fields: HeaderMap::new(),
         });
     }
 
@@ -231,6 +232,7 @@
         self.answer.push(AnswerPart::Head {
             status: StatusCode::BAD_REQUEST.as_u16(),
             content_type: "text/plain".to_owned(),
+            fields: HeaderMap::new(),
         });
         let text = Bytes::from_static(b"path or content type malformed");
         self.answer.push(AnswerPart::Data(text));
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -27,6 +27,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const KEEPALIVE_RETRIES: u32 = 3;
 
+/// How long before a target would close an idle connection it is not used any
+/// more: a request that crosses the close may or may not have run.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// A `SendFailure` is a call that got no response head.
 #[derive(Debug)]
 pub struct SendFailure {
@@ -112,7 +116,7 @@
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(options.keepalive)
-        .with_interval(KEEPALIVE_INTERVAL)
+        .with_interval(options.keepalive.min(KEEPALIVE_INTERVAL))
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
     #[cfg(target_os = "linux")]
@@ -123,7 +127,14 @@
 #[derive(Debug)]
 struct KeptConnection {
     connection: TargetConnection,
-    last_traffic: Instant,
+    /// Until when it is used again.
+    use_until: Instant,
+}
+
+impl KeptConnection {
+    fn is_usable(&self) -> bool {
+        Instant::now() < self.use_until && self.connection.is_idle()
+    }
 }
 
 /// A `KeptConnections` is the idle connections of all targets.
@@ -133,10 +144,10 @@
 impl KeptConnections {
     /// Get a connection that had traffic within the bound, if one is kept.
     /// Older ones are closed.
-    pub fn take(&self, address: SocketAddr, idle_reuse: Duration) -> Option<TargetConnection> {
+    pub fn take(&self, address: SocketAddr) -> Option<TargetConnection> {
         let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let list = map.get_mut(&address)?;
-        list.retain(|kept| kept.last_traffic.elapsed() < idle_reuse && kept.connection.is_idle());
+        list.retain(KeptConnection::is_usable);
         let found = list.pop();
         if list.is_empty() {
             map.remove(&address);
@@ -144,18 +155,26 @@
         found.map(|kept| kept.connection)
     }
 
-    /// Keep a connection whose last answer was read to its end just now.
-    pub fn keep(&self, connection: TargetConnection, options: &TargetClientOptions) {
+    /// Keep a connection whose last answer was read to its end just now, for
+    /// less than the target said that it keeps it.
+    pub fn keep(
+        &self,
+        connection: TargetConnection,
+        options: &TargetClientOptions,
+        idle_timeout: Option<Duration>,
+    ) {
         if options.idle_reuse.is_zero() || !connection.is_idle() {
             return;
         }
         let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let list = map.entry(connection.address).or_default();
-        list.retain(|kept| kept.last_traffic.elapsed() < options.idle_reuse);
+        list.retain(KeptConnection::is_usable);
+        let told = idle_timeout.map(|span| span.saturating_sub(IDLE_MARGIN));
+        let reuse = told.map_or(options.idle_reuse, |told| told.min(options.idle_reuse));
         if list.len() < options.kept_per_target {
             list.push(KeptConnection {
                 connection,
-                last_traffic: Instant::now(),
+                use_until: Instant::now() + reuse,
             });
         }
     }
--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -288,7 +288,7 @@
         let rest = timeout(BODY_END_WAIT, stream.body.frame()).await;
         if let Ok(None) = rest {
             let kept = &self.context.kept;
-            kept.keep(stream.connection, &self.context.options);
+            kept.keep(stream.connection, &self.context.options, None);
         }
     }
 }
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -8,11 +8,13 @@
 mod call_context;
 pub mod connection;
 mod engine_call;
+pub mod event_blocks;
 pub mod event_stream;
 mod load_watch;
 pub mod options;
 pub mod order_client;
 mod plain_call;
+pub mod routed_call;
 mod silence_watch;
 mod stream_cancel;
 mod stream_resume;
@@ -168,6 +170,7 @@
 
 async fn run_call(context: CallContext, kind: PoolKind, call: OutgoingCall, report: AttemptReport) {
     let end = match kind {
+        _ if call.routed.is_some() => routed_call::run(&context, &call, &report).await,
         PoolKind::Engine => EngineCall::new(&context, &report).run(&call).await,
         PoolKind::Plain => plain_call::run(&context, &call, &report).await,
     };
--- a/bergamotswitch-net/src/target_client/plain_call.rs
+++ b/bergamotswitch-net/src/target_client/plain_call.rs
@@ -2,7 +2,6 @@
 
 use std::future::pending;
 
-use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
 use http::{Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
@@ -10,7 +9,7 @@
 
 use super::attempt_report::AttemptReport;
 use super::call_context::{CallContext, CallEnd, FirstResponse, SendLoss, is_refusal};
-use super::usage_meter::{TokenStep, UsageMeter};
+use super::usage_meter::{UsageMeter, report_step};
 use crate::answer::AnswerPart;
 use crate::input::OutgoingCall;
 
@@ -73,18 +72,10 @@
             report_step(meter.add_plain(), report);
         }
     }
-    context.kept.keep(connection, &context.options);
+    context.kept.keep(connection, &context.options, None);
     CallEnd::Finished(meter.usage())
 }
 
-fn report_step(step: TokenStep, report: &AttemptReport) {
-    match step {
-        TokenStep::Nothing => {}
-        TokenStep::First => report.step(AttemptEvent::FirstToken),
-        TokenStep::Progress(tokens) => report.step(AttemptEvent::Progress(tokens)),
-    }
-}
-
 /// Get whether the answer's end can be told from a broken connection. A body
 /// that ends with its connection looks whole when it is cut off.
 fn is_delimited(method: &Method, response: &Response<Incoming>) -> bool {
--- /dev/null
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -0,0 +1,293 @@
+//! Provides one call of a gateway's caller to a target: a plain answer, or a
+//! stream of events that may be carried on.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::name::AccountName;
+use bergamotswitch_platform::answer::{self, TargetAnswer};
+use bergamotswitch_platform::outgoing::OutgoingHead;
+use http::response::Parts;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::attempt_report::AttemptReport;
+use super::call_context::{CallContext, CallEnd, FirstResponse, SendLoss};
+use super::connection::{TargetConnection, TargetRequest};
+use super::event_blocks::EventBlocks;
+use super::silence_watch::SilenceVerdict;
+use super::usage_meter::{UsageMeter, report_step};
+use crate::answer::AnswerPart;
+use crate::input::OutgoingCall;
+
+/// The longest body of a plain answer, and the longest single event, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// A `RoutedCall` is what a target is told of a caller's call beside its
+/// method, path and body.
+#[derive(Clone, Debug)]
+pub struct RoutedCall {
+    /// The caller's id of this attempt.
+    pub request_id: String,
+    /// The caller's fields that are passed on.
+    pub fields: Arc<HeaderMap>,
+    /// The caller's account.
+    pub account: Option<AccountName>,
+    /// When the call ends.
+    pub deadline: Instant,
+    /// Whether its answer is a stream of events.
+    pub is_stream: bool,
+    /// How long the answer may take to begin before the target counts as
+    /// silent; until the deadline where absent.
+    pub first_wait: Option<Duration>,
+    /// How long a stream may pause before its target counts as silent.
+    pub gap_wait: Option<Duration>,
+}
+
+/// Run the call to its end.
+pub(super) async fn run(
+    context: &CallContext,
+    call: &OutgoingCall,
+    report: &AttemptReport,
+) -> CallEnd {
+    let Some(routed) = &call.routed else {
+        return context.refuse_unwritable();
+    };
+    let Some(request) = request(context, call, routed) else {
+        return context.refuse_unwritable();
+    };
+    let mut meter = UsageMeter::start(context.options.progress_period);
+    match context
+        .send_first(request, silence(routed.first_wait))
+        .await
+    {
+        Ok(first) => read(context, routed, first, &mut meter, report).await,
+        Err(SendLoss::NotConnected) => CallEnd::NotSent,
+        Err(SendLoss::Dropped) => CallEnd::Broken(meter.usage()),
+        Err(SendLoss::Quiet(_)) => {
+            context.note(Incident::ConnectionSilent, "no answer began in time");
+            CallEnd::Broken(meter.usage())
+        }
+    }
+}
+
+/// Wait until a target counts as silent.
+async fn silence(wait: Option<Duration>) -> SilenceVerdict {
+    match wait {
+        Some(wait) => {
+            tokio::time::sleep(wait).await;
+            SilenceVerdict::Gone
+        }
+        None => pending().await,
+    }
+}
+
+fn request(
+    context: &CallContext,
+    call: &OutgoingCall,
+    routed: &RoutedCall,
+) -> Option<TargetRequest> {
+    let mut headers = (*routed.fields).clone();
+    let last_event = context.answer.last_event();
+    let head = OutgoingHead {
+        target: &context.target.name,
+        account: routed.account.as_ref(),
+        deadline_in: routed.deadline.saturating_duration_since(Instant::now()),
+        last_event: last_event.as_deref(),
+    };
+    head.write(&mut headers);
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .body(Full::new(call.body.clone()))
+        .ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+async fn read(
+    context: &CallContext,
+    routed: &RoutedCall,
+    first: FirstResponse,
+    meter: &mut UsageMeter,
+    report: &AttemptReport,
+) -> CallEnd {
+    let FirstResponse {
+        connection,
+        response,
+    } = first;
+    let (head, body) = response.into_parts();
+    let found = TargetAnswer::read(head.status, &head.headers, &routed.request_id);
+    if found.is_not_run {
+        drain(context, connection, body, found.idle_timeout).await;
+        return CallEnd::Refused;
+    }
+    // An answer that names another request, or that no target signed, is
+    // another one's or made on the way.
+    if !found.is_own || !found.is_sealed {
+        let cause = match found.is_own {
+            true => "answer without the target's signature",
+            false => "answer to another request",
+        };
+        context.note(Incident::AnswerRejected, cause);
+        return CallEnd::Broken(meter.usage());
+    }
+    let reading = AnswerReading {
+        context,
+        routed,
+        connection,
+        head,
+        idle_timeout: found.idle_timeout,
+    };
+    match routed.is_stream && reading.head.status.is_success() {
+        true => reading.stream(body, meter, report).await,
+        false => reading.whole(body, meter, report).await,
+    }
+}
+
+/// Read the rest of an answer that nobody gets, to keep its connection.
+async fn drain(
+    context: &CallContext,
+    connection: TargetConnection,
+    body: Incoming,
+    idle_timeout: Option<Duration>,
+) {
+    const WAIT: Duration = Duration::from_millis(50);
+    const MAX_BYTES: usize = 4_096;
+    let reading = Limited::new(body, MAX_BYTES).collect();
+    if let Ok(Ok(_)) = timeout(WAIT, reading).await {
+        context
+            .kept
+            .keep(connection, &context.options, idle_timeout);
+    }
+}
+
+/// An `AnswerReading` is a signed answer whose body is being read.
+struct AnswerReading<'c> {
+    context: &'c CallContext,
+    routed: &'c RoutedCall,
+    connection: TargetConnection,
+    head: Parts,
+    idle_timeout: Option<Duration>,
+}
+
+impl AnswerReading<'_> {
+    /// Read an answer whole before any of it is passed on.
+    async fn whole(
+        self,
+        body: Incoming,
+        meter: &mut UsageMeter,
+        report: &AttemptReport,
+    ) -> CallEnd {
+        // The answer of a stream that is carried on has begun already; an
+        // error cannot follow it.
+        let has_begun = self.context.answer.last_event().is_some();
+        let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let Ok(bytes) = collected.map(|collected| collected.to_bytes()) else {
+            self.context
+                .note(Incident::AnswerRejected, "answer cut off");
+            return CallEnd::Broken(meter.usage());
+        };
+        let success = self.head.status.is_success();
+        if !has_begun {
+            report_step(meter.add_plain(), report);
+            self.push_head();
+            self.context.answer.push(AnswerPart::Data(bytes));
+        }
+        self.keep();
+        match (success, has_begun) {
+            (true, false) => CallEnd::Finished(meter.usage()),
+            (false, false) => CallEnd::Failed,
+            (_, true) => CallEnd::Broken(meter.usage()),
+        }
+    }
+
+    /// Pass a stream's events on as they come.
+    async fn stream(
+        self,
+        mut body: Incoming,
+        meter: &mut UsageMeter,
+        report: &AttemptReport,
+    ) -> CallEnd {
+        let mut blocks = EventBlocks::default();
+        let mut head_pushed = self.context.answer.last_event().is_some();
+        loop {
+            let frame = match self.next_frame(&mut body, meter).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => break,
+                Err(end) => return end,
+            };
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            blocks.add(&bytes);
+            for block in blocks.by_ref() {
+                if !head_pushed {
+                    self.push_head();
+                    head_pushed = true;
+                }
+                report_step(meter.add_event(), report);
+                self.context.answer.push_event(block.bytes, block.id);
+            }
+            if blocks.rest_len() > MAX_BODY_BYTES {
+                self.context
+                    .note(Incident::AnswerRejected, "event too long");
+                return CallEnd::Broken(meter.usage());
+            }
+        }
+        if !head_pushed {
+            self.push_head();
+        }
+        let rest = blocks.take_rest();
+        if !rest.is_empty() {
+            self.context.answer.push(AnswerPart::Data(rest));
+        }
+        self.keep();
+        CallEnd::Finished(meter.usage())
+    }
+
+    /// Get the next piece of a stream; `None` at its end.
+    async fn next_frame(
+        &self,
+        body: &mut Incoming,
+        meter: &UsageMeter,
+    ) -> Result<Option<hyper::body::Frame<bytes::Bytes>>, CallEnd> {
+        let wait = match meter.is_first() {
+            true => self.routed.first_wait,
+            false => self.routed.gap_wait,
+        };
+        let next = async {
+            match wait {
+                Some(wait) => timeout(wait, body.frame())
+                    .await
+                    .map_err(|_| "silent stream"),
+                None => Ok(body.frame().await),
+            }
+        };
+        let cause = match next.await {
+            Ok(None) => return Ok(None),
+            Ok(Some(Ok(frame))) => return Ok(Some(frame)),
+            Ok(Some(Err(_))) => "stream cut off",
+            Err(cause) => cause,
+        };
+        self.context.note(Incident::AnswerRejected, cause);
+        Err(CallEnd::Broken(meter.usage()))
+    }
+
+    fn push_head(&self) {
+        self.context.answer.push(AnswerPart::Head {
+            status: self.head.status.as_u16(),
+            content_type: String::new(),
+            fields: answer::passed_fields(&self.head.headers),
+        });
+    }
+
+    fn keep(self) {
+        let kept = &self.context.kept;
+        kept.keep(self.connection, &self.context.options, self.idle_timeout);
+    }
+}
--- a/bergamotswitch-net/src/target_client/usage_meter.rs
+++ b/bergamotswitch-net/src/target_client/usage_meter.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::permit::Usage;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::time::Instant;
 
+use super::attempt_report::AttemptReport;
+
 /// A `StreamChunk` is what is read of one completion chunk.
 #[derive(Debug, Deserialize)]
 pub(crate) struct StreamChunk {
@@ -127,6 +130,17 @@
         self.step()
     }
 
+    /// Count one event of a stream whose tokens are not told.
+    pub fn add_event(&mut self) -> TokenStep {
+        self.counted = self.counted.saturating_add(1);
+        self.step()
+    }
+
+    /// Get whether nothing came yet.
+    pub fn is_first(&self) -> bool {
+        self.first_token.is_none()
+    }
+
     fn step(&mut self) -> TokenStep {
         if self.first_token.is_none() {
             self.first_token = Some(self.started.elapsed());
@@ -160,6 +174,15 @@
     }
 }
 
+/// Tell the loop of a step.
+pub(super) fn report_step(step: TokenStep, report: &AttemptReport) {
+    match step {
+        TokenStep::Nothing => {}
+        TokenStep::First => report.step(AttemptEvent::FirstToken),
+        TokenStep::Progress(tokens) => report.step(AttemptEvent::Progress(tokens)),
+    }
+}
+
 fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
