--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -77,7 +77,7 @@
             keys: KeyTable::new(now, opts.key_retention, opts.max_keys),
             prefixes: PrefixTable::new(opts.max_prefixes, opts.prefix_lifetime),
             costs: CostSample::default(),
-            quotas: QuotaBook::default(),
+            quotas: QuotaBook::new(opts.quota_window, now),
             pace: ReleasePace::default(),
             sequence: 0,
             preempt_check_at: now,
--- a/bergamotswitch-core/src/settings.rs
+++ b/bergamotswitch-core/src/settings.rs
@@ -128,6 +128,8 @@
     pub retry_slack: f64,
     /// How long a planned stop may last, in seconds.
     pub grace_s: f64,
+    /// The window over which quotas are judged, in seconds.
+    pub quota_window_s: f64,
 }
 
 /// The name under which findings place the settings.
@@ -245,6 +247,9 @@
 /// The allowed lengths of a planned stop, in seconds.
 const GRACE_RANGE: RangeInclusive<f64> = 1.0..=3_600.0;
 
+/// The allowed windows of quotas, in seconds.
+const WINDOW_RANGE: RangeInclusive<f64> = 0.5..=3_600.0;
+
 impl ReadJson for GatewaySettings {
     fn read(node: &JsonNode<'_>, findings: &mut Findings) -> Option<Self> {
         let mut object = ObjectReader::open(node, findings)?;
@@ -263,6 +268,7 @@
         let retry_ratio = object.fraction("retry_ratio", &RATIO_RANGE);
         let retry_slack = object.fraction("retry_slack", &SLACK_RANGE);
         let grace_s = object.fraction("grace_s", &GRACE_RANGE);
+        let quota_window_s = object.fraction("quota_window_s", &WINDOW_RANGE);
         object.finish();
         Some(GatewaySettings {
             readiness_address: readiness_address?,
@@ -277,6 +283,7 @@
             retry_ratio: retry_ratio?.unwrap_or(0.1),
             retry_slack: retry_slack?.unwrap_or(0.0),
             grace_s: grace_s?.unwrap_or(30.0),
+            quota_window_s: quota_window_s?.unwrap_or(8.0),
         })
     }
 }
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -354,6 +354,9 @@
             NodeAction::Read(name) => self.platform.read(&name),
             NodeAction::Watch(name, after) => self.platform.watch(&name, after),
             NodeAction::Published(name) => self.publish(&name),
+            // The users' targets tell their load with their answers; asked
+            // for it, they count each question as a probe.
+            NodeAction::WatchTargets(_) if self.settings.gateway.is_some() => {}
             NodeAction::WatchTargets(targets) => self.targets.watch_targets(&targets),
             NodeAction::Start {
                 attempt,
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -117,6 +117,7 @@
             .with_retry_rate(rate),
         owner: OwnerOptions::default()
             .with_probe_interval(PROBE_INTERVAL.0, PROBE_INTERVAL.1)
+            .with_quota_window(Duration::from_secs_f64(gateway.quota_window_s))
             .with_audit_after(AUDIT_AFTER),
         membership: base.membership,
         revision: RevisionOptions::default()
