--- a/bergamotswitch-core/src/node/intake.rs
+++ b/bergamotswitch-core/src/node/intake.rs
@@ -44,7 +44,9 @@
     /// Get whether the host may serve: every needed value is in force, and
     /// peers (or, without any, the service alone) vouched for the revisions.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.publication.missing().is_empty() && self.book.is_caught_up(now)
+        let settled = self.roster.as_ref();
+        let settled = settled.is_none_or(|roster| roster.is_settled(now));
+        settled && self.publication.missing().is_empty() && self.book.is_caught_up(now)
     }
 
     /// Get whether nothing waits or runs.
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -198,13 +198,18 @@
         true => publication.hosts.hosts.len().max(1),
         false => 1,
     };
+    let tolerance = &publication.limits;
+    let window = tolerance.quota_window_ms as f64 / 1_000.0;
+    let over = tolerance.quota_over_permille as f64 / 1_000.0;
     let accounts = publication.routes.book().accounts.iter();
     accounts
         .filter(|account| account.quota.rate > 0)
         .map(|account| {
+            let quota = account.quota;
+            let (rate, burst) = (quota.rate as f64, quota.burst as f64);
             let rate = QuotaRate {
-                rate: account.quota.rate as f64 / hosts as f64,
-                burst: account.quota.burst as f64 / hosts as f64,
+                rate: rate / hosts as f64,
+                burst: (burst + (rate * window + burst) * over) / hosts as f64,
             };
             (account.name.clone(), rate)
         })
--- a/bergamotswitch-core/src/pool_owner/options.rs
+++ b/bergamotswitch-core/src/pool_owner/options.rs
@@ -18,7 +18,6 @@
     pub(super) permit_lifetime: Duration,
     pub(super) probe_base: Duration,
     pub(super) probe_max: Duration,
-    pub(super) quota_window: Duration,
 }
 
 impl Default for OwnerOptions {
@@ -40,7 +39,6 @@
             permit_lifetime: Duration::from_secs(2),
             probe_base: Duration::from_millis(500),
             probe_max: Duration::from_secs(30),
-            quota_window: Duration::from_secs(8),
         }
     }
 }
@@ -110,12 +108,6 @@
             .with_permit_lifetime(Duration::from_millis(limits.permit_lifetime_ms))
     }
 
-    /// Set the window over which quotas are judged.
-    pub fn with_quota_window(mut self, span: Duration) -> Self {
-        self.quota_window = span;
-        self
-    }
-
     /// Set the first and the longest time between probes of a target that is
     /// backed off.
     pub fn with_probe_interval(mut self, base: Duration, max: Duration) -> Self {
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -77,7 +77,7 @@
             keys: KeyTable::new(now, opts.key_retention, opts.max_keys),
             prefixes: PrefixTable::new(opts.max_prefixes, opts.prefix_lifetime),
             costs: CostSample::default(),
-            quotas: QuotaBook::new(opts.quota_window, now),
+            quotas: QuotaBook::default(),
             pace: ReleasePace::default(),
             sequence: 0,
             preempt_check_at: now,
@@ -108,7 +108,7 @@
         match event {
             OwnerEvent::Message(host, message) => self.on_message(now, host, message, &mut actions),
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
-            OwnerEvent::Quotas(rates) => self.quotas.set_rates(rates),
+            OwnerEvent::Quotas(rates) => self.quotas.set_rates(now, rates),
             OwnerEvent::Load(name, report) => {
                 if let Some(load) = self.targets.get_mut(&name) {
                     load.report(now, &report);
--- a/bergamotswitch-core/src/roster/machine.rs
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// Get whether another host was heard of, or enough time has passed for
+    /// there to be none. A host that takes callers before it knows how many
+    /// there are would take a whole fleet's share of everything for its own.
+    pub fn is_settled(&self, now: Moment) -> bool {
+        !self.members.is_empty() || now.since(Moment::START) >= self.opts.alone_after
+    }
+
     /// Get the hosts that are counted on where they have changed since the
     /// last call.
     pub fn changed_hosts(&mut self, now: Moment) -> Option<HostList> {
--- a/bergamotswitch-core/src/roster/options.rs
+++ b/bergamotswitch-core/src/roster/options.rs
@@ -18,6 +18,10 @@
 /// cut even where all seeds are gone.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// The time from its start after which a host that heard of no other takes
+/// itself for alone: five rounds to all seeds.
+const ALONE_AFTER: Duration = Duration::from_millis(1_500);
+
 /// A `RosterOptions` is the set of bounds of a roster.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RosterOptions {
@@ -25,6 +29,7 @@
     pub(super) fanout: usize,
     pub(super) silent_after: Duration,
     pub(super) forget_after: Duration,
+    pub(super) alone_after: Duration,
 }
 
 impl Default for RosterOptions {
@@ -34,6 +39,7 @@
             fanout: FANOUT,
             silent_after: SILENT_AFTER,
             forget_after: FORGET_AFTER,
+            alone_after: ALONE_AFTER,
         }
     }
 }
--- a/bergamotswitch-core/src/settings.rs
+++ b/bergamotswitch-core/src/settings.rs
@@ -130,6 +130,8 @@
     pub grace_s: f64,
     /// The window over which quotas are judged, in seconds.
     pub quota_window_s: f64,
+    /// How much more than its quota an account may use in one window.
+    pub quota_overage: f64,
 }
 
 /// The name under which findings place the settings.
@@ -269,6 +271,7 @@
         let retry_slack = object.fraction("retry_slack", &SLACK_RANGE);
         let grace_s = object.fraction("grace_s", &GRACE_RANGE);
         let quota_window_s = object.fraction("quota_window_s", &WINDOW_RANGE);
+        let quota_overage = object.fraction("quota_overage", &RATIO_RANGE);
         object.finish();
         Some(GatewaySettings {
             readiness_address: readiness_address?,
@@ -284,6 +287,7 @@
             retry_slack: retry_slack?.unwrap_or(0.0),
             grace_s: grace_s?.unwrap_or(30.0),
             quota_window_s: quota_window_s?.unwrap_or(8.0),
+            quota_overage: quota_overage?.unwrap_or(0.0),
         })
     }
 }
--- a/bergamotswitch-core/tests/address_answers.rs
+++ b/bergamotswitch-core/tests/address_answers.rs
@@ -30,6 +30,7 @@
     let port = 7000 + index as u16;
     HostHealth {
         host: EntryHost {
+            capacity: 0,
             name: HostName::try_from(format!("h{index}")).unwrap(),
             domain: DomainName::try_from(domain).unwrap(),
             caller_address: ([127, 0, 0, 1], port).into(),
--- a/bergamotswitch-core/tests/entry_support/mod.rs
+++ b/bergamotswitch-core/tests/entry_support/mod.rs
@@ -9,8 +9,8 @@
 pub use bergamotswitch_core::clock::Moment;
 pub use bergamotswitch_core::contract::TargetContract;
 pub use bergamotswitch_core::entry::{
-    AttemptEvent, Conclusion, EntryAction, EntryDesk, EntryEvent, EntryOptions, Reception,
-    Submission,
+    AttemptEvent, CallTerms, Conclusion, EntryAction, EntryDesk, EntryEvent, EntryOptions,
+    Reception, Submission,
 };
 pub use bergamotswitch_core::host::{HostIncarnation, HostName, Incarnation};
 pub use bergamotswitch_core::permit::{
@@ -49,6 +49,7 @@
 
 pub fn target(text: &str, domain: &str, refusal_means_not_run: bool) -> PoolTarget {
     PoolTarget {
+        slots: None,
         name: name(text),
         domain: name(domain),
         address: ([127, 0, 0, 1], 1).into(),
@@ -80,6 +81,7 @@
 /// Get an idempotent submission without a key.
 pub fn submission() -> Submission {
     Submission {
+        terms: CallTerms::default(),
         account: name("crew"),
         pool: name("llm"),
         kind: PoolKind::Engine,
--- a/bergamotswitch-core/tests/fleet/mod.rs
+++ b/bergamotswitch-core/tests/fleet/mod.rs
@@ -27,6 +27,7 @@
 
 pub fn entry(index: usize) -> EntryHost {
     EntryHost {
+        capacity: 0,
         name: host(index),
         domain: format!("domain-{}", index % 8).try_into().unwrap(),
         caller_address: ([10, 1, (index / 250) as u8, (index % 250) as u8], 80).into(),
--- a/bergamotswitch-core/tests/node_bench/mod.rs
+++ b/bergamotswitch-core/tests/node_bench/mod.rs
@@ -62,6 +62,8 @@
     };
     let submission = submission();
     Ask {
+        quota_units: 0,
+        patience_ms: None,
         attempt: AttemptId {
             request,
             attempt: 0,
--- a/bergamotswitch-core/tests/owner_bench/mod.rs
+++ b/bergamotswitch-core/tests/owner_bench/mod.rs
@@ -56,6 +56,7 @@
 /// Get a target with 1000 tokens per second and room for `limit` tokens.
 pub fn target(name: &str, domain: &str, limit: u32) -> PoolTarget {
     PoolTarget {
+        slots: None,
         name: named(name),
         domain: named(domain),
         address: ([127, 0, 0, 1], 80).into(),
@@ -69,6 +70,8 @@
 /// Get an ask of 100 tokens with a minute's deadline.
 pub fn ask(sequence: u64, tier: u8, account: &str) -> Ask {
     Ask {
+        quota_units: 0,
+        patience_ms: None,
         attempt: attempt_of(ENTRY_RUN, sequence),
         shard: shard(),
         tier: Tier(tier),
--- a/bergamotswitch-core/tests/queue_differential.rs
+++ b/bergamotswitch-core/tests/queue_differential.rs
@@ -143,6 +143,7 @@
             ask.cost.prefill = u32::from(cost);
             ask.domains = vec![named(DOMAINS[usize::from(domain % 3)])];
             let queued = QueuedAsk {
+                run_until: Moment::NEVER,
                 host: named("entry"),
                 deadline: Moment::from_millis(u64::from(deadline)),
                 placement: Arc::new(Placement::of(&ask, false)),
--- a/bergamotswitch-core/tests/spread/mod.rs
+++ b/bergamotswitch-core/tests/spread/mod.rs
@@ -43,6 +43,7 @@
 
 pub fn entry(index: usize, domains: usize) -> EntryHost {
     EntryHost {
+        capacity: 0,
         name: host(index),
         domain: format!("domain-{}", index % domains).try_into().unwrap(),
         caller_address: ([10, 1, (index / 250) as u8, (index % 250) as u8], 80).into(),
--- a/bergamotswitch-net/src/gateway/listener.rs
+++ b/bergamotswitch-net/src/gateway/listener.rs
@@ -15,8 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
-use super::GatewayDesk;
 use super::answer_body::AnswerBody;
+use super::{GatewayDesk, GatewayPhase};
 
 /// The least buffer for a head that the library takes.
 const MIN_BUFFER: usize = 8_192;
@@ -80,11 +80,13 @@
     Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
     let limits = desk.publication.borrow().routes.book().limits;
+    let _alive = desk.alive.clone();
+    let mut phase = desk.phase.clone();
     let service = service_fn(|request| {
         let desk = Arc::clone(&desk);
         async move {
             let chunked = bergamotswitch_platform::call::is_chunked(request.headers());
-            let stopping = *desk.stopping.borrow();
+            let stopping = *desk.phase.borrow() != GatewayPhase::Serving;
             let mut response = handler(desk, request).await;
             // Where a body came in chunks, a length that stood beside them is
             // not seen here: what follows on the connection might be the rest
@@ -99,12 +101,31 @@
     });
     // The library's bound on the time for a head counts from the end of the
     // call before, so it bounds the idle time.
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(MIN_BUFFER.max(limits.max_header_bytes as usize))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let closing = async {
+        // The guard of the value seen must not be held over an await.
+        drop(
+            phase
+                .wait_for(|phase| *phase == GatewayPhase::Closing)
+                .await,
+        );
+    };
+    let ended = tokio::select! {
+        served = connection.as_mut() => Some(served),
+        () = closing => None,
+    };
+    let served = match ended {
+        Some(served) => served,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         log::debug!("caller's connection ended: {error}");
     }
--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -8,9 +8,11 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bergamotswitch_core::publication::Publication;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use crate::input::NodeSender;
 use crate::metrics::NodeMetrics;
@@ -31,13 +33,29 @@
     pub metrics: std::net::TcpListener,
 }
 
+/// A `GatewayPhase` is how far the gateway's stop is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum GatewayPhase {
+    /// No stop.
+    Serving,
+    /// Callers still come, and every answer closes its connection.
+    Lapsing,
+    /// Connections end with the answer that they carry.
+    Closing,
+}
+
+/// How long the last answers' bytes may take to leave.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// A `GatewayDesk` is what every handler needs.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayDesk {
     pub(crate) node: NodeSender,
     pub(crate) publication: watch::Receiver<Arc<Publication>>,
     pub(crate) metrics: Arc<NodeMetrics>,
-    pub(crate) stopping: watch::Receiver<bool>,
+    pub(crate) phase: watch::Receiver<GatewayPhase>,
+    /// Held by each connection, so that a stop can wait for all of them.
+    pub(crate) alive: mpsc::Sender<()>,
     /// Bytes of bodies that may still be taken in.
     pub(crate) body_room: Arc<tokio::sync::Semaphore>,
 }
@@ -45,7 +63,8 @@
 /// A `GatewayServer` is a running gateway. Its drop closes all listeners.
 #[derive(Debug)]
 pub struct GatewayServer {
-    stopping: watch::Sender<bool>,
+    phase: watch::Sender<GatewayPhase>,
+    connections: mpsc::Receiver<()>,
     _listeners: Vec<ListenerGuard>,
 }
 
@@ -62,12 +81,14 @@
         metrics: Arc<NodeMetrics>,
         body_bytes: usize,
     ) -> io::Result<Self> {
-        let (stopping, stop_signal) = watch::channel(false);
+        let (phase, phase_seen) = watch::channel(GatewayPhase::Serving);
+        let (alive, connections) = mpsc::channel(1);
         let desk = Arc::new(GatewayDesk {
             node,
             publication,
             metrics,
-            stopping: stop_signal,
+            phase: phase_seen,
+            alive,
             body_room: Arc::new(tokio::sync::Semaphore::new(body_bytes)),
         });
         let listeners = vec![
@@ -77,7 +98,8 @@
             serve(sockets.metrics, &desk, lookup::metrics)?,
         ];
         Ok(GatewayServer {
-            stopping,
+            phase,
+            connections,
             _listeners: listeners,
         })
     }
@@ -85,6 +107,24 @@
     /// Begin a graceful stop: every further answer closes its connection, and
     /// callers that still come are served.
     pub fn stop(&self) {
-        self.stopping.send_replace(true);
+        self.phase.send_replace(GatewayPhase::Lapsing);
+    }
+
+    /// Take no further callers, and wait until the open answers have left.
+    ///
+    /// A run that ends frees the loop before the last bytes of its answer were
+    /// written. A process that ended then would cut the answer off; one would
+    /// see streams closed in their middle at the moment at which their runs
+    /// end.
+    pub async fn close(self) {
+        let GatewayServer {
+            phase,
+            mut connections,
+            _listeners: listeners,
+        } = self;
+        phase.send_replace(GatewayPhase::Closing);
+        drop(listeners);
+        // Nothing is ever sent: the end of the last sender is waited for.
+        let _ = timeout(CLOSE_TIMEOUT, connections.recv()).await;
     }
 }
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -40,6 +40,11 @@
 /// How long a host that starts waits for peers before it reads for itself.
 const READ_FALLBACK: Duration = Duration::from_millis(250);
 
+/// The calls to the store: one in each interval, and so many at once. In a
+/// storm of changes a watch ends every 80 ms; a slower pace left all hosts with
+/// routes 2.5 s old. The store bears 2,000 a second of all hosts together.
+const READ_PACE: (Duration, u32) = (Duration::from_millis(50), 40);
+
 /// The pauses after failed reads. A change has to be in force within two
 /// seconds, also right after an outage.
 const READ_BACKOFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
@@ -56,6 +61,10 @@
 /// The retries that a host has without traffic.
 const RETRY_FLOOR: u32 = 2;
 
+/// The share of a quota's tolerance that is used for bursts. The rest is for
+/// plain calls, which another owner counts: four in a hundred of all units.
+const QUOTA_SHARE: f64 = 0.75;
+
 /// The most dispatches of one call, those included that targets refused.
 const MAX_DISPATCHES: u64 = 4;
 
@@ -83,10 +92,10 @@
 const BODY_PARTS: usize = 5;
 
 /// Get the limits that hold where none are published.
-pub(super) fn limits(settings: &GatewaySettings) -> FleetLimits {
-    let retry_permille = settings.retry_ratio * RETRY_SHARE * 1_000.0;
+pub(super) fn limits(gateway: &GatewaySettings) -> FleetLimits {
+    let retry_permille = gateway.retry_ratio * RETRY_SHARE * 1_000.0;
     FleetLimits {
-        link_key: settings.link_key.clone(),
+        link_key: gateway.link_key.clone(),
         heartbeat_ms: HEARTBEAT_MS,
         suspect_after_ms: SUSPECT_AFTER_MS,
         reads_per_minute: 600,
@@ -94,6 +103,8 @@
         max_attempts: MAX_DISPATCHES,
         connect_timeout_ms: 1_000,
         address_lifetime_ms: 1_000,
+        quota_window_ms: (gateway.quota_window_s * 1_000.0) as u64,
+        quota_over_permille: (gateway.quota_overage * QUOTA_SHARE * 1_000.0) as u64,
         ..FleetLimits::default()
     }
 }
@@ -117,11 +128,11 @@
             .with_retry_rate(rate),
         owner: OwnerOptions::default()
             .with_probe_interval(PROBE_INTERVAL.0, PROBE_INTERVAL.1)
-            .with_quota_window(Duration::from_secs_f64(gateway.quota_window_s))
             .with_audit_after(AUDIT_AFTER),
         membership: base.membership,
         revision: RevisionOptions::default()
             .with_values(values.collect())
+            .with_read_budget(READ_PACE.0, READ_PACE.1)
             .with_read_fallback(READ_FALLBACK)
             .with_backoff(READ_BACKOFF.0, READ_BACKOFF.1)
             .with_keepalive(RELAY_KEEPALIVE, RELAY_SILENT_AFTER)
--- a/bergamotswitch-net/src/node/seams.rs
+++ b/bergamotswitch-net/src/node/seams.rs
@@ -42,8 +42,10 @@
                 server.stop();
                 server.stopped().await
             }
-            // The loop is idle, so no answer is open.
-            CallerDoor::Gateway(_) => Ok(()),
+            CallerDoor::Gateway(server) => {
+                server.close().await;
+                Ok(())
+            }
         }
     }
 }
--- a/bergamotswitch-net/tests/caller_requests/fake_loop.rs
+++ b/bergamotswitch-net/tests/caller_requests/fake_loop.rs
@@ -123,7 +123,7 @@
                 reply,
             } => Submitted {
                 submission: *submission,
-                call,
+                call: *call,
                 reply,
             },
             other => panic!("no submission: {other:?}"),
@@ -312,6 +312,7 @@
 
 pub fn head(status: u16, content_type: &str) -> AnswerPart {
     AnswerPart::Head {
+        fields: HeaderMap::new(),
         status,
         content_type: content_type.to_owned(),
     }
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -62,6 +62,8 @@
         resubmission: false,
     });
     LinkMessage::ToOwner(OwnerMessage::Ask(Box::new(Ask {
+        quota_units: 0,
+        patience_ms: None,
         attempt: attempt(),
         shard: shard(),
         tier: Tier(0),
--- a/bergamotswitch-net/tests/link_support/mod.rs
+++ b/bergamotswitch-net/tests/link_support/mod.rs
@@ -55,6 +55,7 @@
     };
     let (node, inbox) = mpsc::unbounded_channel();
     let entry = EntryHost {
+        capacity: 0,
         name: run.host.clone(),
         domain: me.domain.clone(),
         caller_address: address,
--- a/bergamotswitch-net/tests/target_calls.rs
+++ b/bergamotswitch-net/tests/target_calls.rs
@@ -25,6 +25,7 @@
 
 fn plain_call(body: &str) -> OutgoingCall {
     OutgoingCall {
+        routed: None,
         method: http::Method::POST,
         path: "/receipts?case=12".to_owned(),
         content_type: "application/json".to_owned(),
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -136,6 +136,7 @@
         "messages": [{"role": "user", "content": name}],
     });
     OutgoingCall {
+        routed: None,
         method: http::Method::POST,
         path: "/v1/chat/completions".to_owned(),
         content_type: "application/json".to_owned(),
--- a/bergamotswitch/examples/slopes/entry.rs
+++ b/bergamotswitch/examples/slopes/entry.rs
@@ -107,6 +107,7 @@
 fn answer() -> AnswerWriter {
     let answer = AnswerWriter::new();
     answer.push(AnswerPart::Head {
+        fields: http::HeaderMap::new(),
         status: 200,
         content_type: "text/event-stream".to_owned(),
     });
--- a/bergamotswitch/examples/slopes/links.rs
+++ b/bergamotswitch/examples/slopes/links.rs
@@ -43,6 +43,7 @@
     let address = listener.local_addr().expect("an address");
     let run = run_of(index);
     let entry = EntryHost {
+        capacity: 0,
         name: run.host.clone(),
         domain: name(domain_of(index)),
         caller_address: address,
--- a/bergamotswitch/examples/slopes/world.rs
+++ b/bergamotswitch/examples/slopes/world.rs
@@ -181,6 +181,7 @@
 pub fn targets(count: usize, limit: u32) -> Vec<PoolTarget> {
     (0..count)
         .map(|index| PoolTarget {
+            slots: None,
             load: None,
             name: name(format!("drafting-lm-{index:03}")),
             domain: name(domain_of(index)),
@@ -222,6 +223,8 @@
 /// Get an ask of a prompt of 4 KB, for 424 tokens of output.
 pub fn ask(sequence: u64, account_index: usize) -> Ask {
     Ask {
+        quota_units: 0,
+        patience_ms: None,
         attempt: attempt(run_of(1).incarnation, sequence),
         shard: shard(None),
         tier: Tier((sequence % 3) as u8),
@@ -251,6 +254,7 @@
 pub fn submission(sequence: u64, key: Option<String>) -> Submission {
     let guarded = key.is_some();
     Submission {
+        terms: bergamotswitch_core::entry::CallTerms::default(),
         account: name(account((sequence % 280) as usize)),
         pool: name("drafting-lm-1"),
         kind: PoolKind::Engine,
