--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -113,6 +113,8 @@
     ServiceReachable = 507, Info, "configuration service reachable again";
     /// An item of the store cannot be read.
     EntryUnreadable = 508, Error, "published item not readable, passed over";
+    /// A call to the store brought nothing.
+    ServiceCallFailed = 509, Info, "call to the configuration service failed";
     /// A peer was refused.
     PeerRefused = 600, Error, "peer refused";
     /// A connection was silent and given up.
--- a/bergamotswitch-core/tests/fleet_world/mod.rs
+++ b/bergamotswitch-core/tests/fleet_world/mod.rs
@@ -306,6 +306,7 @@
                 NodeAction::Note(incident, text) => self.note(host, incident, &text),
                 NodeAction::CountRetry(_) => self.count("retries"),
                 NodeAction::WatchTargets(_)
+                | NodeAction::Gossip(_)
                 | NodeAction::CountRefusal(..)
                 | NodeAction::CountWait(..)
                 | NodeAction::CountWaste(..)
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -117,7 +117,10 @@
 }
 
 fn failed(name: &ValueName, loss: CallLoss) -> NodeInput {
-    log::debug!("store call for {name} failed: {loss}");
+    journal::write(
+        Incident::ServiceCallFailed,
+        &[("value", name), ("cause", &loss)],
+    );
     NodeInput::Platform(PlatformEvent::Failed(name.clone()))
 }
 
