Rank calls by route inside their account's rank, keep places at targets filled

Places in a batch stood empty for the 6 ms from a release to the next request. Runs began that could not end before their deadline.

--- a/bergamotswitch-core/src/entry/view.rs
+++ b/bergamotswitch-core/src/entry/view.rs
@@ -2,15 +2,15 @@
 
 use serde::Serialize;
 
-use crate::rules::{TIER_COUNT, Tier};
+use crate::rules::{GATEWAY_TIER_COUNT, Tier};
 
 /// A `DeskView` is what an entry desk holds now.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct DeskView {
     /// Requests that wait for a permit, by tier.
-    pub waiting: [u32; TIER_COUNT],
+    pub waiting: [u32; GATEWAY_TIER_COUNT],
     /// Requests in flight, by tier.
-    pub running: [u32; TIER_COUNT],
+    pub running: [u32; GATEWAY_TIER_COUNT],
     /// Outcomes kept for resubmissions and questions.
     pub kept_answers: usize,
     /// The memory of their answers, in bytes.
@@ -40,5 +40,5 @@
 /// A checked rule never names a tier beyond the last; a clamp keeps a view
 /// from ending the process where one does.
 fn slot(tier: Tier) -> usize {
-    usize::from(tier.0).min(TIER_COUNT - 1)
+    usize::from(tier.0).min(GATEWAY_TIER_COUNT - 1)
 }
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -33,7 +33,7 @@
 pub const PAUSE_BOUND: Duration = Duration::from_secs(2);
 
 /// A `NodeOptions` holds the options of a host's machines.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeOptions {
     /// The entry side's.
     pub entry: EntryOptions,
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -4,7 +4,9 @@
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
 use crate::pool::{PoolKind, PoolName, PoolShard};
-use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, ShardOwner, ShardView};
+use crate::pool_owner::{
+    OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
+};
 use crate::publication::Publication;
 use crate::target::{PoolTarget, TargetName};
 
@@ -146,7 +148,8 @@
         let targets = shard_targets(shard, degraded, publication);
         // A new owner has nothing queued, so new targets lead to no action.
         owner.handle(now, OwnerEvent::Targets(targets));
-        owner.handle(now, OwnerEvent::Quotas(quota_rates(degraded, publication)));
+        let rates = quota_rates(degraded, publication, &self.opts.quota_tolerance);
+        owner.handle(now, OwnerEvent::Quotas(rates));
         self.owned.push(OwnedShard {
             shard: shard.clone(),
             owner,
@@ -160,7 +163,7 @@
         for owned in &mut self.owned {
             let targets = shard_targets(&owned.shard, owned.degraded, publication);
             actions.extend(owned.owner.handle(now, OwnerEvent::Targets(targets)));
-            let rates = quota_rates(owned.degraded, publication);
+            let rates = quota_rates(owned.degraded, publication, &self.opts.quota_tolerance);
             actions.extend(owned.owner.handle(now, OwnerEvent::Quotas(rates)));
         }
         actions
@@ -193,26 +196,19 @@
 
 /// Get the quotas that an owner keeps: whole, or this host's fraction of them
 /// where it orders for itself alone.
-fn quota_rates(degraded: bool, publication: &Publication) -> Vec<(AccountName, QuotaRate)> {
-    let hosts = match degraded {
-        true => publication.hosts.hosts.len().max(1),
+fn quota_rates(
+    degraded: bool,
+    publication: &Publication,
+    tolerance: &QuotaTolerance,
+) -> Vec<(AccountName, QuotaRate)> {
+    let owners = match degraded {
+        true => publication.hosts.hosts.len(),
         false => 1,
     };
-    let tolerance = &publication.limits;
-    let window = tolerance.quota_window_ms as f64 / 1_000.0;
-    let over = tolerance.quota_over_permille as f64 / 1_000.0;
     let accounts = publication.routes.book().accounts.iter();
     accounts
         .filter(|account| account.quota.rate > 0)
-        .map(|account| {
-            let quota = account.quota;
-            let (rate, burst) = (quota.rate as f64, quota.burst as f64);
-            let rate = QuotaRate {
-                rate: rate / hosts as f64,
-                burst: (burst + (rate * window + burst) * over) / hosts as f64,
-            };
-            (account.name.clone(), rate)
-        })
+        .map(|account| (account.name.clone(), tolerance.rate(&account.quota, owners)))
         .collect()
 }
 
--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -72,9 +72,10 @@
     }
 
     /// Get whether the time left is too short for a run. Top-tier work is run
-    /// all the same: the estimate may be wrong, and it has the first claim.
+    /// all the same, the estimate may be wrong and it has the first claim; but
+    /// not where it ends at its deadline, whole or not.
     fn is_too_late(&self, now: Moment, queued: &QueuedAsk, route: &Route) -> bool {
-        if queued.ask.tier == Tier(0) {
+        if queued.ask.tier == Tier(0) && queued.ask.patience_ms.is_none() {
             return false;
         }
         let load = self.targets.get(&route.target);
@@ -280,11 +281,7 @@
     /// how many requests they serve at once: the permits that have to come
     /// back before it, at the pace at which they do.
     fn slot_wait(&self, now: Moment, tier: Tier) -> Option<Duration> {
-        if !self
-            .targets
-            .values()
-            .all(|load| load.target().slots.is_some())
-        {
+        if !self.has_slots() {
             return None;
         }
         let ahead = self.queue.asks_through(tier);
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -27,7 +27,7 @@
 
 pub use options::OwnerOptions;
 pub use owner::ShardOwner;
-pub use quota::QuotaRate;
+pub use quota::{QuotaRate, QuotaTolerance};
 pub use view::{RefusalCount, ShardView, TargetView, TierView};
 
 use crate::client_account::AccountName;
--- a/bergamotswitch-core/src/pool_owner/options.rs
+++ b/bergamotswitch-core/src/pool_owner/options.rs
@@ -4,8 +4,10 @@
 
 use crate::publication::FleetLimits;
 
+use super::quota::QuotaTolerance;
+
 /// An `OwnerOptions` is what may be set of a shard's owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OwnerOptions {
     pub(super) max_wait: Duration,
     pub(super) max_asks: usize,
@@ -18,6 +20,7 @@
     pub(super) permit_lifetime: Duration,
     pub(super) probe_base: Duration,
     pub(super) probe_max: Duration,
+    pub(crate) quota_tolerance: QuotaTolerance,
 }
 
 impl Default for OwnerOptions {
@@ -39,6 +42,7 @@
             permit_lifetime: Duration::from_secs(2),
             probe_base: Duration::from_millis(500),
             probe_max: Duration::from_secs(30),
+            quota_tolerance: QuotaTolerance::default(),
         }
     }
 }
@@ -108,6 +112,12 @@
             .with_permit_lifetime(Duration::from_millis(limits.permit_lifetime_ms))
     }
 
+    /// Set how much more than their quotas accounts may use in one window.
+    pub fn with_quota_tolerance(mut self, tolerance: QuotaTolerance) -> Self {
+        self.quota_tolerance = tolerance;
+        self
+    }
+
     /// Set the first and the longest time between probes of a target that is
     /// backed off.
     pub fn with_probe_interval(mut self, base: Duration, max: Duration) -> Self {
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -213,7 +213,10 @@
 
     fn enqueue(&mut self, now: Moment, host: HostName, ask: Ask, actions: &mut Vec<OwnerAction>) {
         let tokens = ask.cost.total();
-        let placement = Placement::of(&ask, self.costs.is_long(tokens));
+        // Where a target's batch is known, long work takes one place in it
+        // like any other, and need not be kept off some targets.
+        let long = self.costs.is_long(tokens) && !self.has_slots();
+        let placement = Placement::of(&ask, long);
         // Fail closed: an ask that may run nowhere is answered now, and never
         // sent to a failure domain that its rule does not name. Before the
         // first list of targets nothing can be said.
@@ -246,6 +249,12 @@
         self.queue.push(now, queued);
     }
 
+    /// Get whether all targets say how many requests they serve at once.
+    pub(super) fn has_slots(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.all(|load| load.target().slots.is_some())
+    }
+
     fn expire_asks(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         while let Some(attempt) = self.queue.expired(now) {
             let queued = self.queue.get(&attempt);
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -5,12 +5,38 @@
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
+use crate::route::AccountQuota;
 
 /// The shortest and longest pauses that a refused caller is told: at a shorter
 /// one it would come back before anything has come into its bucket.
 const RETRY_MIN: Duration = Duration::from_millis(250);
 const RETRY_MAX: Duration = Duration::from_secs(4);
 
+/// A `QuotaTolerance` is how much more than its quota an account may use in
+/// one window. It is given to bursts: what an account may use over long is its
+/// rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// The window.
+    pub window: Duration,
+    /// The part of the window's quota.
+    pub part: f64,
+}
+
+impl QuotaTolerance {
+    /// Get the rate to keep for a quota, shared among `owners` that each keep
+    /// a part of it.
+    pub fn rate(&self, quota: &AccountQuota, owners: usize) -> QuotaRate {
+        let share = 1.0 / owners.max(1) as f64;
+        let (rate, burst) = (quota.rate as f64, quota.burst as f64);
+        let in_window = rate * self.window.as_secs_f64() + burst;
+        QuotaRate {
+            rate: rate * share,
+            burst: (burst + in_window * self.part) * share,
+        }
+    }
+}
+
 /// A `QuotaRate` is the part of an account's quota that one owner keeps.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaRate {
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -29,6 +29,17 @@
 /// took from their cache, and there the hint is still better than none.
 const CACHE_TRUST_MIN: f64 = 0.25;
 
+/// One request in so many may wait at a target beyond its batch. A place that
+/// comes free stays empty until the owner has heard of it and its permit has
+/// led to a request, some 6 ms; short calls of 30 ms would leave a sixth of
+/// their places empty.
+const SPARE_PARTS: usize = 6;
+
+fn slots_with_spare(slots: u32) -> usize {
+    let slots = slots as usize;
+    slots + slots.div_ceil(SPARE_PARTS)
+}
+
 /// A `TargetLoad` is what an owner believes of one target.
 #[derive(Debug)]
 pub struct TargetLoad {
@@ -163,7 +174,7 @@
             // bounded by its tokens.
             Some(slots) => {
                 let held = self.outstanding + tokens;
-                self.permits < slots as usize && held <= u64::from(self.target.token_limit)
+                self.permits < slots_with_spare(slots) && held <= u64::from(self.target.token_limit)
             }
             None => self.slots.fits(self.permits) && self.backlog(now) + tokens <= self.limit(now),
         }
--- a/bergamotswitch-core/src/publication/fleet_limits.rs
+++ b/bergamotswitch-core/src/publication/fleet_limits.rs
@@ -143,10 +143,6 @@
         "How long after its decision an order to an engine may be sent. A new owner waits as long.";
     load_timeout_ms = 600_000, 1_000 ..= 86_400_000, "milliseconds",
         "How long an engine may take to load what it was ordered to.";
-    quota_window_ms = 8_000, 100 ..= 3_600_000, "milliseconds",
-        "The window over which an account's use is judged against its quota.";
-    quota_over_permille = 0, 0 ..= 1_000, "thousandths",
-        "How much more than its quota an account may use in one window, for bursts.";
     min_ready_permille = 750, 0 ..= 1_000, "thousandths",
         "The engines of a shard that stay ready while others change their load; one may always change.";
 }
--- a/bergamotswitch-core/src/rules/mod.rs
+++ b/bergamotswitch-core/src/rules/mod.rs
@@ -24,9 +24,30 @@
 #[serde(transparent)]
 pub struct Tier(pub u8);
 
-/// The number of tiers that a configuration may use.
+/// The number of tiers that a configuration's rules may use.
 pub const TIER_COUNT: usize = 8;
 
+/// The ranks of routes inside the rank of a client account that has its own.
+const RANKS_PER_ACCOUNT: u8 = 4;
+
+/// The number of tiers that a gateway's calls may have.
+pub const GATEWAY_TIER_COUNT: usize = 16;
+
+impl Tier {
+    /// Get the tier of a call whose account may have a rank of its own. That
+    /// one decides; among the calls of accounts of one rank, the route does.
+    /// Were the account's rank the whole tier, the longest and most urgent
+    /// calls of an account would find room last, behind all its short ones.
+    pub fn of_call(account: Option<Tier>, route: Tier) -> Tier {
+        let Some(account) = account else {
+            return route;
+        };
+        let inside = route.0.min(RANKS_PER_ACCOUNT - 1);
+        let rank = account.0.saturating_mul(RANKS_PER_ACCOUNT) + inside;
+        Tier(rank.min(GATEWAY_TIER_COUNT as u8 - 1))
+    }
+}
+
 /// A `Verdict` is what the first matching rule says of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Verdict {
--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -154,6 +154,13 @@
         self.push(AnswerPart::Data(bytes));
     }
 
+    /// Get the number of pieces of data kept.
+    pub fn pieces(&self) -> usize {
+        let log = lock(&self.log);
+        let data = |part: &&AnswerPart| matches!(part, AnswerPart::Data(_));
+        log.parts.iter().filter(data).count()
+    }
+
     /// Get the id of the last event that was added.
     pub fn last_event(&self) -> Option<String> {
         lock(&self.log).last_event.clone()
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -11,7 +11,7 @@
 use bergamotswitch_core::refusal::{Refusal, RefusalReason};
 use bergamotswitch_core::request::TokenCost;
 use bergamotswitch_core::route::{KeyedAccount, Route, RouteWork};
-use bergamotswitch_core::rules::Verdict;
+use bergamotswitch_core::rules::{Tier, Verdict};
 use bergamotswitch_platform::call::{CallTokens, CallerCall, body_length};
 use bergamotswitch_platform::{outgoing, refusal};
 use bytes::Bytes;
@@ -192,10 +192,10 @@
             kind: self.kind,
             verdict: Verdict {
                 rule: self.route.name.clone(),
-                tier: self
-                    .account
-                    .and_then(|account| account.tier)
-                    .unwrap_or(self.route.tier),
+                tier: Tier::of_call(
+                    self.account.and_then(|account| account.tier),
+                    self.route.tier,
+                ),
                 share: 1,
                 domains: Vec::new(),
                 dispatch_once: !work.may_rerun(),
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -320,7 +320,7 @@
             Reception::Refused(refusal) => {
                 self.metrics.refused(refusal.reason(), Some(label.tier));
                 let conclusion = Conclusion::Refused(refusal.clone());
-                label.note_end(self.clock.now(), None, &conclusion);
+                label.note_end(self.clock.now(), None, &conclusion, 0);
                 None
             }
         };
@@ -408,7 +408,8 @@
     fn conclude(&mut self, id: RequestId, conclusion: Conclusion) {
         let now = self.now();
         if let Some(request) = self.open.get(id) {
-            request.label.note_end(now, Some(id), &conclusion);
+            let pieces = request.answer.pieces();
+            request.label.note_end(now, Some(id), &conclusion, pieces);
         }
         let part = match conclusion {
             Conclusion::Answered | Conclusion::TargetError => AnswerPart::End,
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -7,7 +7,7 @@
 use bergamotswitch_core::membership::MembershipOptions;
 use bergamotswitch_core::name::ValueName;
 use bergamotswitch_core::node::{NodeOptions, RosterSetup};
-use bergamotswitch_core::pool_owner::OwnerOptions;
+use bergamotswitch_core::pool_owner::{OwnerOptions, QuotaTolerance};
 use bergamotswitch_core::publication::FleetLimits;
 use bergamotswitch_core::retry::RetryRate;
 use bergamotswitch_core::revision::{ROUTES_VALUE, RevisionOptions, TARGETS_VALUE};
@@ -103,8 +103,6 @@
         max_attempts: MAX_DISPATCHES,
         connect_timeout_ms: 1_000,
         address_lifetime_ms: 1_000,
-        quota_window_ms: (gateway.quota_window_s * 1_000.0) as u64,
-        quota_over_permille: (gateway.quota_overage * QUOTA_SHARE * 1_000.0) as u64,
         ..FleetLimits::default()
     }
 }
@@ -128,6 +126,10 @@
             .with_retry_rate(rate),
         owner: OwnerOptions::default()
             .with_probe_interval(PROBE_INTERVAL.0, PROBE_INTERVAL.1)
+            .with_quota_tolerance(QuotaTolerance {
+                window: Duration::from_secs_f64(gateway.quota_window_s),
+                part: gateway.quota_overage * QUOTA_SHARE,
+            })
             .with_audit_after(AUDIT_AFTER),
         membership: base.membership,
         revision: RevisionOptions::default()
--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -21,6 +21,8 @@
     rule: RuleName,
     /// The tier.
     pub(super) tier: Tier,
+    prompt: u32,
+    output: u32,
     received_at: Moment,
     started_at: Option<Moment>,
     targets: Vec<TargetName>,
@@ -34,6 +36,8 @@
             caller_id: routed.map(|routed| routed.request_id.clone()),
             rule: submission.verdict.rule.clone(),
             tier: submission.verdict.tier,
+            prompt: submission.cost.prefill,
+            output: submission.cost.decode,
             received_at: now,
             started_at: None,
             targets: Vec::new(),
@@ -49,7 +53,13 @@
     }
 
     /// Write the line about its end.
-    pub(super) fn note_end(&self, now: Moment, id: Option<RequestId>, conclusion: &Conclusion) {
+    pub(super) fn note_end(
+        &self,
+        now: Moment,
+        id: Option<RequestId>,
+        conclusion: &Conclusion,
+        pieces: usize,
+    ) {
         let Some(caller_id) = &self.caller_id else {
             return;
         };
@@ -71,7 +81,7 @@
             .since(self.received_at)
             .as_millis();
         let took = now.since(self.received_at).as_millis();
-        let pairs: [(&str, &dyn Display); 10] = [
+        let pairs: [(&str, &dyn Display); 13] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
@@ -82,6 +92,9 @@
             ("waited_ms", &waited),
             ("took_ms", &took),
             ("targets", &targets),
+            ("prompt", &self.prompt),
+            ("output", &self.output),
+            ("pieces", &pieces),
         ];
         journal::write(Incident::RequestEnded, &pairs);
     }
