Send fresh calls where their answer can begin in time, late ones wherever there is room

Cause: engines of one pool differ fivefold in speed (18 to 97 ms an event). The owner learned this only from whole runs and filled engines that it did not know; on a calm second 52 of 994 streams began late, all of them at slow engines. Now: an owner learns the time to the first event by prompt and crowding, gives an engine that it does not know two calls at most, and lets a fresh call wait for an engine that is in time. Fresh calls go before late ones; late ones are kept for three times their patience; callers that are refused are told to come back after a third of their time.

--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -18,6 +18,7 @@
 use super::prefix_table::WarmTarget;
 use super::queue::{Placement, QueuedAsk};
 use super::routing::{ClosedTargets, Route, RouteQuery, allowed, choose};
+use super::slot_routing::{choose_slot, is_timely};
 
 /// The bounds of a "come back after": a caller must neither return at once
 /// nor stay away after a burst that is long over.
@@ -37,6 +38,7 @@
         }
         let mut blocked: BTreeSet<Arc<Placement>> = BTreeSet::new();
         let mut closed = ClosedTargets::default();
+        let slots = self.has_slots();
         // A closed shard has still use for an ask that may be a probe.
         let probing = self
             .targets
@@ -45,7 +47,15 @@
         while let Some(queued) = self.queue.next(&blocked) {
             let warm = self.prefixes.warm(now, &queued.ask.prefixes);
             let query = query_of(queued, &warm);
-            match choose(now, &self.targets, &closed, &query) {
+            let route = match slots {
+                true => {
+                    let candidates = allowed(&self.targets, &queued.placement);
+                    let left = aim_left(now, queued);
+                    choose_slot(now, &candidates, &closed, &query, left)
+                }
+                false => choose(now, &self.targets, &closed, &query),
+            };
+            match route {
                 Some(_) if self.is_key_lost(now, queued) => {
                     let attempt = queued.ask.attempt;
                     self.answer_key_known(now, &attempt, actions);
@@ -80,7 +90,7 @@
         }
         let load = self.targets.get(&route.target);
         let run = load.map_or(Duration::ZERO, |load| load.run_time(queued.ask.cost));
-        queued.run_until.since(now) < run
+        queued.plan.run_until.since(now) < run
     }
 
     /// Get whether another run got the key while the ask waited. An ask can
@@ -121,6 +131,14 @@
             closed.close_all();
             return;
         }
+        if let Some(left) = aim_left(now, queued) {
+            // Those that would be too late for it are free for others.
+            let cost = queued.ask.cost;
+            for load in working.filter(|load| is_timely(load, cost, left)) {
+                closed.close(&load.target().name);
+            }
+            return;
+        }
         if !queued.placement.long {
             for load in working {
                 closed.close(&load.target().name);
@@ -166,6 +184,7 @@
         let ask = queued.ask;
         let tokens = ask.cost.total();
         load.back_off_mut().start_probe(id);
+        let crowd = load.crowd();
         load.occupy(now, tokens, queued.placement.long);
         let ahead = load.ahead_of(now, tokens);
         let warm_blocks = warm.iter().find(|warm| warm.target == route.target);
@@ -191,6 +210,7 @@
             prefixes: ask.prefixes,
             granted_at: now,
             ahead,
+            crowd,
             finish_at: now.plus(Duration::from_micros(route.finish_micros)),
             preempted_at: None,
             audit_at: now.plus(self.opts.audit_after),
@@ -255,7 +275,7 @@
         let tier = queued.ask.tier;
         if let Some(wait) = self.slot_wait(now, tier) {
             let lower_kept = self.queue.asks_through(tier) < self.queue.len();
-            if lower_kept || wait <= queued.deadline.since(now) {
+            if lower_kept || wait <= queued.plan.give_up_at.since(now) {
                 return false;
             }
             let reason = RefusalReason::Overloaded;
@@ -267,7 +287,7 @@
             return false;
         }
         let others = self.queue.tokens() - queued.ask.cost.total();
-        let useful = queued.deadline.since(now).mul_f64(DRAIN_TOLERANCE);
+        let useful = queued.plan.give_up_at.since(now).mul_f64(DRAIN_TOLERANCE);
         if others as f64 / speed <= useful.as_secs_f64() {
             return false;
         }
@@ -334,6 +354,12 @@
     }
 }
 
+/// Get the time left in which an ask's answer is on time, while it is fresh.
+fn aim_left(now: Moment, queued: &QueuedAsk) -> Option<Duration> {
+    let fresh = queued.placement.aim_ms.is_some();
+    fresh.then(|| queued.plan.aim_at.since(now))
+}
+
 /// Get what routing looks at of an ask.
 fn query_of<'a>(queued: &'a QueuedAsk, warm: &'a [WarmTarget]) -> RouteQuery<'a> {
     RouteQuery {
--- a/bergamotswitch-core/src/pool_owner/fair_queue.rs
+++ b/bergamotswitch-core/src/pool_owner/fair_queue.rs
@@ -17,8 +17,10 @@
 /// A `QueueRank` is an ask's place inside its account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueueRank {
-    /// When its deadline passes.
-    pub(super) deadline: Moment,
+    /// Whether its answer cannot be on time any more.
+    pub(super) late: bool,
+    /// Its place among those that are alike in that.
+    pub(super) order: Moment,
     /// When it began to wait, in microseconds; below zero before the start.
     pub(super) arrived: i64,
     /// The number of the ask at this owner.
@@ -34,6 +36,8 @@
     pub(super) share: u32,
     pub(super) tokens: u64,
     pub(super) placement: Arc<Placement>,
+    /// Until when it waits.
+    pub(super) expires: Moment,
     pub(super) rank: QueueRank,
 }
 
@@ -110,8 +114,7 @@
         line.insert(entry.rank);
         self.by_excess
             .insert((account.excess(), entry.account.clone()));
-        self.by_deadline
-            .insert((entry.rank.deadline, entry.rank.attempt));
+        self.by_deadline.insert((entry.expires, entry.rank.attempt));
         self.tokens += entry.tokens;
     }
 
@@ -159,7 +162,7 @@
             self.by_excess.insert(excess);
         }
         self.by_deadline
-            .remove(&(entry.rank.deadline, entry.rank.attempt));
+            .remove(&(entry.expires, entry.rank.attempt));
         self.tokens -= entry.tokens;
         if self.by_deadline.is_empty() {
             self.end_busy_period();
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -19,11 +19,13 @@
 pub mod routing;
 mod run_gauge;
 pub mod slot_limit;
+mod slot_routing;
 mod speed_gauge;
 mod target_change;
 pub mod target_load;
 mod token_limit;
 mod view;
+pub mod wait_plan;
 
 pub use options::OwnerOptions;
 pub use owner::ShardOwner;
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -9,7 +9,7 @@
 use crate::permit::{Ask, OwnerMessage, OwnerReply};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
-use crate::request::AttemptId;
+use crate::request::{AttemptId, TokenCost};
 use crate::rules::Tier;
 
 use super::cost_sample::CostSample;
@@ -21,6 +21,7 @@
 use super::quota::QuotaBook;
 use super::release_pace::ReleasePace;
 use super::routing::{TargetSet, allowed};
+use super::wait_plan::WaitPlan;
 use super::{OwnerAction, OwnerEvent};
 
 /// How often a queue that waits is looked at although nothing happened:
@@ -99,6 +100,7 @@
         self.now = now;
         self.keys.expire(now);
         self.expire_asks(now, &mut actions);
+        self.queue.demote(now);
         let asked = match &event {
             OwnerEvent::Message(_, OwnerMessage::Ask(ask)) => Some((ask.attempt, ask.tier)),
             _ => None,
@@ -142,6 +144,8 @@
         let mut wake = self.permits.next_audit().unwrap_or(Moment::NEVER);
         if let Some(deadline) = self.queue.first_deadline() {
             wake = wake.min(deadline);
+            let fresh_end = self.queue.first_fresh_end();
+            wake = wake.min(fresh_end.unwrap_or(Moment::NEVER));
             wake = wake.min(self.now.plus(QUEUE_LOOK));
         }
         wake
@@ -235,15 +239,16 @@
         if let Some(claim) = &ask.claim {
             self.keys.claim(now, claim);
         }
-        let patience_ms = ask.patience_ms.unwrap_or(u32::MAX);
-        let wait_ms = ask.deadline_ms.min(patience_ms);
-        let deadline = now.plus(Duration::from_millis(u64::from(wait_ms)));
-        let run_until = now.plus(Duration::from_millis(u64::from(ask.deadline_ms)));
+        let plan = WaitPlan::new(
+            now,
+            &ask,
+            self.best_first(ask.cost),
+            self.expected_run(ask.cost),
+        );
         let queued = QueuedAsk {
             ask,
             host,
-            deadline,
-            run_until,
+            plan,
             placement: Arc::new(placement),
         };
         self.queue.push(now, queued);
@@ -255,11 +260,30 @@
         targets.all(|load| load.target().slots.is_some())
     }
 
+    /// Get how soon the fastest target's answer could begin.
+    fn best_first(&self, cost: TokenCost) -> Duration {
+        let working = self.targets.values();
+        let working = working.filter(|load| !load.back_off().is_active() && !load.is_leaving());
+        let firsts = working.map(|load| load.first_time(cost));
+        firsts.min().unwrap_or_default()
+    }
+
+    /// Get how long a run of this cost should take: the mean of the targets
+    /// that work.
+    fn expected_run(&self, cost: TokenCost) -> Duration {
+        let working = self.targets.values();
+        let working = working.filter(|load| !load.back_off().is_active() && !load.is_leaving());
+        let times: Vec<Duration> = working.map(|load| load.run_time(cost)).collect();
+        let count = u32::try_from(times.len()).unwrap_or(u32::MAX);
+        let sum: Duration = times.into_iter().sum();
+        sum.checked_div(count).unwrap_or_default()
+    }
+
     fn expire_asks(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         while let Some(attempt) = self.queue.expired(now) {
             let queued = self.queue.get(&attempt);
             let tier = queued.map_or(Tier(0), |queued| queued.ask.tier);
-            let reason = match queued.is_some_and(|queued| now < queued.run_until) {
+            let reason = match queued.is_some_and(|queued| now < queued.plan.run_until) {
                 true => RefusalReason::Overloaded,
                 false => RefusalReason::DeadlinePassed,
             };
@@ -278,6 +302,10 @@
     ) {
         if let Some(queued) = self.queue.remove(attempt) {
             self.settle_unused(&queued.ask);
+            let retry_after = match queued.ask.patience_ms {
+                Some(_) => queued.plan.come_back_in(self.now, attempt).max(retry_after),
+                None => retry_after,
+            };
             self.refuse(queued.host, *attempt, reason, retry_after, actions);
         }
     }
--- a/bergamotswitch-core/src/pool_owner/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/permit_table.rs
@@ -43,6 +43,8 @@
     pub granted_at: Moment,
     /// The tokens to be served at the target until its end, its own included.
     pub ahead: u64,
+    /// How full the target was with it, 1 for full.
+    pub crowd: f64,
     /// When its work is predicted to end.
     pub finish_at: Moment,
     /// When its holder was last asked to stop it.
--- a/bergamotswitch-core/src/pool_owner/preemption.rs
+++ b/bergamotswitch-core/src/pool_owner/preemption.rs
@@ -70,7 +70,7 @@
     /// would meet it where it got one now.
     fn is_endangered(&self, now: Moment, queued: &QueuedAsk) -> bool {
         let tokens = queued.ask.cost.total();
-        let left = queued.deadline.since(now);
+        let left = queued.plan.run_until.since(now);
         let mut helps = false;
         let targets = allowed(&self.targets, &queued.placement);
         let working = targets
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/queue.rs
@@ -13,6 +13,7 @@
 use crate::target::TargetName;
 
 use super::fair_queue::{QueueRank, TierEntry, TierQueue};
+use super::wait_plan::WaitPlan;
 
 /// A `Placement` says where an ask may go. Asks of one placement are blocked
 /// together, so that a full failure domain does not hold up the others.
@@ -24,12 +25,15 @@
     pub avoid: Vec<TargetName>,
     /// Whether the ask is long compared with the others.
     pub long: bool,
+    /// The time in which its answer should begin, in milliseconds, while it
+    /// can: asks of one aim wait for the same targets.
+    pub aim_ms: Option<u32>,
 }
 
 impl Placement {
     /// Get whether it is short work that may go to every target.
     pub fn is_anywhere(&self) -> bool {
-        !self.long && self.domains.is_empty() && self.avoid.is_empty()
+        !self.long && self.domains.is_empty() && self.avoid.is_empty() && self.aim_ms.is_none()
     }
 
     /// Get the placement of an ask.
@@ -44,6 +48,15 @@
             domains,
             avoid,
             long,
+            aim_ms: ask.patience_ms,
+        }
+    }
+
+    /// Get the placement of the ask once it is late.
+    fn late(&self) -> Self {
+        Placement {
+            aim_ms: None,
+            ..self.clone()
         }
     }
 }
@@ -55,10 +68,8 @@
     pub ask: Ask,
     /// The entry host that asks.
     pub host: HostName,
-    /// Until when it waits.
-    pub deadline: Moment,
-    /// Until when its answer is of use.
-    pub run_until: Moment,
+    /// How long it waits, and in which order.
+    pub plan: WaitPlan,
     /// Where it may go.
     pub placement: Arc<Placement>,
 }
@@ -78,6 +89,8 @@
     placements: BTreeMap<Arc<Placement>, usize>,
     tokens: u64,
     sequence: u64,
+    /// When asks cease to be fresh.
+    fresh_ends: BTreeSet<(Moment, AttemptId)>,
 }
 
 impl AskQueue {
@@ -152,8 +165,10 @@
             share: queued.ask.share,
             tokens: queued.ask.cost.total(),
             placement: queued.placement.clone(),
+            expires: queued.plan.give_up_at,
             rank: QueueRank {
-                deadline: queued.deadline,
+                late: false,
+                order: queued.plan.order,
                 arrived: now.as_micros() as i64 - waited,
                 sequence: self.sequence,
                 attempt,
@@ -162,9 +177,41 @@
         self.tiers.entry(queued.ask.tier).or_default().push(&entry);
         *self.placements.entry(entry.placement.clone()).or_default() += 1;
         self.tokens += entry.tokens;
+        if queued.plan.fresh_until != Moment::NEVER {
+            let end = (queued.plan.fresh_until, attempt);
+            self.fresh_ends.insert(end);
+        }
         self.asks.insert(attempt, StoredAsk { queued, entry });
     }
 
+    /// Move the asks that are not fresh any more behind those that are.
+    pub fn demote(&mut self, now: Moment) {
+        while let Some((end, attempt)) = self.fresh_ends.first().copied()
+            && end <= now
+        {
+            self.fresh_ends.pop_first();
+            let Some(stored) = self.asks.get_mut(&attempt) else {
+                continue;
+            };
+            let Some(queue) = self.tiers.get_mut(&stored.queued.ask.tier) else {
+                continue;
+            };
+            queue.remove(&stored.entry, false);
+            let late = Arc::new(stored.queued.placement.late());
+            let fresh = std::mem::replace(&mut stored.queued.placement, late.clone());
+            stored.entry.rank.late = true;
+            stored.entry.placement = late.clone();
+            queue.push(&stored.entry);
+            *self.placements.entry(late).or_default() += 1;
+            discount(&mut self.placements, &fresh);
+        }
+    }
+
+    /// Get when the first ask ceases to be fresh.
+    pub fn first_fresh_end(&self) -> Option<Moment> {
+        self.fresh_ends.first().map(|(end, _)| *end)
+    }
+
     /// Get the next ask in order whose placement is not blocked.
     pub fn next(&self, blocked: &BTreeSet<Arc<Placement>>) -> Option<&QueuedAsk> {
         // Without this shortcut a full shard would be walked account by
@@ -222,6 +269,7 @@
     fn take(&mut self, attempt: &AttemptId, served: bool) -> Option<QueuedAsk> {
         let StoredAsk { queued, entry } = self.asks.remove(attempt)?;
         self.tokens -= entry.tokens;
+        self.fresh_ends.remove(&(queued.plan.fresh_until, *attempt));
         let tier = queued.ask.tier;
         if let Some(queue) = self.tiers.get_mut(&tier) {
             queue.remove(&entry, served);
@@ -229,12 +277,16 @@
                 self.tiers.remove(&tier);
             }
         }
-        if let Some(count) = self.placements.get_mut(&entry.placement) {
-            *count -= 1;
-            if *count == 0 {
-                self.placements.remove(&entry.placement);
-            }
-        }
+        discount(&mut self.placements, &entry.placement);
         Some(queued)
     }
 }
+
+fn discount(placements: &mut BTreeMap<Arc<Placement>, usize>, placement: &Arc<Placement>) {
+    if let Some(count) = placements.get_mut(placement) {
+        *count -= 1;
+        if *count == 0 {
+            placements.remove(placement);
+        }
+    }
+}
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -29,10 +29,19 @@
     pub fn rate(&self, quota: &AccountQuota, owners: usize) -> QuotaRate {
         let share = 1.0 / owners.max(1) as f64;
         let (rate, burst) = (quota.rate as f64, quota.burst as f64);
-        let in_window = rate * self.window.as_secs_f64() + burst;
+        let window = self.window.as_secs_f64();
+        if window == 0.0 {
+            return QuotaRate {
+                rate: rate * share,
+                burst: burst * share,
+            };
+        }
+        // Each window may hold one burst, so over long the burst adds to the
+        // rate; beyond that, bursts live on the tolerance.
+        let in_window = rate * window + burst;
         QuotaRate {
-            rate: rate * share,
-            burst: (burst + in_window * self.part) * share,
+            rate: in_window / window * share,
+            burst: in_window * self.part * share,
         }
     }
 }
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -9,6 +9,7 @@
 use super::OwnerAction;
 use super::owner::ShardOwner;
 use super::permit_table::GivenPermit;
+use super::run_gauge::RunSample;
 
 impl ShardOwner {
     pub(super) fn on_release(
@@ -90,6 +91,7 @@
             granted_at: now,
             // What lay before it is not known, so it teaches no speed.
             ahead: 0,
+            crowd: 1.0,
             finish_at: now,
             preempted_at: None,
             audit_at: now.plus(self.opts.audit_after),
@@ -179,7 +181,11 @@
     fn on_finished(&mut self, now: Moment, permit: &GivenPermit, usage: &Usage) {
         self.learn(now, permit, usage);
         if let Some(load) = self.targets.get_mut(&permit.target) {
-            load.learn_run(permit.cost, usage);
+            load.learn_run(&RunSample {
+                cost: permit.cost,
+                usage,
+                crowd: permit.crowd,
+            });
             load.back_off_mut().succeed(permit.id, permit.granted_at);
             load.check_hint(permit.expected_cached(), usage.cached);
         }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -10,7 +10,7 @@
 
 use super::back_off::BackOff;
 use super::load_history::LoadHistory;
-use super::run_gauge::RunGauge;
+use super::run_gauge::{RunGauge, RunSample};
 use super::slot_limit::SlotLimit;
 use super::speed_gauge::{DueWork, SpeedGauge};
 use super::token_limit::TokenLimit;
@@ -29,16 +29,15 @@
 /// took from their cache, and there the hint is still better than none.
 const CACHE_TRUST_MIN: f64 = 0.25;
 
-/// One request in so many may wait at a target beyond its batch. A place that
-/// comes free stays empty until the owner has heard of it and its permit has
-/// led to a request, some 6 ms; short calls of 30 ms would leave a sixth of
-/// their places empty.
-const SPARE_PARTS: usize = 6;
+/// How long a place that came free stays empty until the owner has heard of it
+/// and its permit has led to a request. So much of a target's work may wait
+/// there beyond its batch: short calls of 30 ms would leave a sixth of their
+/// places empty. Runs of a second get no such place, since they would wait at
+/// a slow target for longer than they would here.
+const REFILL: Duration = Duration::from_millis(6);
 
-fn slots_with_spare(slots: u32) -> usize {
-    let slots = slots as usize;
-    slots + slots.div_ceil(SPARE_PARTS)
-}
+/// The run time that is taken for an unknown one: that of plain calls.
+const UNKNOWN_RUN: Duration = Duration::from_millis(30);
 
 /// A `TargetLoad` is what an owner believes of one target.
 #[derive(Debug)]
@@ -174,12 +173,24 @@
             // bounded by its tokens.
             Some(slots) => {
                 let held = self.outstanding + tokens;
-                self.permits < slots_with_spare(slots) && held <= u64::from(self.target.token_limit)
+                self.permits < slots as usize + self.spare(slots)
+                    && held <= u64::from(self.target.token_limit)
             }
             None => self.slots.fits(self.permits) && self.backlog(now) + tokens <= self.limit(now),
         }
     }
 
+    /// Get how many requests may wait there beyond its batch.
+    fn spare(&self, slots: u32) -> usize {
+        let run = match self.runs.mean_run() {
+            Some(run) => run.max(REFILL),
+            None if self.target.token_limit == u32::MAX => UNKNOWN_RUN,
+            None => return 0,
+        };
+        let waiting = f64::from(slots) * REFILL.as_secs_f64() / run.as_secs_f64();
+        waiting.round() as usize
+    }
+
     /// Get whether a long request leaves room for short ones.
     pub fn fits_long(&self, now: Moment, tokens: u64) -> bool {
         if self.permits == 0 {
@@ -241,8 +252,30 @@
     }
 
     /// Learn from a whole answer how long one takes.
-    pub fn learn_run(&mut self, cost: TokenCost, usage: &Usage) {
-        self.runs.learn(cost, usage);
+    pub fn learn_run(&mut self, sample: &RunSample<'_>) {
+        self.runs.learn(sample);
+    }
+
+    /// Get how full it is with one request more, 1 for full.
+    pub fn crowd(&self) -> f64 {
+        let slots = self.target.slots.map_or(1.0, f64::from);
+        (self.permits + 1) as f64 / slots
+    }
+
+    /// Get how long the first output of one request more should take.
+    pub fn first_time(&self, cost: TokenCost) -> Duration {
+        self.runs.first(cost, self.crowd())
+    }
+
+    /// Get whether some run was seen to end there.
+    pub fn is_known(&self) -> bool {
+        self.runs.is_known()
+    }
+
+    /// Get whether it may have one request more as far as little is known of
+    /// it.
+    pub fn is_explored(&self, unknown_permits: usize) -> bool {
+        self.is_known() || self.permits < unknown_permits
     }
 
     /// Get how long a run of `cost` should take here.
--- a/bergamotswitch-core/tests/queue_differential.rs
+++ b/bergamotswitch-core/tests/queue_differential.rs
@@ -13,6 +13,7 @@
 use bergamotswitch_core::pool_owner::queue::{AskQueue, Placement, QueuedAsk};
 use bergamotswitch_core::pool_owner::routing::{ClosedTargets, RouteQuery, TargetSet, choose};
 use bergamotswitch_core::pool_owner::target_load::TargetLoad;
+use bergamotswitch_core::pool_owner::wait_plan::WaitPlan;
 use bergamotswitch_draw::{TypeGenerator, any, for_each_of};
 use owner_bench::*;
 
@@ -33,12 +34,23 @@
     accounts: BTreeMap<(Tier, String), NaiveAccount>,
 }
 
+/// Get the plan of an ask without an aim.
+fn plan_until(deadline: Moment) -> WaitPlan {
+    WaitPlan {
+        fresh_until: Moment::NEVER,
+        aim_at: Moment::NEVER,
+        give_up_at: deadline,
+        run_until: deadline,
+        order: deadline,
+    }
+}
+
 fn account_of(queued: &QueuedAsk) -> (Tier, String) {
     (queued.ask.tier, queued.ask.account.to_string())
 }
 
 fn rank_of(queued: &QueuedAsk) -> (Moment, u64) {
-    (queued.deadline, queued.ask.attempt.request.sequence)
+    (queued.plan.give_up_at, queued.ask.attempt.request.sequence)
 }
 
 impl NaiveQueue {
@@ -143,9 +155,8 @@
             ask.cost.prefill = u32::from(cost);
             ask.domains = vec![named(DOMAINS[usize::from(domain % 3)])];
             let queued = QueuedAsk {
-                run_until: Moment::NEVER,
                 host: named("entry"),
-                deadline: Moment::from_millis(u64::from(deadline)),
+                plan: plan_until(Moment::from_millis(u64::from(deadline))),
                 placement: Arc::new(Placement::of(&ask, false)),
                 ask,
             };
@@ -176,7 +187,10 @@
                 fast.remove(&attempt);
                 naive.take(&attempt, false);
             }
-            let late = naive.asks.iter().filter(|queued| queued.deadline <= now);
+            let late = naive
+                .asks
+                .iter()
+                .filter(|queued| queued.plan.give_up_at <= now);
             assert_eq!(late.count(), 0);
         }
     }
--- a/bergamotswitch-net/src/line_buffer.rs
+++ b/bergamotswitch-net/src/line_buffer.rs
@@ -25,6 +25,9 @@
 /// so that a burst does not spend the processor on its own log.
 const MAX_LINES: usize = 50;
 
+/// The bytes that a pipe takes in one piece (`PIPE_BUF` of Linux).
+const PIECE_BYTES: usize = 4_096;
+
 /// A `LineFormat` writes one record as a line without its end.
 pub(crate) type LineFormat =
     fn(&mut dyn Write, &mut DeferredNow, &Record<'_>) -> Result<(), io::Error>;
@@ -71,7 +74,7 @@
         return;
     }
     let mut out = io::stdout().lock();
-    let written = out.write_all(&taken.bytes).and_then(|()| {
+    let written = write_lines(&mut out, &taken.bytes).and_then(|()| {
         if taken.dropped > 0 {
             writeln!(
                 out,
@@ -84,6 +87,21 @@
     drop(written);
 }
 
+/// Write whole lines together, as many as a pipe takes in one piece: a reader
+/// that other processes share would otherwise see parts of lines.
+fn write_lines(out: &mut impl Write, bytes: &[u8]) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        let most = rest.len().min(PIECE_BYTES);
+        let end = rest[..most].iter().rposition(|byte| *byte == b'\n');
+        let (piece, behind) = rest.split_at(end.map_or(most, |end| end + 1));
+        out.write_all(piece)?;
+        out.flush()?;
+        rest = behind;
+    }
+    Ok(())
+}
+
 impl LogWriter for LineBuffer {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bergamotswitch_core::clock::Moment;
-use bergamotswitch_core::entry::{Conclusion, Reception};
+use bergamotswitch_core::entry::{AttemptEvent, Conclusion, Reception};
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent};
 use bergamotswitch_core::pool::PoolKind;
@@ -280,7 +280,15 @@
                 self.note_store(false);
                 self.handle(NodeEvent::ReadFailed(name));
             }
-            NodeInput::Attempt(id, event) => self.handle(NodeEvent::Attempt(id, event)),
+            NodeInput::Attempt(id, event) => {
+                let now = self.now();
+                if event == AttemptEvent::FirstToken
+                    && let Some(request) = self.open.get_mut(id.request)
+                {
+                    request.label.note_first(now);
+                }
+                self.handle(NodeEvent::Attempt(id, event));
+            }
             NodeInput::Overlong(id) => {
                 // An answer that began anew meanwhile is another run's.
                 let overlong = |request: &OpenRequest| request.answer.is_overlong();
--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -25,6 +25,7 @@
     output: u32,
     received_at: Moment,
     started_at: Option<Moment>,
+    first_at: Option<Moment>,
     targets: Vec<TargetName>,
 }
 
@@ -40,6 +41,7 @@
             output: submission.cost.decode,
             received_at: now,
             started_at: None,
+            first_at: None,
             targets: Vec::new(),
         }
     }
@@ -52,6 +54,11 @@
         }
     }
 
+    /// Note that its answer begins.
+    pub(super) fn note_first(&mut self, now: Moment) {
+        self.first_at.get_or_insert(now);
+    }
+
     /// Write the line about its end.
     pub(super) fn note_end(
         &self,
@@ -81,7 +88,11 @@
             .since(self.received_at)
             .as_millis();
         let took = now.since(self.received_at).as_millis();
-        let pairs: [(&str, &dyn Display); 13] = [
+        let first = self
+            .first_at
+            .map(|at| at.since(self.received_at).as_millis());
+        let first = first.map_or(String::new(), |millis| millis.to_string());
+        let pairs: [(&str, &dyn Display); 14] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
@@ -90,6 +101,7 @@
             ("reason", &reason),
             ("ran", &ran),
             ("waited_ms", &waited),
+            ("first_ms", &first),
             ("took_ms", &took),
             ("targets", &targets),
             ("prompt", &self.prompt),
