--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -18,7 +18,7 @@
 use super::prefix_table::WarmTarget;
 use super::queue::{Placement, QueuedAsk};
 use super::routing::{ClosedTargets, Route, RouteQuery, allowed, choose};
-use super::slot_routing::{choose_slot, is_timely};
+use super::slot_routing::{AskTimes, choose_slot, is_timely};
 
 /// The bounds of a "come back after": a caller must neither return at once
 /// nor stay away after a burst that is long over.
@@ -30,6 +30,14 @@
 /// ask that is kept in vain costs a place in the queue, no more.
 const DRAIN_TOLERANCE: f64 = 2.0;
 
+/// How sure a run's end before its deadline has to be, as hundredths of its
+/// predicted time. Callers' guesses at their outputs are right at the median
+/// and off by half as often as not: a run that should just end in time fails
+/// every second time. Alone, a small chance is worth the place; while others
+/// wait, a run of ten seconds for nothing costs eight of them theirs.
+const SURENESS_ALONE: u32 = 60;
+const SURENESS_CROWDED: u32 = 150;
+
 impl ShardOwner {
     /// Give permits in order until nothing that waits finds room.
     pub(super) fn dispatch(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
@@ -50,8 +58,8 @@
             let route = match slots {
                 true => {
                     let candidates = allowed(&self.targets, &queued.placement);
-                    let left = aim_left(now, queued);
-                    choose_slot(now, &candidates, &closed, &query, left)
+                    let times = self.times_of(now, queued);
+                    choose_slot(now, &candidates, &closed, &query, times)
                 }
                 false => choose(now, &self.targets, &closed, &query),
             };
@@ -89,10 +97,26 @@
             return false;
         }
         let load = self.targets.get(&route.target);
+        if queued.ask.patience_ms.is_some() {
+            let times = self.times_of(now, queued);
+            return load.is_some_and(|load| !times.is_feasible(load, queued.ask.cost));
+        }
         let run = load.map_or(Duration::ZERO, |load| load.run_time(queued.ask.cost));
         queued.plan.run_until.since(now) < run
     }
 
+    /// Get the time that an ask has.
+    fn times_of(&self, now: Moment, queued: &QueuedAsk) -> AskTimes {
+        AskTimes {
+            aim_left: aim_left(now, queued),
+            run_left: queued.plan.run_until.since(now),
+            sureness: match self.queue.len() {
+                0 | 1 => SURENESS_ALONE,
+                _ => SURENESS_CROWDED,
+            },
+        }
+    }
+
     /// Get whether another run got the key while the ask waited. An ask can
     /// outlive the time or the number of remembered keys; a permit for it
     /// now would be a second run.
--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_routing.rs
@@ -23,25 +23,45 @@
 /// The least time for which waiting for a fast target is worth while.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
+/// An `AskTimes` is the time that an ask has.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AskTimes {
+    /// In which its answer is on time; none where it is late already.
+    pub(super) aim_left: Option<Duration>,
+    /// In which its run has to end.
+    pub(super) run_left: Duration,
+    /// How sure its end has to be, as hundredths of the predicted time.
+    pub(super) sureness: u32,
+}
+
+impl AskTimes {
+    /// Get whether a run at a target should end in time.
+    pub(super) fn is_feasible(&self, load: &TargetLoad, cost: TokenCost) -> bool {
+        load.run_time(cost) * self.sureness / 100 <= self.run_left
+    }
+}
+
 /// Get whether an answer of a target that takes `crowd` more can begin in the
 /// time left.
 pub(super) fn is_timely(load: &TargetLoad, cost: TokenCost, left: Duration) -> bool {
     load.first_time(cost) <= left
 }
 
-/// Get the best target that has room, for an ask whose answer is on time for
-/// `left` more; `None` where it has to wait. Late asks have no time left to
-/// keep.
+/// Get the best target that has room; `None` where the ask has to wait for
+/// one. Where no target should end its run in time, the best one is named all
+/// the same, and the caller sees that it is of no use.
 pub(super) fn choose_slot(
     now: Moment,
     candidates: &[&TargetLoad],
     closed: &ClosedTargets,
     query: &RouteQuery<'_>,
-    left: Option<Duration>,
+    times: AskTimes,
 ) -> Option<Route> {
+    let left = times.aim_left;
     let healthy = candidates.iter().any(|load| !load.back_off().is_active());
     let mut best: Option<(bool, Duration, usize, &TargetLoad)> = None;
     let mut waits_for_timely = false;
+    let mut waits_for_feasible = false;
     for load in candidates.iter().copied() {
         let probing = match load.back_off().need(now) {
             ProbeNeed::None => false,
@@ -55,8 +75,10 @@
             false => load.fits(now, query.cost.total()) && load.is_explored(UNKNOWN_PERMITS),
         };
         let open = probing || !closed.contains(&load.target().name);
+        let feasible = times.is_feasible(load, query.cost);
         if !has_room || !open {
             waits_for_timely |= timely && load.is_known();
+            waits_for_feasible |= feasible;
             continue;
         }
         let rank = (!timely, load.run_time(query.cost), load.permits());
@@ -69,6 +91,9 @@
     if late && is_fresh && waits_for_timely {
         return None;
     }
+    if waits_for_feasible && !times.is_feasible(load, query.cost) {
+        return None;
+    }
     Some(Route {
         target: load.target().name.clone(),
         finish_micros: run.as_micros() as u64,
--- a/bergamotswitch-core/src/pool_owner/wait_plan.rs
+++ b/bergamotswitch-core/src/pool_owner/wait_plan.rs
@@ -20,16 +20,6 @@
 /// How many times its patience an ask waits at most.
 const LATE_PATIENCE: u32 = 3;
 
-/// How much an ask's place moves back for the time that its run takes, in
-/// hundredths. Outputs differ a hundredfold: the longest tenth of the runs
-/// takes more than half of the targets' time. Under overload, short ones first
-/// serves more callers.
-const LENGTH_PERCENT: u32 = 20;
-
-/// Of so many asks, one has no such penalty: under long overload, long work
-/// would otherwise never come to its turn.
-const EVEN_PARTS: u64 = 2;
-
 /// A `WaitPlan` is how long an ask waits, and in which order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitPlan {
@@ -75,17 +65,12 @@
         };
         let patience = Duration::from_millis(u64::from(patience_ms));
         let last_start = left.saturating_sub(run);
-        let even = ask.attempt.request.sequence.is_multiple_of(EVEN_PARTS);
-        let penalty = match even {
-            true => Duration::ZERO,
-            false => run * LENGTH_PERCENT / 100,
-        };
         WaitPlan {
             fresh_until: now.plus(patience.saturating_sub(first + WAY)),
             aim_at: now.plus(patience.saturating_sub(WAY)),
             give_up_at: now.plus(last_start.min(patience * LATE_PATIENCE)),
             run_until,
-            order: now.plus(patience + penalty),
+            order: now.plus(patience),
         }
     }
 
