Test the gateway against stand-ins of the users' platform; judge a burst by what runs

Cause, found by the new test caller_leaves: after a quiet second the pace of releases tells of the callers, not of the targets, so the first calls of a burst were refused before free places. The pace is now the greater of releases seen and of running permits over their run time, and none is named before each target has ended a run.

--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -19,6 +19,7 @@
 use super::queue::{Placement, QueuedAsk};
 use super::routing::{ClosedTargets, Route, RouteQuery, allowed, choose};
 use super::slot_routing::{AskTimes, choose_slot, is_timely};
+use super::target_load::TargetLoad;
 
 /// The bounds of a "come back after": a caller must neither return at once
 /// nor stay away after a burst that is long over.
@@ -325,11 +326,19 @@
     /// how many requests they serve at once: the permits that have to come
     /// back before it, at the pace at which they do.
     fn slot_wait(&self, now: Moment, tier: Tier) -> Option<Duration> {
-        if !self.has_slots() {
+        // Of targets that ended no run yet nothing can be predicted.
+        let known = self.targets.values().all(TargetLoad::is_known);
+        if !self.has_slots() || !known {
             return None;
         }
         let ahead = self.queue.asks_through(tier);
-        self.pace.time_for(now, ahead)
+        // What came back lately tells of a shard that was busy all the while.
+        // After a quiet second it would tell of the callers, and the first
+        // calls of a burst would be refused before free targets.
+        let running = self.targets.values();
+        let expected: f64 = running.map(TargetLoad::release_rate).sum();
+        let pace = self.pace.per_second(now).max(expected);
+        (pace > 0.0).then(|| Duration::from_secs_f64(ahead as f64 / pace))
     }
 
     fn is_overfull(&self, now: Moment) -> bool {
--- a/bergamotswitch-core/src/pool_owner/release_pace.rs
+++ b/bergamotswitch-core/src/pool_owner/release_pace.rs
@@ -26,14 +26,10 @@
         }
     }
 
-    /// Get the time until `count` more permits are back, at the late pace;
-    /// nothing where no permit came back lately.
-    pub fn time_for(&self, now: Moment, count: usize) -> Option<Duration> {
+    /// Get the permits a second that came back lately.
+    pub fn per_second(&self, now: Moment) -> f64 {
         let late = self.released.iter().rev();
         let late = late.take_while(|at| now.since(**at) <= SPAN).count();
-        if late == 0 {
-            return None;
-        }
-        Some(SPAN.mul_f64(count as f64 / late as f64))
+        late as f64 / SPAN.as_secs_f64()
     }
 }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -267,6 +267,15 @@
         self.runs.first(cost, self.crowd())
     }
 
+    /// Get the permits a second that should come back from it.
+    pub fn release_rate(&self) -> f64 {
+        let run = self.runs.mean_run().unwrap_or(Duration::ZERO);
+        match run.is_zero() {
+            true => 0.0,
+            false => self.permits as f64 / run.as_secs_f64(),
+        }
+    }
+
     /// Get whether some run was seen to end there.
     pub fn is_known(&self) -> bool {
         self.runs.is_known()
--- a/bergamotswitch-core/tests/configuration_page.rs
+++ b/bergamotswitch-core/tests/configuration_page.rs
@@ -86,8 +86,9 @@
 }
 
 /// The section of the page, the input, and where the probe is in it.
-const PROBES: [(&str, &str, &str); 15] = [
+const PROBES: [(&str, &str, &str); 16] = [
     ("Host settings", "settings", "probe"),
+    ("Gateway settings", "settings", "gateway.probe"),
     ("Log settings", "settings", "log.probe"),
     ("Rule", "rules", "rules[].probe"),
     ("Condition (when)", "rules", "rules[].when.probe"),
--- a/bergamotswitch-standin/src/lib.rs
+++ b/bergamotswitch-standin/src/lib.rs
@@ -24,4 +24,6 @@
 mod prompt;
 pub mod stage;
 pub mod switches;
+pub mod users_store;
+pub mod users_target;
 pub mod value;
--- /dev/null
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -0,0 +1,256 @@
+//! Provides a stand-in of the users' platform's targets: plain answers and
+//! streams of events, each signed, and a switch for each kind of wrong answer.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt, stream};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderMap;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, server};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::board::lock;
+
+/// A `TargetMood` is how a target answers one call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum TargetMood {
+    /// With its whole answer.
+    #[default]
+    Well,
+    /// It says that it does not run the call.
+    Full,
+    /// With its own error.
+    Failing,
+    /// Without its signature.
+    Unsigned,
+    /// With the id of another call.
+    Crossed,
+    /// It closes the connection without an answer.
+    Closing,
+    /// It never answers.
+    Mute,
+    /// Its stream breaks off in the middle of the event after so many.
+    BreakAfter(u32),
+}
+
+/// A `SeenCall` is one call as a target got it.
+#[derive(Clone, Debug)]
+pub struct SeenCall {
+    /// Method, path and query.
+    pub line: String,
+    /// The header fields.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl SeenCall {
+    /// Get a field's text, empty where it is absent.
+    pub fn field(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+}
+
+#[derive(Debug)]
+struct TargetShared {
+    name: String,
+    events: u32,
+    gap: Duration,
+    seen: Mutex<Vec<SeenCall>>,
+    moods: Mutex<VecDeque<TargetMood>>,
+}
+
+/// A `UsersTarget` is a running stand-in; its drop stops it.
+#[derive(Debug)]
+pub struct UsersTarget {
+    address: SocketAddr,
+    shared: Arc<TargetShared>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for UsersTarget {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl UsersTarget {
+    /// Try to start a target on a free port of loopback, whose streams have so
+    /// many events, each after a pause.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where there is none.
+    pub async fn start(name: &str, events: u32, gap: Duration) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(TargetShared {
+            name: name.to_owned(),
+            events,
+            gap,
+            seen: Mutex::default(),
+            moods: Mutex::default(),
+        });
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(UsersTarget {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Get where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Get its name.
+    pub fn name(&self) -> &str {
+        &self.shared.name
+    }
+
+    /// Set how the next calls are answered, one after the other.
+    pub fn expect(&self, moods: &[TargetMood]) {
+        lock(&self.shared.moods).extend(moods.iter().cloned());
+    }
+
+    /// Get the calls that came.
+    pub fn seen(&self) -> Vec<SeenCall> {
+        lock(&self.shared.seen).clone()
+    }
+}
+
+type AnswerBytes = BoxBody<Bytes, io::Error>;
+
+async fn accept(listener: TcpListener, shared: Arc<TargetShared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let service = service_fn(|request| answer(Arc::clone(&shared), request));
+            let serving = server::conn::http1::Builder::new();
+            // The caller sees the same error at its end.
+            let _ = serving
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    shared: Arc<TargetShared>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBytes>, io::Error> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let call = SeenCall {
+        line: format!("{} {}", parts.method, parts.uri),
+        headers: parts.headers,
+        body,
+    };
+    lock(&shared.seen).push(call.clone());
+    let mood = lock(&shared.moods).pop_front().unwrap_or_default();
+    let expected = call.field("target-instance");
+    if !expected.is_empty() && expected != shared.name {
+        return Ok(plain(StatusCode::MISDIRECTED_REQUEST, &call, "", &[]));
+    }
+    match mood {
+        TargetMood::Well => {}
+        TargetMood::Full => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(plain(status, &call, "full", &[("not-executed", "1")]));
+        }
+        TargetMood::Failing => {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            return Ok(signed(&shared, plain(status, &call, "failed", &[])));
+        }
+        TargetMood::Unsigned => return Ok(plain(StatusCode::OK, &call, "forged", &[])),
+        TargetMood::Crossed => {
+            let mut response = signed(&shared, plain(StatusCode::OK, &call, "another's", &[]));
+            let other = hyper::header::HeaderValue::from_static("another");
+            response.headers_mut().insert("request-id", other);
+            return Ok(response);
+        }
+        TargetMood::Closing => return Err(io::ErrorKind::ConnectionReset.into()),
+        TargetMood::Mute => sleep(Duration::from_secs(3_600)).await,
+        TargetMood::BreakAfter(_) => {}
+    }
+    let is_stream = !call.field("token-count").is_empty();
+    let response = match is_stream {
+        true => events(&shared, &call, &mood),
+        false => plain(StatusCode::OK, &call, &format!("from {}", shared.name), &[]),
+    };
+    Ok(signed(&shared, response))
+}
+
+fn plain(
+    status: StatusCode,
+    call: &SeenCall,
+    text: &str,
+    fields: &[(&'static str, &'static str)],
+) -> Response<AnswerBytes> {
+    let body = Full::new(Bytes::from(text.to_owned()));
+    let body = body.map_err(|never: Infallible| match never {}).boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    if let Some(id) = call.headers.get("request-id") {
+        response.headers_mut().insert("request-id", id.clone());
+    }
+    for (name, value) in fields {
+        let value = hyper::header::HeaderValue::from_static(value);
+        response.headers_mut().insert(*name, value);
+    }
+    response
+}
+
+fn signed(shared: &TargetShared, mut response: Response<AnswerBytes>) -> Response<AnswerBytes> {
+    let seal = format!("seal-of-{}", shared.name);
+    if let Ok(value) = hyper::header::HeaderValue::from_str(&seal) {
+        response.headers_mut().insert("response-seal", value);
+    }
+    response
+}
+
+type Pieces = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, io::Error>> + Send + Sync>>;
+
+/// Get the stream of a call, from behind the last event that it names.
+fn events(shared: &TargetShared, call: &SeenCall, mood: &TargetMood) -> Response<AnswerBytes> {
+    let first: u32 = call.field("last-event-id").parse().unwrap_or(0) + 1;
+    let last = shared.events;
+    let gap = shared.gap;
+    let broken_at = match mood {
+        TargetMood::BreakAfter(count) => Some(first + count),
+        _ => None,
+    };
+    let pieces = stream::iter(first..=last).then(move |id| async move {
+        sleep(gap).await;
+        match broken_at {
+            Some(broken) if id > broken => Err(io::ErrorKind::ConnectionReset.into()),
+            Some(broken) if id == broken => Ok(Frame::data(Bytes::from(format!("id: {id}\nda")))),
+            _ => Ok(Frame::data(Bytes::from(event_text(id)))),
+        }
+    });
+    let pieces: Pieces = Box::pin(pieces);
+    let mut response = plain(StatusCode::OK, call, "", &[]);
+    *response.body_mut() = BodyExt::boxed(StreamBody::new(pieces));
+    response
+}
+
+/// Get one event's bytes.
+pub fn event_text(id: u32) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use bergamotswitch_core::rules::TIER_COUNT;
 use serde_json::Value;
 
 use super::error::CommandError;
@@ -99,14 +100,17 @@
 }
 
 fn write_requests(f: &mut fmt::Formatter<'_>, desk: &Value) -> fmt::Result {
-    let waiting = items(&desk["waiting"]);
+    // Only gateways have tiers beyond those of rules; unused ones are noise.
+    let used = |field: &str| items(&desk[field]).iter().rposition(|count| *count != 0);
+    let last = used("waiting").max(used("running")).unwrap_or_default();
+    let shown = TIER_COUNT.max(last + 1);
     let mut head = vec!["tier".to_owned()];
-    head.extend((0..waiting.len()).map(|tier| tier.to_string()));
+    head.extend((0..shown).map(|tier| tier.to_string()));
     let head: Vec<&str> = head.iter().map(String::as_str).collect();
     let mut table = TextTable::new(&head).with_indent(2);
     for field in ["waiting", "running"] {
         let mut row = vec![field.to_owned()];
-        row.extend(items(&desk[field]).iter().map(text));
+        row.extend(items(&desk[field]).iter().take(shown).map(text));
         table.add(row);
     }
     writeln!(f, "requests of this host's callers\n{table}")?;
--- /dev/null
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -0,0 +1,126 @@
+//! Streams through the gateway: whole, carried on, or cut, never mended.
+
+mod users;
+
+use std::time::Duration;
+
+use bergamotswitch_standin::users_target::{TargetMood, event_text};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use users::{Call, Site};
+
+fn whole_stream() -> String {
+    (1..=8).map(event_text).collect()
+}
+
+#[tokio::test]
+async fn whole_events() {
+    let site = Site::start(1).await;
+    let answer = Call::stream("/draft/1", "r-1")
+        .send(site.door())
+        .await
+        .expect("answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.whole);
+    assert_eq!(answer.text(), whole_stream());
+    assert!(answer.field("response-seal").starts_with("seal-of-engine"));
+}
+
+// Symptom: a draft breaks off, or has a piece twice. Sequence: its engine
+// closes the connection in the middle of the fourth event. Cause: what had
+// come was passed on as it came, and nothing carried the stream on.
+#[tokio::test]
+async fn carried_on() {
+    let site = Site::start(1).await;
+    for engine in &site.engines {
+        engine.expect(&[TargetMood::BreakAfter(3)]);
+    }
+    // The first engine breaks off after three events, the second one after
+    // three more; two runs are allowed, so the stream ends there.
+    let answer = Call::stream("/draft/1", "r-1")
+        .send(site.door())
+        .await
+        .expect("answer");
+    assert!(!answer.whole);
+    let six: String = (1..=6).map(event_text).collect();
+    assert_eq!(answer.text(), six);
+    // Now one engine breaks off and the other one carries on.
+    let answer = Call::stream("/draft/1", "r-2")
+        .send(site.door())
+        .await
+        .expect("answer");
+    assert!(answer.whole);
+    assert_eq!(answer.text(), whole_stream());
+    site.engines[0].expect(&[TargetMood::BreakAfter(3)]);
+    site.engines[1].expect(&[TargetMood::BreakAfter(3)]);
+    let resumed = site.engines.iter().flat_map(|engine| engine.seen());
+    let resumed: Vec<String> = resumed
+        .map(|call| call.field("last-event-id").to_owned())
+        .filter(|id| !id.is_empty())
+        .collect();
+    assert_eq!(resumed, ["3"]);
+}
+
+// Symptom: a stream that must not run twice looks whole although its engine
+// broke off. Sequence: the connection closes after two events. Cause: the end
+// of the connection was taken for the end of the answer.
+#[tokio::test]
+async fn cut_short() {
+    let site = Site::start(1).await;
+    for engine in &site.engines {
+        engine.expect(&[TargetMood::BreakAfter(2)]);
+    }
+    let answer = Call::stream("/once/1", "r-1")
+        .send(site.door())
+        .await
+        .expect("answer");
+    assert!(!answer.whole);
+    let two: String = (1..=2).map(event_text).collect();
+    assert_eq!(answer.text(), two);
+    let runs: usize = site.engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+// Symptom: the last bytes of a stream are missing after a planned stop.
+// Sequence: SIGTERM comes in the middle of a stream; the run ends, the loop is
+// idle, and the process ends before the bytes have left. Cause: the end of the
+// run was taken for the end of the answer.
+#[tokio::test]
+async fn stop_in_stream() {
+    let mut site = Site::start(1).await;
+    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
+    let mut body = response.expect("answer").into_body();
+    let first = body.frame().await.expect("piece").expect("piece");
+    let mut bytes = first.into_data().unwrap_or_default().to_vec();
+    site.hosts[0].signal("TERM");
+    while let Some(frame) = body.frame().await {
+        let frame = frame.expect("the stream goes on to its end");
+        bytes.extend(frame.into_data().unwrap_or_default());
+    }
+    assert_eq!(String::from_utf8_lossy(&bytes), whole_stream());
+    assert!(site.hosts[0].ended().await.success());
+}
+
+// Symptom: an engine works on for a caller that left. Sequence: the caller
+// closes its connection after the first event. Cause: nobody told the loop.
+#[tokio::test]
+async fn caller_leaves() {
+    let site = Site::start(1).await;
+    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
+    let mut body = response.expect("answer").into_body();
+    body.frame().await.expect("piece").expect("piece");
+    drop(body);
+    // The place of the run is free again: four more fit at once on each of
+    // the engines, and all are answered.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let calls = (0..8).map(|number| {
+        let id = format!("r-{}", number + 2);
+        tokio::spawn(Call::stream("/draft/1", &id).send(site.door()))
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let answer = call.await.expect("task").expect("answer");
+        assert!(answer.whole);
+    }
+    let runs: usize = site.engines.iter().map(|engine| engine.seen().len()).sum();
+    assert_eq!(runs, 9);
+}
--- /dev/null
+++ b/bergamotswitch/tests/users/mod.rs
@@ -0,0 +1,384 @@
+//! A site of the users' platform on loopback: the store and the targets as
+//! stand-ins inside the test, the hosts as processes of their own.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use bergamotswitch_standin::users_store::UsersStore;
+use bergamotswitch_standin::users_target::UsersTarget;
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+
+/// Long enough for a busy machine; no test waits this long in good health.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+/// The host name that callers send.
+pub const HOST: &str = "notices.example";
+/// The key of the one account.
+pub const KEY: &str = "key-of-the-account";
+/// How long a revoked key may still work.
+pub const REVOKE_MS: u64 = 3_000;
+
+/// One host's process; its drop ends it.
+pub struct HostProcess {
+    pub callers: SocketAddr,
+    pub directory: SocketAddr,
+    pub readiness: SocketAddr,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Drop for HostProcess {
+    fn drop(&mut self) {
+        // A process that has ended already needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl HostProcess {
+    pub fn signal(&self, name: &str) {
+        let process = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([format!("-{name}"), process])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("host runs");
+        self.child.wait().expect("host ends");
+    }
+
+    pub async fn ended(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("child") {
+                return status;
+            }
+            assert!(Instant::now() < until, "the host does not end");
+            pause().await;
+        }
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = Call::get("/readyz").send(self.readiness).await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Get the addresses that the host names.
+    pub async fn named(&self) -> Vec<String> {
+        let path = format!("/resolve?name={HOST}&region=r&zone=hall-1");
+        let Ok(answer) = Call::get(&path).send(self.directory).await else {
+            return Vec::new();
+        };
+        let Ok(page) = serde_json::from_slice::<Value>(&answer.body) else {
+            return Vec::new();
+        };
+        let list = page["addresses"].as_array().cloned().unwrap_or_default();
+        list.iter()
+            .filter_map(|address| address.as_str().map(str::to_owned))
+            .collect()
+    }
+}
+
+/// A whole site.
+pub struct Site {
+    pub store: UsersStore,
+    pub engines: Vec<UsersTarget>,
+    pub desks: Vec<UsersTarget>,
+    pub hosts: Vec<HostProcess>,
+    version: u64,
+}
+
+impl Site {
+    /// Start a site of so many hosts, two engines and two desks, and wait
+    /// until all hosts are ready.
+    pub async fn start(hosts: usize) -> Self {
+        let store = UsersStore::start().await.expect("store");
+        let gap = Duration::from_millis(20);
+        let mut engines = Vec::new();
+        let mut desks = Vec::new();
+        for number in 1..=2 {
+            let engine = UsersTarget::start(&format!("engine-{number}"), 8, gap).await;
+            engines.push(engine.expect("engine"));
+            let desk = UsersTarget::start(&format!("desk-{number}"), 0, gap).await;
+            desks.push(desk.expect("desk"));
+        }
+        let mut site = Site {
+            store,
+            engines,
+            desks,
+            hosts: Vec::new(),
+            version: 0,
+        };
+        site.publish(&[KEY], &[]);
+        for engine in &site.engines {
+            site.register("drafting", engine, "ready");
+        }
+        for desk in &site.desks {
+            site.register("desk", desk, "ready");
+        }
+        site.start_hosts(hosts);
+        site.all_ready().await;
+        site
+    }
+
+    /// Publish the routes with these keys, and further ones to the desk.
+    pub fn publish(&mut self, keys: &[&str], more: &[&str]) {
+        self.version += 3;
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
+                "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 0,
+                "service": service, "maxAttempts": 2, "public": false,
+                "resumable": name == "draft", "gapAimMs": 300,
+            })
+        };
+        let mut routes = vec![
+            route("draft", "/draft/", "streaming", "drafting"),
+            route("once", "/once/", "streaming", "drafting"),
+            route("status", "/status/", "safe", "desk"),
+            route("receipt", "/receipt/", "unsafe", "desk"),
+        ];
+        let mut open = route("open", "/open/", "safe", "desk");
+        open["public"] = json!(true);
+        routes.push(open);
+        for prefix in more {
+            routes.push(route("more", prefix, "safe", "desk"));
+        }
+        let config = json!({
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": "drafting", "healthPath": "/healthz", "maxConnections": 100,
+                 "engine": {"slots": 4, "kvCapacityTokens": 100_000}},
+                {"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
+            ],
+            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
+                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
+            "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
+                         "plainTokens": 10, "ratePerS": 1_000_000, "burst": 1_000_000}],
+        });
+        self.store.put("op/config", &config);
+    }
+
+    /// Register a target as it does itself.
+    pub fn register(&self, service: &str, target: &UsersTarget, state: &str) {
+        let entry = json!({
+            "service": service, "address": target.address().to_string(), "zone": "hall-1",
+            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1,
+        });
+        self.store
+            .put(&format!("servers/{}", target.name()), &entry);
+    }
+
+    fn start_hosts(&mut self, count: usize) {
+        let seed = free_address();
+        for number in 0..count {
+            let link = match number {
+                0 => seed,
+                _ => free_address(),
+            };
+            let host = start_host(number, link, seed, self.store.address());
+            self.hosts.push(host);
+        }
+    }
+
+    /// Wait until every host is ready and knows all others.
+    pub async fn all_ready(&self) {
+        let until = Instant::now() + PATIENCE;
+        for host in &self.hosts {
+            while !host.is_ready().await || host.named().await.len() != self.hosts.len() {
+                assert!(Instant::now() < until, "a host does not get ready");
+                pause().await;
+            }
+        }
+    }
+
+    /// Get the first host's address for callers.
+    pub fn door(&self) -> SocketAddr {
+        self.hosts[0].callers
+    }
+}
+
+fn start_host(number: usize, link: SocketAddr, seed: SocketAddr, store: SocketAddr) -> HostProcess {
+    let [callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
+    let settings = json!({
+        "name": format!("front-{number}"), "domain": "hall-1",
+        "caller_address": callers, "link_address": link,
+        "gateway": {
+            "readiness_address": readiness, "directory_address": directory,
+            "metrics_address": metrics, "store_address": store, "seeds": [seed],
+            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
+            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50, "grace_s": 8,
+        },
+        "log": {"output": "stdout", "format": "json"},
+    });
+    let name = format!(
+        "bergamotswitch-{}-{}.json",
+        std::process::id(),
+        callers.port()
+    );
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, settings.to_string()).expect("settings file");
+    let child = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"))
+        .args(["serve", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("host starts");
+    HostProcess {
+        callers,
+        directory,
+        readiness,
+        settings: path,
+        child,
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("free port");
+    listener.local_addr().expect("address")
+}
+
+pub async fn pause() {
+    tokio::time::sleep(Duration::from_millis(20)).await;
+}
+
+/// Wait until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < end, "never: {what}");
+        pause().await;
+    }
+}
+
+/// One caller's call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    method: &'static str,
+    path: String,
+    fields: Vec<(&'static str, String)>,
+    body: Bytes,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// What came of the body.
+    pub body: Bytes,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn field(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap_or_default()
+    }
+}
+
+impl Call {
+    pub fn get(path: &str) -> Self {
+        Call {
+            method: "GET",
+            path: path.to_owned(),
+            fields: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Get a call as the users' callers make it.
+    pub fn new(method: &'static str, path: &str, id: &str) -> Self {
+        let call = Call {
+            method,
+            ..Call::get(path)
+        };
+        call.with("host", HOST)
+            .with("request-id", id)
+            .with("deadline-ms", "4000")
+            .with("authorization", &format!("Bearer {KEY}"))
+    }
+
+    /// Get a call whose answer is a stream.
+    pub fn stream(path: &str, id: &str) -> Self {
+        Call::new("POST", path, id)
+            .with("model", "m")
+            .with("token-count", "100,80")
+            .with("length-hint", "40")
+            .body("prompt")
+    }
+
+    pub fn with(mut self, name: &'static str, value: &str) -> Self {
+        self.fields.retain(|(known, _)| *known != name);
+        self.fields.push((name, value.to_owned()));
+        self
+    }
+
+    pub fn without(mut self, name: &str) -> Self {
+        self.fields.retain(|(known, _)| *known != name);
+        self
+    }
+
+    pub fn body(mut self, text: &str) -> Self {
+        self.body = Bytes::from(text.to_owned());
+        self
+    }
+
+    pub async fn send(self, address: SocketAddr) -> io::Result<Answer> {
+        let (head, mut body) = self.open(address).await?.into_parts();
+        let mut bytes = Vec::new();
+        let whole = loop {
+            match body.frame().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => {
+                    bytes.extend(frame.into_data().unwrap_or_default());
+                }
+            }
+        };
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: bytes.into(),
+            whole,
+        })
+    }
+
+    /// Send the call and get the answer's head; the body follows.
+    pub async fn open(self, address: SocketAddr) -> io::Result<http::Response<Incoming>> {
+        let stream = TcpStream::connect(address).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        let mut builder = Request::builder().method(self.method).uri(&self.path);
+        for (name, value) in &self.fields {
+            builder = builder.header(*name, value);
+        }
+        let request = builder.body(Full::new(self.body));
+        let request = request.map_err(io::Error::other)?;
+        sender.send_request(request).await.map_err(io::Error::other)
+    }
+}
