--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -27,11 +27,14 @@
 pub const HOST: &str = "notices.example";
 /// The key of the one account.
 pub const KEY: &str = "key-of-the-account";
+/// The tries to start a host on free ports.
+const START_TRIES: usize = 5;
 /// How long a revoked key may still work.
 pub const REVOKE_MS: u64 = 3_000;
 
 /// One host's process; its drop ends it.
 pub struct HostProcess {
+    pub link: SocketAddr,
     pub callers: SocketAddr,
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
@@ -185,14 +188,13 @@
     }
 
     fn start_hosts(&mut self, count: usize) {
-        let seed = free_address();
         for number in 0..count {
-            let link = match number {
-                0 => seed,
-                _ => free_address(),
-            };
-            let host = start_host(number, link, seed, self.store.address());
-            self.hosts.push(host);
+            let seed = self.hosts.first().map(|host| host.link);
+            let store = self.store.address();
+            let mut tries = (0..START_TRIES).map(|_| start_host(number, seed, store));
+            let host = tries.find_map(|host| host);
+            self.hosts
+                .push(host.expect("a host that finds its ports free"));
         }
     }
 
@@ -213,8 +215,11 @@
     }
 }
 
-fn start_host(number: usize, link: SocketAddr, seed: SocketAddr, store: SocketAddr) -> HostProcess {
-    let [callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
+/// Try to start a host. A port that was free a moment ago may be taken by
+/// another test by now; then the process ends at once, and there is none.
+fn start_host(number: usize, seed: Option<SocketAddr>, store: SocketAddr) -> Option<HostProcess> {
+    let [link, callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
+    let seed = seed.unwrap_or(link);
     let settings = json!({
         "name": format!("front-{number}"), "domain": "hall-1",
         "caller_address": callers, "link_address": link,
@@ -240,13 +245,23 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("host starts");
-    HostProcess {
+    let mut host = HostProcess {
+        link,
         callers,
         directory,
         readiness,
         settings: path,
         child,
+    };
+    let until = Instant::now() + PATIENCE;
+    while std::net::TcpStream::connect(metrics).is_err() {
+        if host.child.try_wait().expect("child").is_some() {
+            return None;
+        }
+        assert!(Instant::now() < until, "the host does not listen");
+        std::thread::sleep(Duration::from_millis(20));
     }
+    Some(host)
 }
 
 fn free_address() -> SocketAddr {
