--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -67,7 +67,13 @@
     {
         Ok(first) => read(context, routed, first, &mut meter, report).await,
         Err(SendLoss::NotConnected) => CallEnd::NotSent,
-        Err(SendLoss::Dropped) => CallEnd::Broken(meter.usage()),
+        Err(SendLoss::Dropped) => {
+            context.note(
+                Incident::AnswerRejected,
+                "connection closed before an answer",
+            );
+            CallEnd::Broken(meter.usage())
+        }
         Err(SendLoss::Quiet(_)) => {
             context.note(Incident::ConnectionSilent, "no answer began in time");
             CallEnd::Broken(meter.usage())
