--- a/bergamotswitch-core/src/roster/mod.rs
+++ b/bergamotswitch-core/src/roster/mod.rs
@@ -5,8 +5,9 @@
 //! steady pace, what it knows to a few others in small datagrams: its own
 //! record whole, of the others a mark each, which says how fresh its news of
 //! them is. A host that meets a mark of someone it doesn't know asks for the
-//! record. So traffic per host stays the same as the fleet grows, no two hosts
-//! need a connection for it, and news reaches all in a few rounds.
+//! record. So the messages of a host stay as many as the fleet grows, and as
+//! long from a hundred hosts on; no two hosts need a connection for it, and news
+//! reaches all in a few rounds.
 
 mod machine;
 mod message;
