Shut the door of a stopping host once addresses have lapsed

Cause: a stopping host took callers until it was idle, which it never was while callers kept its address. Ruled out: the wait for open answers (it begins after idleness). Before: stop_under_load has not ended 7 s after the signal with 12 callers.

--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -65,7 +65,7 @@
 pub struct GatewayServer {
     phase: watch::Sender<GatewayPhase>,
     connections: mpsc::Receiver<()>,
-    _listeners: Vec<ListenerGuard>,
+    listeners: Vec<ListenerGuard>,
 }
 
 impl GatewayServer {
@@ -100,7 +100,7 @@
         Ok(GatewayServer {
             phase,
             connections,
-            _listeners: listeners,
+            listeners,
         })
     }
 
@@ -110,20 +110,24 @@
         self.phase.send_replace(GatewayPhase::Lapsing);
     }
 
+    /// Close the door: no connection is taken, and each open one ends with the
+    /// answer that it waits for.
+    pub fn shut(&mut self) {
+        self.phase.send_replace(GatewayPhase::Closing);
+        self.listeners.clear();
+    }
+
     /// Take no further callers, and wait until the open answers have left.
     ///
     /// A run that ends frees the loop before the last bytes of its answer were
     /// written. A process that ended then would cut the answer off; one would
     /// see streams closed in their middle at the moment at which their runs
     /// end.
-    pub async fn close(self) {
+    pub async fn close(mut self) {
+        self.shut();
         let GatewayServer {
-            phase,
-            mut connections,
-            _listeners: listeners,
+            mut connections, ..
         } = self;
-        phase.send_replace(GatewayPhase::Closing);
-        drop(listeners);
         // Nothing is ever sent: the end of the last sender is waited for.
         let _ = timeout(CLOSE_TIMEOUT, connections.recv()).await;
     }
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -186,7 +186,7 @@
     pub async fn run(mut self) {
         self.note(Incident::HostStarted, &self.me.run.to_string());
         self.handle(NodeEvent::Tick);
-        while !self.stop.may_close(self.now(), self.core.is_idle()) {
+        while !self.stop.may_close(self.core.is_idle()) {
             let wake = self.core.next_wake().min(self.stop.next_wake());
             let pause = wake.since(self.now());
             tokio::select! {
@@ -197,6 +197,7 @@
                 () = tokio::time::sleep(pause) => self.handle(NodeEvent::Tick),
             }
             self.refresh_gauges();
+            self.end_lapse();
         }
         self.stop = StopPhase::Closing;
         self.close().await;
@@ -315,6 +316,14 @@
         self.handle(NodeEvent::Stop);
     }
 
+    /// Close the door once the handed-out addresses have lapsed.
+    fn end_lapse(&mut self) {
+        if let Some(phase) = self.stop.lapsed(self.now()) {
+            self.callers.shut();
+            self.stop = phase;
+        }
+    }
+
     fn receive(
         &mut self,
         reception: Reception,
--- a/bergamotswitch-net/src/node/seams.rs
+++ b/bergamotswitch-net/src/node/seams.rs
@@ -31,6 +31,15 @@
         }
     }
 
+    /// Close the door to new callers; open answers go on.
+    pub(super) fn shut(&mut self) {
+        match self {
+            // Its connections are closed once the host is idle.
+            CallerDoor::Api(_) => {}
+            CallerDoor::Gateway(server) => server.shut(),
+        }
+    }
+
     /// Take no further callers, and wait until the open answers have ended.
     ///
     /// # Errors
--- a/bergamotswitch-net/src/node/stop.rs
+++ b/bergamotswitch-net/src/node/stop.rs
@@ -13,6 +13,10 @@
     /// a caller that connects to a closed port would see a failure that no
     /// fault caused.
     Lapsing(Moment),
+    /// The door is closed to new callers; what waits or runs here goes on. A
+    /// host that took callers until it was idle would never be idle under
+    /// load: it would be killed at the end of its grace with answers open.
+    Ending,
     /// Nothing new is accepted; open answers end.
     Closing,
 }
@@ -26,20 +30,25 @@
         }
     }
 
-    /// Get whether the host may close its door now: addresses have lapsed and
-    /// nothing waits or runs. No timer cuts an answer.
-    pub fn may_close(self, now: Moment, idle: bool) -> bool {
+    /// Get the phase once the addresses have lapsed, where they have now.
+    pub fn lapsed(self, now: Moment) -> Option<Self> {
         match self {
-            StopPhase::Lapsing(until) => idle && now >= until,
-            StopPhase::Serving | StopPhase::Closing => false,
+            StopPhase::Lapsing(until) if now >= until => Some(StopPhase::Ending),
+            _ => None,
         }
     }
 
-    /// Get when [`StopPhase::may_close`] may change by time alone.
+    /// Get whether the host may end: its door is closed and nothing waits or
+    /// runs. No timer cuts an answer.
+    pub fn may_close(self, idle: bool) -> bool {
+        idle && self == StopPhase::Ending
+    }
+
+    /// Get when [`StopPhase::lapsed`] changes by time alone.
     pub fn next_wake(self) -> Moment {
         match self {
             StopPhase::Lapsing(until) => until,
-            StopPhase::Serving | StopPhase::Closing => Moment::NEVER,
+            StopPhase::Serving | StopPhase::Ending | StopPhase::Closing => Moment::NEVER,
         }
     }
 }
--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -13,6 +13,14 @@
     (1..=8).map(event_text).collect()
 }
 
+/// A stopping host's grace: 8 s, less a second for a busy machine.
+const STOP_TIME: Duration = Duration::from_secs(7);
+/// The callers: enough for a call to be under way at each moment.
+const STOP_CALLERS: usize = 12;
+/// The calls that each caller sends one after the other: more than fit in the
+/// grace.
+const STOP_CALLS: usize = 2_000;
+
 #[tokio::test]
 async fn whole_events() {
     let site = Site::start(1).await;
@@ -101,6 +109,37 @@
     assert!(site.hosts[0].ended().await.success());
 }
 
+// Symptom: a host is still there at the end of its grace, is killed and cuts the
+// streams that it took just before. Sequence: SIGTERM comes while callers that
+// keep its address go on sending; there is always a call under way. Cause: the
+// host took callers until it was idle.
+#[tokio::test]
+async fn stop_under_load() {
+    let mut site = Site::start(1).await;
+    let door = site.door();
+    let callers = (0..STOP_CALLERS).map(|caller| {
+        tokio::spawn(async move {
+            let mut answered = 0;
+            for call in 0..STOP_CALLS {
+                let id = format!("r-{caller}-{call}");
+                match Call::stream("/draft/1", &id).send(door).await {
+                    Ok(_) => answered += 1,
+                    Err(_) => break,
+                }
+            }
+            answered
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.hosts[0].signal("TERM");
+    let ended = tokio::time::timeout(STOP_TIME, site.hosts[0].ended()).await;
+    assert!(ended.expect("an end within the grace").success());
+    for caller in callers {
+        assert!(caller.await.expect("task") > 1);
+    }
+}
+
 // Symptom: an engine works on for a caller that left. Sequence: the caller
 // closes its connection after the first event. Cause: nobody told the loop.
 #[tokio::test]
