Split what a host reports and starts from out of the loop

A phase of the stop that nobody read any more, since the door is shut before, is gone, and an ended request is looked up once. Behaviour is as before. Names of values come from their constants in one way.

--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -1,6 +1,7 @@
 //! Provides the loop itself.
 
-use std::io;
+mod reports;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,88 +15,29 @@
 use bergamotswitch_core::revision::{HOSTS_VALUE, ValueName};
 use bergamotswitch_core::settings::HostSettings;
 use bergamotswitch_core::target::PoolTarget;
-use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
+use super::host_parts::HostParts;
 use super::load_gauge::LoadGauge;
 use super::open_request::{OpenRequest, OpenRequests};
 use super::request_label::RequestLabel;
 use super::seams::{CallerDoor, ValueSource};
 use super::stop::StopPhase;
-use super::{NodeDoors, NodeError, NodeSetup};
-use super::{gateway_setup, gauges};
+use super::{NodeError, NodeSetup};
 use crate::answer::AnswerPart;
 use crate::boot_clock::BootClock;
-use crate::caller::{self, CallerDesk, CallerOptions};
-use crate::gateway::GatewayServer;
+use crate::caller::{CallerDesk, CallerOptions};
 use crate::gossip::GossipSocket;
 use crate::input::{HostSelf, NodeInput, NodeSender, OutgoingCall, PlatformEvent, Received};
 use crate::journal;
 use crate::link::{LinkHub, LinkOptions};
 use crate::metrics::{NodeMetrics, OwnerTotals};
-use crate::platform::{PlatformClient, PlatformOptions};
-use crate::store_source::StoreSource;
 use crate::target_client::{TargetClient, TargetClientOptions};
 
-/// How often gauges are brought up to date.
-const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How many times as long as they were told some callers of the gateway keep
 /// an address, and a little more for those on their way.
 const GATEWAY_LIFETIMES: u32 = 4;
 
-/// A `HostParts` is the parts of a host that differ between the project's own
-/// interface and the users' platform.
-struct HostParts {
-    callers: CallerDoor,
-    platform: ValueSource,
-    targets: TargetClient,
-    gossip: Option<GossipSocket>,
-}
-
-impl HostParts {
-    fn try_new(
-        doors: NodeDoors,
-        settings: &HostSettings,
-        desk: CallerDesk,
-    ) -> Result<Self, NodeError> {
-        let node = desk.node.clone();
-        let (sockets, gateway) = match (doors, &settings.gateway) {
-            (NodeDoors::Gateway(sockets), Some(gateway)) => (sockets, gateway),
-            (NodeDoors::Gateway(_), None) => {
-                return Err(NodeError::Serve(io::ErrorKind::InvalidInput.into()));
-            }
-            (NodeDoors::Api(listener), _) => {
-                let services = settings.configuration_services.clone();
-                let host_lists = settings.host_lists.clone();
-                let opts = PlatformOptions::default();
-                let client = PlatformClient::new(services, host_lists, opts, node.clone());
-                let server = caller::serve(listener, desk).map_err(NodeError::Serve)?;
-                return Ok(HostParts {
-                    callers: CallerDoor::Api(server),
-                    platform: ValueSource::Services(client),
-                    targets: TargetClient::new(TargetClientOptions::default(), node),
-                    gossip: None,
-                });
-            }
-        };
-        let server = GatewayServer::try_new(
-            sockets,
-            node.clone(),
-            desk.publication,
-            desk.metrics,
-            gateway_setup::body_bytes(gateway),
-        );
-        let gossip = GossipSocket::try_new(settings.link_address, node.clone());
-        Ok(HostParts {
-            callers: CallerDoor::Gateway(server.map_err(NodeError::Serve)?),
-            platform: ValueSource::Store(StoreSource::new(gateway.store_address, node.clone())),
-            targets: TargetClient::new(gateway_setup::target_options(), node),
-            gossip: Some(gossip.map_err(NodeError::Serve)?),
-        })
-    }
-}
-
 /// A `HostNode` is one entry host's process: it owns every machine and every
 /// client, and one loop on one thread drives them.
 pub struct HostNode {
@@ -199,7 +141,6 @@
             self.refresh_gauges();
             self.end_lapse();
         }
-        self.stop = StopPhase::Closing;
         self.close().await;
     }
 
@@ -424,17 +365,15 @@
 
     fn conclude(&mut self, id: RequestId, conclusion: Conclusion) {
         let now = self.now();
-        if let Some(request) = self.open.get(id) {
-            let pieces = request.answer.pieces();
-            request.label.note_end(now, Some(id), &conclusion, pieces);
-        }
+        let Some(request) = self.open.get(id) else {
+            return;
+        };
+        let pieces = request.answer.pieces();
+        request.label.note_end(now, Some(id), &conclusion, pieces);
         let part = match conclusion {
             Conclusion::Answered | Conclusion::TargetError => AnswerPart::End,
             Conclusion::Refused(refusal) => AnswerPart::Refused(refusal),
         };
-        let Some(request) = self.open.get(id) else {
-            return;
-        };
         request.answer.push(part);
         let bytes = request.answer.bytes() as u64;
         self.open.end(id);
@@ -480,69 +419,4 @@
         self.settings = settings;
         self.note(Incident::SettingsReloaded, "seeds");
     }
-
-    /// Note a change of whether the store answers.
-    fn note_store(&mut self, answered: bool) {
-        let failing = !answered;
-        if failing == self.store_failing || self.settings.gateway.is_none() {
-            return;
-        }
-        self.store_failing = failing;
-        let incident = match failing {
-            true => Incident::ServiceUnreachable,
-            false => Incident::ServiceReachable,
-        };
-        self.note(incident, "store");
-    }
-
-    /// Note a change of whether keys are relied on.
-    fn note_keys(&mut self) {
-        let trusted = self.core.trusts_keys(self.now());
-        if trusted == self.keys_trusted || self.settings.gateway.is_none() {
-            return;
-        }
-        self.keys_trusted = trusted;
-        let incident = match trusted {
-            true => Incident::KeysConfirmed,
-            false => Incident::KeysUnconfirmed,
-        };
-        self.note(incident, "");
-    }
-
-    fn note(&self, incident: Incident, text: &str) {
-        self.metrics.incident(incident);
-        journal::write(incident, &[("host", &self.me.run.host), ("about", &text)]);
-    }
-
-    fn status(&self) -> serde_json::Value {
-        let view = serde_json::to_value(self.core.view(self.now()));
-        // A view that cannot be written would otherwise look like an empty one.
-        let mut status = view.unwrap_or_else(|error| json!({ "error": error.to_string() }));
-        if let Some(fields) = status.as_object_mut() {
-            let reads = self.platform.calls();
-            fields.insert("service_calls".to_owned(), reads.into());
-        }
-        status
-    }
-
-    fn refresh_gauges(&mut self) {
-        let now = self.now();
-        if now < self.gauges_due {
-            return;
-        }
-        self.gauges_due = now.plus(GAUGE_INTERVAL);
-        self.note_keys();
-        let view = self.core.view(now);
-        let load = self.load.measure(now, &view.desk);
-        gauges::refresh(&self.metrics, &view);
-        self.owner_totals.refresh(&self.metrics, &view.shards);
-        self.metrics.set_service_reads(self.platform.calls());
-        let counters = self.links.counters();
-        let sent = counters.sent.total().bytes;
-        self.metrics
-            .set_link_bytes(sent, counters.received.total().bytes);
-        self.metrics
-            .set_link_messages(&counters.sent, &counters.received);
-        self.handle(NodeEvent::HostLoad(load));
-    }
 }
--- /dev/null
+++ b/bergamotswitch-net/src/node/drive/reports.rs
@@ -0,0 +1,81 @@
+//! Provides what the loop reports of itself: log events, gauges and status.
+
+use std::time::Duration;
+
+use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::node::NodeEvent;
+use serde_json::json;
+
+use super::HostNode;
+use crate::journal;
+use crate::node::gauges;
+
+/// How often gauges are brought up to date.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+impl HostNode {
+    /// Note a change of whether the store answers.
+    pub(super) fn note_store(&mut self, answered: bool) {
+        let failing = !answered;
+        if failing == self.store_failing || self.settings.gateway.is_none() {
+            return;
+        }
+        self.store_failing = failing;
+        let incident = match failing {
+            true => Incident::ServiceUnreachable,
+            false => Incident::ServiceReachable,
+        };
+        self.note(incident, "store");
+    }
+
+    /// Note a change of whether keys are relied on.
+    fn note_keys(&mut self) {
+        let trusted = self.core.trusts_keys(self.now());
+        if trusted == self.keys_trusted || self.settings.gateway.is_none() {
+            return;
+        }
+        self.keys_trusted = trusted;
+        let incident = match trusted {
+            true => Incident::KeysConfirmed,
+            false => Incident::KeysUnconfirmed,
+        };
+        self.note(incident, "");
+    }
+
+    pub(super) fn note(&self, incident: Incident, text: &str) {
+        self.metrics.incident(incident);
+        journal::write(incident, &[("host", &self.me.run.host), ("about", &text)]);
+    }
+
+    pub(super) fn status(&self) -> serde_json::Value {
+        let view = serde_json::to_value(self.core.view(self.now()));
+        // A view that cannot be written would otherwise look like an empty one.
+        let mut status = view.unwrap_or_else(|error| json!({ "error": error.to_string() }));
+        if let Some(fields) = status.as_object_mut() {
+            let reads = self.platform.calls();
+            fields.insert("service_calls".to_owned(), reads.into());
+        }
+        status
+    }
+
+    pub(super) fn refresh_gauges(&mut self) {
+        let now = self.now();
+        if now < self.gauges_due {
+            return;
+        }
+        self.gauges_due = now.plus(GAUGE_INTERVAL);
+        self.note_keys();
+        let view = self.core.view(now);
+        let load = self.load.measure(now, &view.desk);
+        gauges::refresh(&self.metrics, &view);
+        self.owner_totals.refresh(&self.metrics, &view.shards);
+        self.metrics.set_service_reads(self.platform.calls());
+        let counters = self.links.counters();
+        let sent = counters.sent.total().bytes;
+        self.metrics
+            .set_link_bytes(sent, counters.received.total().bytes);
+        self.metrics
+            .set_link_messages(&counters.sent, &counters.received);
+        self.handle(NodeEvent::HostLoad(load));
+    }
+}
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -5,12 +5,11 @@
 use bergamotswitch_core::entry::EntryOptions;
 use bergamotswitch_core::host::{EntryHost, Standing};
 use bergamotswitch_core::membership::MembershipOptions;
-use bergamotswitch_core::name::ValueName;
 use bergamotswitch_core::node::{NodeOptions, RosterSetup};
 use bergamotswitch_core::pool_owner::{OwnerOptions, QuotaTolerance};
 use bergamotswitch_core::publication::FleetLimits;
 use bergamotswitch_core::retry::RetryRate;
-use bergamotswitch_core::revision::{ROUTES_VALUE, RevisionOptions, TARGETS_VALUE};
+use bergamotswitch_core::revision::{ROUTES_VALUE, RevisionOptions, TARGETS_VALUE, value_name};
 use bergamotswitch_core::roster::RosterOptions;
 use bergamotswitch_core::settings::{GatewaySettings, HostSettings};
 
@@ -117,9 +116,7 @@
         ..RetryRate::default()
     };
     let names = [ROUTES_VALUE, TARGETS_VALUE];
-    let values = names
-        .iter()
-        .filter_map(|name| ValueName::try_from(*name).ok());
+    let values = names.map(value_name).to_vec();
     NodeOptions {
         entry: EntryOptions::default()
             .with_re_ask_interval(RE_ASK_INTERVAL)
@@ -133,7 +130,7 @@
             .with_audit_after(AUDIT_AFTER),
         membership: base.membership,
         revision: RevisionOptions::default()
-            .with_values(values.collect())
+            .with_values(values)
             .with_read_budget(READ_PACE.0, READ_PACE.1)
             .with_read_fallback(READ_FALLBACK)
             .with_backoff(READ_BACKOFF.0, READ_BACKOFF.1)
--- a/bergamotswitch-net/src/node/mod.rs
+++ b/bergamotswitch-net/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod drive;
 mod gateway_setup;
 mod gauges;
+mod host_parts;
 mod load_gauge;
 mod open_request;
 mod request_label;
--- a/bergamotswitch-net/src/node/stop.rs
+++ b/bergamotswitch-net/src/node/stop.rs
@@ -17,8 +17,6 @@
     /// host that took callers until it was idle would never be idle under
     /// load: it would be killed at the end of its grace with answers open.
     Ending,
-    /// Nothing new is accepted; open answers end.
-    Closing,
 }
 
 impl StopPhase {
@@ -48,7 +46,7 @@
     pub fn next_wake(self) -> Moment {
         match self {
             StopPhase::Lapsing(until) => until,
-            StopPhase::Serving | StopPhase::Ending | StopPhase::Closing => Moment::NEVER,
+            StopPhase::Serving | StopPhase::Ending => Moment::NEVER,
         }
     }
 }
