Write one guard of a task, one listener of stand-ins; look at an event's bytes once

The guard of the links that ends its task stood written again five times, at the store, the gateway, the targets and the services; all use one now. The two stand-ins of the users' platform share their listener. A long event of a stream was looked through from its beginning with each piece that came; the place is kept now (event_blocks, passed before and after). A factor of 100 of 100 from dropped trials is gone, a log line takes its number and text from the catalogue, and names of values are not made with a way out that cannot be taken. Behaviour is as before.

--- a/bergamotswitch-core/src/node/news.rs
+++ b/bergamotswitch-core/src/node/news.rs
@@ -6,7 +6,9 @@
 use crate::clock::Moment;
 use crate::host::{EntryHost, HostList};
 use crate::name::ValueName;
-use crate::revision::{HOSTS_VALUE, PublishedValue, ROUTES_VALUE, RevisionEvent, TARGETS_VALUE};
+use crate::revision::{
+    HOSTS_VALUE, PublishedValue, ROUTES_VALUE, RevisionEvent, TARGETS_VALUE, value_name,
+};
 use crate::roster::{MemberFlags, RosterAction, RosterMessage};
 use crate::target_list::TargetNews;
 
@@ -76,9 +78,8 @@
         match self.register.take(now, news) {
             true => self.publish_targets(now),
             false => {
-                if let Ok(name) = ValueName::try_from(TARGETS_VALUE) {
-                    self.tell_book(now, RevisionEvent::Unchanged(name));
-                }
+                let name = value_name(TARGETS_VALUE);
+                self.tell_book(now, RevisionEvent::Unchanged(name));
             }
         }
     }
@@ -89,22 +90,16 @@
         let Some(bound) = self.opts.key_trust else {
             return true;
         };
-        let Ok(name) = ValueName::try_from(ROUTES_VALUE) else {
-            return false;
-        };
-        let age = self.book.confirmed_age(now, &name);
+        let age = self.book.confirmed_age(now, &value_name(ROUTES_VALUE));
         age.is_some_and(|age| age <= bound)
     }
 
     fn publish_targets(&mut self, now: Moment) {
-        let Ok(name) = ValueName::try_from(TARGETS_VALUE) else {
-            return;
-        };
         let Ok(body) = serde_json::to_string(&self.register.list()) else {
             return;
         };
         let value = PublishedValue {
-            name,
+            name: value_name(TARGETS_VALUE),
             revision: self.register.revision(),
             body,
         };
@@ -131,8 +126,7 @@
         self.tell_hosts(now);
         let actions = self.shards.retarget(now, &self.publication);
         self.queue_owner(actions);
-        if let Ok(name) = ValueName::try_from(HOSTS_VALUE) {
-            self.actions.push(NodeAction::Published(name));
-        }
+        self.actions
+            .push(NodeAction::Published(value_name(HOSTS_VALUE)));
     }
 }
--- a/bergamotswitch-core/src/revision/mod.rs
+++ b/bergamotswitch-core/src/revision/mod.rs
@@ -126,6 +126,11 @@
 /// its own.
 pub const HOSTS_VALUE: &str = "hosts";
 
+/// Get the name of a value from its constant.
+pub fn value_name(constant: &'static str) -> ValueName {
+    ValueName::try_from(constant).expect("the constant is a name")
+}
+
 /// A `RevisionEvent` is one thing that happens to a host's published values.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RevisionEvent {
--- a/bergamotswitch-core/src/revision/options.rs
+++ b/bergamotswitch-core/src/revision/options.rs
@@ -6,6 +6,7 @@
 
 use super::{
     ACCOUNTS_VALUE, DOMAINS_VALUE, HOSTS_VALUE, LIMITS_VALUE, POOLS_VALUE, RULES_VALUE, ValueName,
+    value_name,
 };
 
 /// Two, so that the death of one reader delays nothing.
@@ -58,10 +59,7 @@
             LIMITS_VALUE,
             RULES_VALUE,
         ];
-        let values = names
-            .into_iter()
-            .filter_map(|name| ValueName::try_from(name).ok())
-            .collect();
+        let values = names.into_iter().map(value_name).collect();
         RevisionOptions {
             values,
             readers_per_domain: READERS_PER_DOMAIN,
--- a/bergamotswitch-core/tests/slot_routing.rs
+++ b/bergamotswitch-core/tests/slot_routing.rs
@@ -52,15 +52,7 @@
         let [OwnerReply::Granted { permit, .. }] = granted.as_slice() else {
             panic!("not granted: {granted:?}");
         };
-        let usage = Usage {
-            prefill: 500,
-            cached: 0,
-            decode: 10,
-            first_token_ms: first_ms,
-            elapsed_ms: first_ms + 10 * token_ms,
-        };
-        let end = released(permit, ReleaseOutcome::Finished(usage));
-        self.tell(now, end);
+        self.tell(now, finished(permit, first_ms, token_ms));
         permit.target.to_string()
     }
 
@@ -74,19 +66,24 @@
             };
             let slow = permit.target.as_str() != fast;
             let (first, token) = if slow { (1_000, 60) } else { (60, 4) };
-            let usage = Usage {
-                prefill: 500,
-                cached: 0,
-                decode: 10,
-                first_token_ms: first,
-                elapsed_ms: first + 10 * token,
-            };
-            let end = released(permit, ReleaseOutcome::Finished(usage));
-            self.tell(at(1), end);
+            self.tell(at(1), finished(permit, first, token));
         }
     }
 }
 
+/// Get the end of a call that began after `first_ms` and took so much an
+/// output token.
+fn finished(permit: &Permit, first_ms: u32, token_ms: u32) -> OwnerMessage {
+    let usage = Usage {
+        prefill: 500,
+        cached: 0,
+        decode: 10,
+        first_token_ms: first_ms,
+        elapsed_ms: first_ms + 10 * token_ms,
+    };
+    released(permit, ReleaseOutcome::Finished(usage))
+}
+
 fn replies(actions: Vec<OwnerAction>) -> Vec<OwnerReply> {
     let replies = actions.into_iter().filter_map(|action| match action {
         OwnerAction::Reply(_, reply) => Some(reply),
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -32,11 +32,6 @@
 use crate::input::{NodeInput, OutgoingCall};
 use crate::target_client::routed_call::RoutedCall;
 
-/// How long a call waits for its turn at most, in hundredths of the time in
-/// which its answer should begin. Beyond, its answer would be late, and every
-/// place in the queue that it holds makes the next one late as well.
-pub const PATIENCE_PERCENT: u32 = 100;
-
 /// How much longer than on time an answer that may come from another target
 /// may take to begin before its target counts as silent.
 const SILENT_FACTOR: u32 = 4;
@@ -213,7 +208,9 @@
             streaming: work.is_stream(),
             terms: CallTerms {
                 max_runs: Some(self.route.max_runs),
-                patience: Some(first_answer * PATIENCE_PERCENT / 100),
+                // Beyond, its answer would be late, and every place in the
+                // queue that it holds makes the next one late as well.
+                patience: Some(first_answer),
                 resumable: work == RouteWork::ResumableStream,
                 ends_at_deadline: true,
                 ends_with_caller: work != RouteWork::NonIdempotent,
--- a/bergamotswitch-net/src/gateway/listener.rs
+++ b/bergamotswitch-net/src/gateway/listener.rs
@@ -13,10 +13,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::AbortHandle;
 
 use super::answer_body::AnswerBody;
 use super::{GatewayDesk, GatewayPhase};
+use crate::task_guard::TaskGuard;
 
 /// The least buffer for a head that the library takes.
 const MIN_BUFFER: usize = 8_192;
@@ -31,22 +31,13 @@
 /// would fail again, and the loop would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A `ListenerGuard` ends its listener when it is dropped.
-#[derive(Debug)]
-pub(super) struct ListenerGuard(AbortHandle);
-
-impl Drop for ListenerGuard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Try to answer what comes on a listener by `handler`.
+/// Try to answer what comes on a listener by `handler`, until the guard is
+/// dropped.
 pub(super) fn serve<Handler, Answer>(
     listener: std::net::TcpListener,
     desk: &Arc<GatewayDesk>,
     handler: Handler,
-) -> io::Result<ListenerGuard>
+) -> io::Result<TaskGuard>
 where
     Handler: Fn(Arc<GatewayDesk>, Request<Incoming>) -> Answer + Copy + Send + Sync + 'static,
     Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
@@ -61,7 +52,7 @@
     socket.set_tcp_nodelay(true)?;
     let listener = TcpListener::from_std(listener)?;
     let desk = Arc::clone(desk);
-    let task = tokio::spawn(async move {
+    let task = TaskGuard::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -71,7 +62,7 @@
             }
         }
     });
-    Ok(ListenerGuard(task.abort_handle()))
+    Ok(task)
 }
 
 async fn connection<Handler, Answer>(desk: Arc<GatewayDesk>, stream: TcpStream, handler: Handler)
--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -16,9 +16,8 @@
 
 use crate::input::NodeSender;
 use crate::metrics::NodeMetrics;
-use listener::{ListenerGuard, serve};
-
-pub use call::PATIENCE_PERCENT;
+use crate::task_guard::TaskGuard;
+use listener::serve;
 
 /// A `GatewaySockets` is where a gateway listens.
 #[derive(Debug)]
@@ -65,7 +64,7 @@
 pub struct GatewayServer {
     phase: watch::Sender<GatewayPhase>,
     connections: mpsc::Receiver<()>,
-    listeners: Vec<ListenerGuard>,
+    listeners: Vec<TaskGuard>,
 }
 
 impl GatewayServer {
--- a/bergamotswitch-net/src/lib.rs
+++ b/bergamotswitch-net/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod platform;
 pub mod store_source;
 pub mod target_client;
+mod task_guard;
--- a/bergamotswitch-net/src/line_buffer.rs
+++ b/bergamotswitch-net/src/line_buffer.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use bergamotswitch_core::incident::Incident;
 use flexi_logger::DeferredNow;
 use flexi_logger::writers::LogWriter;
 use log::Record;
@@ -76,9 +77,12 @@
     let mut out = io::stdout().lock();
     let written = write_lines(&mut out, &taken.bytes).and_then(|()| {
         if taken.dropped > 0 {
+            let incident = Incident::LinesDropped;
             writeln!(
                 out,
-                "{{\"event\":107,\"text\":\"log lines left out\",\"count\":{}}}",
+                "{{\"event\":{},\"text\":\"{}\",\"count\":{}}}",
+                incident.number(),
+                incident.text(),
                 taken.dropped
             )?;
         }
--- a/bergamotswitch-net/src/link/hub.rs
+++ b/bergamotswitch-net/src/link/hub.rs
@@ -9,7 +9,6 @@
 use bergamotswitch_core::host::{EntryHost, HostList, HostName};
 use bergamotswitch_core::link::LinkMessage;
 use tokio::net::TcpListener;
-use tokio::task::AbortHandle;
 
 use super::acceptor::accept_links;
 use super::counters::LinkCounters;
@@ -18,6 +17,7 @@
 use super::options::LinkOptions;
 use super::registry::LinkRegistry;
 use crate::input::{HostSelf, NodeSender};
+use crate::task_guard::TaskGuard;
 
 /// A `LinkError` is the reason why a hub cannot be made.
 #[derive(Debug)]
@@ -36,16 +36,6 @@
 
 impl std::error::Error for LinkError {}
 
-/// A `TaskGuard` ends its task when it is dropped.
-#[derive(Debug)]
-struct TaskGuard(AbortHandle);
-
-impl Drop for TaskGuard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A `DialTask` keeps a link to one host.
 #[derive(Debug)]
 struct DialTask {
@@ -81,11 +71,11 @@
             .map_err(LinkError::Listener)?;
         let listener = TcpListener::from_std(listener).map_err(LinkError::Listener)?;
         let registry = Arc::new(LinkRegistry::new(me, opts, node));
-        let acceptor = tokio::spawn(accept_links(Arc::clone(&registry), listener));
+        let acceptor = TaskGuard::spawn(accept_links(Arc::clone(&registry), listener));
         Ok(LinkHub {
             registry,
             dials: BTreeMap::new(),
-            _acceptor: TaskGuard(acceptor.abort_handle()),
+            _acceptor: acceptor,
         })
     }
 
@@ -105,10 +95,10 @@
         if known.is_some_and(|dial| dial.address == host.link_address) {
             return;
         }
-        let task = tokio::spawn(keep_link(Arc::clone(&self.registry), host.clone()));
+        let task = TaskGuard::spawn(keep_link(Arc::clone(&self.registry), host.clone()));
         let dial = DialTask {
             address: host.link_address,
-            _task: TaskGuard(task.abort_handle()),
+            _task: task,
         };
         self.dials.insert(host.name.clone(), dial);
     }
--- a/bergamotswitch-net/src/platform/client.rs
+++ b/bergamotswitch-net/src/platform/client.rs
@@ -6,11 +6,11 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use bergamotswitch_core::revision::{HOSTS_VALUE, Revision, ValueName};
-use tokio::task::JoinHandle;
 
 use super::call::{CallAnswer, CallError, CallKind, call};
 use super::options::PlatformOptions;
 use crate::input::{NodeInput, NodeSender, PlatformEvent};
+use crate::task_guard::TaskGuard;
 
 /// A `ServiceGroup` is services of which each can answer.
 #[derive(Debug)]
@@ -33,13 +33,7 @@
 #[derive(Debug)]
 struct CallTask {
     kind: CallKind,
-    task: JoinHandle<()>,
-}
-
-impl Drop for CallTask {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    task: TaskGuard,
 }
 
 /// A `PlatformClient` reads and watches published values. Each read or watch
@@ -110,7 +104,7 @@
         let opts = self.opts.clone();
         let node = self.node.clone();
         let value_name = name.clone();
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             let event = match ask_in_turn(&group, &value_name, kind, &opts, &calls).await {
                 Ok(CallAnswer::Value(value)) => PlatformEvent::Read(value),
                 Ok(CallAnswer::Unchanged) => PlatformEvent::Unchanged(value_name),
--- a/bergamotswitch-net/src/store_source/connection.rs
+++ b/bergamotswitch-net/src/store_source/connection.rs
@@ -12,9 +12,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::task_guard::TaskGuard;
+
 /// How long a connection may take to be established: the store is a
 /// millisecond away, and a lost opening packet is repeated after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -50,21 +51,10 @@
     }
 }
 
-/// A `ConnectionTask` moves the connection's bytes. Its drop closes the
-/// socket.
-#[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 #[derive(Debug)]
 struct OpenConnection {
     sender: SendRequest<Empty<Bytes>>,
-    _task: ConnectionTask,
+    _task: TaskGuard,
 }
 
 /// A `StoreConnection` is a kept connection to the store. After any loss the
@@ -112,13 +102,13 @@
             .map_err(|_| CallLoss::Connection)?;
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| CallLoss::Connection)?;
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             // The call sees the same error at its end.
             let _ = connection.await;
         });
         Ok(OpenConnection {
             sender,
-            _task: ConnectionTask(task),
+            _task: task,
         })
     }
 
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -18,10 +18,10 @@
 use bergamotswitch_platform::store::{StoreChange, StoreItem};
 use bergamotswitch_platform::{config, registration};
 use tokio::sync::Mutex;
-use tokio::task::JoinHandle;
 
 use crate::input::{NodeInput, NodeSender, PlatformEvent};
 use crate::journal;
+use crate::task_guard::TaskGuard;
 use connection::CallLoss;
 use cursor::{StoreCursor, StoreNews};
 
@@ -37,16 +37,6 @@
 /// be given up well before.
 const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
 
-/// A `ReadTask` is the call in flight for one value. Its drop ends it.
-#[derive(Debug)]
-struct ReadTask(JoinHandle<()>);
-
-impl Drop for ReadTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A `StoreSource` reads and watches the store. Each read or watch ends with
 /// one event, unless a later one takes its place.
 #[derive(Debug)]
@@ -55,7 +45,8 @@
     node: NodeSender,
     calls: Arc<AtomicU64>,
     cursors: BTreeMap<ValueName, Arc<Mutex<StoreCursor>>>,
-    tasks: BTreeMap<ValueName, ReadTask>,
+    /// The call in flight for each value.
+    tasks: BTreeMap<ValueName, TaskGuard>,
 }
 
 impl StoreSource {
@@ -82,7 +73,7 @@
         let calls = Arc::clone(&self.calls);
         let node = self.node.clone();
         let value = name.clone();
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             let mut cursor = cursor.lock().await;
             let news = cursor.next(&calls).await;
             let input = match news {
@@ -92,7 +83,7 @@
             // The loop is gone only while the process ends.
             let _ = node.send(input);
         });
-        self.tasks.insert(name.clone(), ReadTask(task));
+        self.tasks.insert(name.clone(), task);
     }
 
     fn cursor(&mut self, name: &ValueName) -> Arc<Mutex<StoreCursor>> {
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -15,10 +15,10 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
 use super::options::TargetClientOptions;
+use crate::task_guard::TaskGuard;
 
 /// The request type of every call.
 pub type TargetRequest = Request<Full<Bytes>>;
@@ -40,23 +40,12 @@
     pub unsent: Option<TargetRequest>,
 }
 
-/// A `ConnectionTask` moves one connection's bytes. Its drop ends the task
-/// and closes the socket: a silent connection's task would wait for good.
-#[derive(Debug)]
-struct ConnectionTask(JoinHandle<()>);
-
-impl Drop for ConnectionTask {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 /// A `TargetConnection` is one established HTTP/1.1 connection.
 #[derive(Debug)]
 pub struct TargetConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    _task: ConnectionTask,
+    _task: TaskGuard,
 }
 
 impl TargetConnection {
@@ -73,14 +62,14 @@
         set_probes(&stream, options)?;
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             // The call sees the same error at its end.
             let _ = connection.await;
         });
         Ok(TargetConnection {
             address,
             sender,
-            _task: ConnectionTask(task),
+            _task: task,
         })
     }
 
--- a/bergamotswitch-net/src/target_client/event_blocks.rs
+++ b/bergamotswitch-net/src/target_client/event_blocks.rs
@@ -18,6 +18,19 @@
 #[derive(Debug, Default)]
 pub struct EventBlocks {
     buffer: BytesMut,
+    scan: BlockScan,
+}
+
+/// A `BlockScan` is how far the first event was looked through: a long event
+/// comes in many pieces, and each byte of it is looked at once.
+#[derive(Clone, Copy, Debug, Default)]
+struct BlockScan {
+    /// The bytes looked at.
+    seen: usize,
+    /// Whether the event has a line.
+    has_line: bool,
+    /// Whether the line looked at has a byte.
+    in_line: bool,
 }
 
 impl EventBlocks {
@@ -33,6 +46,7 @@
 
     /// Take the bytes that form no whole event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.scan = BlockScan::default();
         self.buffer.split().freeze()
     }
 }
@@ -42,29 +56,31 @@
 
     /// Get the next whole event.
     fn next(&mut self) -> Option<EventBlock> {
-        let end = block_end(&self.buffer)?;
+        let end = self.scan.end(&self.buffer)?;
+        self.scan = BlockScan::default();
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
         Some(EventBlock { bytes, id })
     }
 }
 
-/// Get where the first event ends: behind its blank line.
-fn block_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_is_empty = true;
-    let mut seen_line = false;
-    for (index, byte) in bytes.iter().enumerate() {
-        match byte {
-            b'\n' if line_is_empty && seen_line => return Some(index + 1),
-            b'\n' => line_is_empty = true,
-            b'\r' => {}
-            _ => {
-                line_is_empty = false;
-                seen_line = true;
+impl BlockScan {
+    /// Get where the first event ends: behind its blank line.
+    fn end(&mut self, bytes: &[u8]) -> Option<usize> {
+        for byte in &bytes[self.seen..] {
+            self.seen += 1;
+            match byte {
+                b'\n' if !self.in_line && self.has_line => return Some(self.seen),
+                b'\n' => self.in_line = false,
+                b'\r' => {}
+                _ => {
+                    self.in_line = true;
+                    self.has_line = true;
+                }
             }
         }
+        None
     }
-    None
 }
 
 fn event_id(block: &[u8]) -> Option<String> {
--- a/bergamotswitch-net/src/target_client/load_watch.rs
+++ b/bergamotswitch-net/src/target_client/load_watch.rs
@@ -9,7 +9,6 @@
 use http::Method;
 use http_body_util::BodyExt;
 use serde::Deserialize;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::connection::TargetConnection;
@@ -17,6 +16,7 @@
 use super::options::TargetClientOptions;
 use super::stream_status::{QuestionError, ask_over, bare_request};
 use crate::input::{NodeInput, NodeSender};
+use crate::task_guard::TaskGuard;
 
 const LOAD_PATH: &str = "/v1/load";
 const CACHE_PATH: &str = "/v1/cache-events";
@@ -35,15 +35,8 @@
 #[derive(Debug)]
 pub(super) struct LoadWatch {
     target: PoolTarget,
-    load: JoinHandle<()>,
-    cache: JoinHandle<()>,
-}
-
-impl Drop for LoadWatch {
-    fn drop(&mut self) {
-        self.load.abort();
-        self.cache.abort();
-    }
+    _load: TaskGuard,
+    _cache: TaskGuard,
 }
 
 impl LoadWatch {
@@ -57,8 +50,8 @@
         let cache = follow_cache(target.clone(), Arc::clone(options), events.clone());
         LoadWatch {
             target: target.clone(),
-            load: tokio::spawn(load),
-            cache: tokio::spawn(cache),
+            _load: TaskGuard::spawn(load),
+            _cache: TaskGuard::spawn(cache),
         }
     }
 
--- /dev/null
+++ b/bergamotswitch-net/tests/event_blocks.rs
@@ -0,0 +1,51 @@
+//! Streams are cut into whole events, byte for byte.
+
+use bergamotswitch_net::target_client::event_blocks::{EventBlock, EventBlocks};
+
+const STREAM: &[u8] = b"\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
+
+/// Get the events of the stream that comes in pieces of so many bytes, and
+/// what is left.
+fn cut(piece: usize) -> (Vec<EventBlock>, Vec<u8>) {
+    let mut blocks = EventBlocks::default();
+    let mut found = Vec::new();
+    for bytes in STREAM.chunks(piece) {
+        blocks.add(bytes);
+        found.extend(blocks.by_ref());
+    }
+    (found, blocks.take_rest().to_vec())
+}
+
+#[test]
+fn whole_events() {
+    let (found, rest) = cut(STREAM.len());
+    let texts: Vec<&[u8]> = found.iter().map(|block| block.bytes.as_ref()).collect();
+    let expected: [&[u8]; 3] = [
+        b"\nid: 1\ndata: a\n\n",
+        b"id: 2\r\ndata: b\r\n\r\n",
+        b"data: c\n\n",
+    ];
+    assert_eq!(texts, expected);
+    let ids: Vec<Option<&str>> = found.iter().map(|block| block.id.as_deref()).collect();
+    assert_eq!(ids, [Some("1"), Some("2"), None]);
+    assert_eq!(rest, b"id: 4\nda");
+}
+
+#[test]
+fn any_pieces() {
+    for piece in 1..STREAM.len() {
+        assert_eq!(cut(piece), cut(STREAM.len()), "pieces of {piece} bytes");
+    }
+}
+
+#[test]
+fn after_rest() {
+    let mut blocks = EventBlocks::default();
+    blocks.add(b"id: 1\nda");
+    assert_eq!(blocks.next(), None);
+    assert_eq!(blocks.rest_len(), 8);
+    assert_eq!(blocks.take_rest().len(), 8);
+    blocks.add(b"\n\nid: 2\n\n");
+    let block = blocks.next().expect("an event");
+    assert_eq!(block.id.as_deref(), Some("2"));
+}
--- a/bergamotswitch-standin/src/lib.rs
+++ b/bergamotswitch-standin/src/lib.rs
@@ -24,6 +24,7 @@
 mod prompt;
 pub mod stage;
 pub mod switches;
+mod users_listener;
 pub mod users_store;
 pub mod users_target;
 pub mod value;
--- a/bergamotswitch-standin/src/users_store.rs
+++ b/bergamotswitch-standin/src/users_store.rs
@@ -11,16 +11,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, server};
-use hyper_util::rt::TokioIo;
+use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::board::lock;
+use crate::users_listener::UsersListener;
 
 /// A `StoreMood` is how the store answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -67,15 +64,8 @@
 /// A `UsersStore` is a running stand-in; its drop stops it.
 #[derive(Debug)]
 pub struct UsersStore {
-    address: SocketAddr,
+    listener: UsersListener,
     shared: Arc<StoreShared>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for UsersStore {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
 }
 
 impl UsersStore {
@@ -85,20 +75,16 @@
     ///
     /// Returns an error where there is none.
     pub async fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
         let shared = Arc::<StoreShared>::default();
-        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
-        Ok(UsersStore {
-            address,
-            shared,
-            task,
-        })
+        let served = Arc::clone(&shared);
+        let handler = move |request| answer(Arc::clone(&served), request);
+        let listener = UsersListener::start(handler).await?;
+        Ok(UsersStore { listener, shared })
     }
 
     /// Get where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address
     }
 
     /// Write an item.
@@ -154,20 +140,6 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<StoreShared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
-            let service = service_fn(|request| answer(Arc::clone(&shared), request));
-            let serving = server::conn::http1::Builder::new();
-            // The caller sees the same error at its end.
-            let _ = serving
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
 async fn answer(
     shared: Arc<StoreShared>,
     request: Request<Incoming>,
--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -14,14 +14,11 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, server};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use hyper::{Request, Response, StatusCode};
 use tokio::time::sleep;
 
 use crate::board::lock;
+use crate::users_listener::UsersListener;
 
 /// A `TargetMood` is how a target answers one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -78,15 +75,8 @@
 /// A `UsersTarget` is a running stand-in; its drop stops it.
 #[derive(Debug)]
 pub struct UsersTarget {
-    address: SocketAddr,
+    listener: UsersListener,
     shared: Arc<TargetShared>,
-    task: JoinHandle<()>,
-}
-
-impl Drop for UsersTarget {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
 }
 
 impl UsersTarget {
@@ -97,8 +87,6 @@
     ///
     /// Returns an error where there is none.
     pub async fn start(name: &str, events: u32, gap: Duration) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let address = listener.local_addr()?;
         let shared = Arc::new(TargetShared {
             name: name.to_owned(),
             events,
@@ -106,17 +94,15 @@
             seen: Mutex::default(),
             moods: Mutex::default(),
         });
-        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
-        Ok(UsersTarget {
-            address,
-            shared,
-            task,
-        })
+        let served = Arc::clone(&shared);
+        let handler = move |request| answer(Arc::clone(&served), request);
+        let listener = UsersListener::start(handler).await?;
+        Ok(UsersTarget { listener, shared })
     }
 
     /// Get where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address
     }
 
     /// Get its name.
@@ -137,20 +123,6 @@
 
 type AnswerBytes = BoxBody<Bytes, io::Error>;
 
-async fn accept(listener: TcpListener, shared: Arc<TargetShared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        tokio::spawn(async move {
-            let service = service_fn(|request| answer(Arc::clone(&shared), request));
-            let serving = server::conn::http1::Builder::new();
-            // The caller sees the same error at its end.
-            let _ = serving
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
-}
-
 async fn answer(
     shared: Arc<TargetShared>,
     request: Request<Incoming>,
