Play a soak with random faults against hosts as real processes

What it is: seeds draw five to eleven faults that overlap (SIGKILL, SIGSTOP, SIGTERM, SIGHUP, a store that is busy, silent or drops its history, the way to the store or to a target silent one way or both, slow or reset, targets that answer wrongly, a key taken away, routes added, a target that drains); every fourth seed has planned work alone. Callers keep their connections until these end. Checked from what callers and targets see: runs, refusals, answers, keys, routes, leaving targets, planned stops, service afterwards.

--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt, stream};
@@ -51,6 +51,10 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
+    /// Whether the target began to work on it.
+    pub ran: bool,
 }
 
 impl SeenCall {
@@ -129,15 +133,19 @@
 ) -> Result<Response<AnswerBytes>, io::Error> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let call = SeenCall {
+    let mut call = SeenCall {
         line: format!("{} {}", parts.method, parts.uri),
         headers: parts.headers,
         body,
+        at: Instant::now(),
+        ran: false,
     };
-    lock(&shared.seen).push(call.clone());
     let mood = lock(&shared.moods).pop_front().unwrap_or_default();
     let expected = call.field("target-instance");
-    if !expected.is_empty() && expected != shared.name {
+    let mistaken = !expected.is_empty() && expected != shared.name;
+    call.ran = !mistaken && mood != TargetMood::Full;
+    lock(&shared.seen).push(call.clone());
+    if mistaken {
         return Ok(plain(StatusCode::MISDIRECTED_REQUEST, &call, "", &[]));
     }
     match mood {
--- a/bergamotswitch/tests/fleet/relay.rs
+++ b/bergamotswitch/tests/fleet/relay.rs
@@ -1,7 +1,12 @@
 //! A TCP relay that a test may cut: connections stay open and go silent, as
-//! when something between two ends has lost track of them.
+//! when something between two ends has lost track of them; or they are reset,
+//! or slow.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -14,9 +19,28 @@
     Both,
     /// Only from those who connect to the target.
     Forth,
+    /// Only from the target to those who connect.
+    Back,
     Cut,
+    /// Both ways, each piece of bytes after [`SLOW_WAY`].
+    Slow,
+    /// Every connection is closed, new ones too.
+    Reset,
+}
+
+impl Flow {
+    fn passes_forth(self) -> bool {
+        matches!(self, Flow::Both | Flow::Forth | Flow::Slow | Flow::Reset)
+    }
+
+    fn passes_back(self) -> bool {
+        matches!(self, Flow::Both | Flow::Back | Flow::Slow | Flow::Reset)
+    }
 }
 
+/// How long a slow relay holds each piece of bytes.
+const SLOW_WAY: Duration = Duration::from_millis(150);
+
 /// A relay before one address. It lives as long as the test's runtime.
 pub struct Relay(watch::Sender<Flow>);
 
@@ -47,13 +71,13 @@
     };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let back = copy(far_read, near_write, flow.clone(), |flow| {
-        flow == Flow::Both
-    });
-    let forth = copy(near_read, far_write, flow, |flow| flow != Flow::Cut);
+    let mut reset = flow.clone();
+    let back = copy(far_read, near_write, flow.clone(), Flow::passes_back);
+    let forth = copy(near_read, far_write, flow, Flow::passes_forth);
     tokio::select! {
         () = back => {}
         () = forth => {}
+        _ = reset.wait_for(|flow| *flow == Flow::Reset) => {}
     }
 }
 
@@ -70,6 +94,9 @@
         if flow.wait_for(|flow| passes(*flow)).await.is_err() {
             return;
         }
+        if *flow.borrow() == Flow::Slow {
+            tokio::time::sleep(SLOW_WAY).await;
+        }
         match read {
             Ok(0) | Err(_) => return,
             Ok(count) if to.write_all(&bytes[..count]).await.is_err() => return,
--- /dev/null
+++ b/bergamotswitch/tests/soak_world/callers.rs
@@ -0,0 +1,245 @@
+//! Callers that send all kinds of calls all the time, on connections that they
+//! keep until these end, and note what came of each.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use super::World;
+use crate::users::{HOST, KEY};
+
+/// How long a caller waits for an answer.
+pub const DEADLINE: Duration = Duration::from_millis(2_500);
+/// How much longer an answer may be under way.
+pub const LATE: Duration = Duration::from_millis(1_500);
+/// The key that is taken away at times.
+pub const SECOND_KEY: &str = "second-key-of-the-account";
+/// The mean pause between two calls of a caller.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// How long a caller holds to what it is told of when to come back.
+const RETRY_BOUND: Duration = Duration::from_millis(800);
+
+/// The kinds of calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A stream that may be carried on.
+    Draft,
+    /// A stream that may run once.
+    Once,
+    /// A call that may be repeated.
+    Status,
+    /// A call that may run once.
+    Receipt,
+    /// A call on a route that was added in the run.
+    Added,
+}
+
+impl CallKind {
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, CallKind::Draft | CallKind::Status | CallKind::Added)
+    }
+
+    pub fn is_stream(self) -> bool {
+        matches!(self, CallKind::Draft | CallKind::Once)
+    }
+}
+
+/// How a call ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// No connection: nothing was sent.
+    NoConnection,
+    /// The connection ended before the head of an answer.
+    Closed,
+    /// No end of the answer in time.
+    Overdue,
+    /// An answer, whole or cut.
+    Answered(SeenAnswer),
+}
+
+/// What a caller saw of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenAnswer {
+    pub status: StatusCode,
+    pub id: String,
+    pub seal: String,
+    pub body: String,
+    pub whole: bool,
+}
+
+/// A `CallRecord` is one call and what came of it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    pub id: String,
+    pub kind: CallKind,
+    pub path: String,
+    pub host: usize,
+    pub second_key: bool,
+    pub sent: Instant,
+    pub ended: Instant,
+    pub end: CallEnd,
+}
+
+struct OpenDoor {
+    host: usize,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// Send calls until the world's callers are told to end.
+pub async fn run_caller(world: Rc<World>, number: u64) {
+    let mut rng = StdRng::seed_from_u64(world.seed ^ (number << 32));
+    let mut open: Option<OpenDoor> = None;
+    let mut count = 0;
+    while !world.callers_end.get() {
+        count += 1;
+        let id = format!("c{number}-{count}");
+        let again = send_one(&world, &mut rng, &mut open, id).await;
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        sleep(pause.max(again.min(RETRY_BOUND))).await;
+    }
+}
+
+/// Send a call; get after how long to come back.
+async fn send_one(
+    world: &Rc<World>,
+    rng: &mut StdRng,
+    open: &mut Option<OpenDoor>,
+    id: String,
+) -> Duration {
+    let kinds = [
+        CallKind::Draft,
+        CallKind::Once,
+        CallKind::Status,
+        CallKind::Receipt,
+        CallKind::Added,
+    ];
+    let kind = kinds[rng.random_range(0..kinds.len())];
+    let second_key = rng.random_bool(0.4);
+    let Some(path) = path_of(world, rng, kind, &id) else {
+        return Duration::ZERO;
+    };
+    let door = match open.take() {
+        Some(door) => Some(door),
+        None => connect(world, rng).await,
+    };
+    let Some(mut door) = door else {
+        return Duration::ZERO;
+    };
+    let request = request(kind, &path, &id, second_key);
+    let sent = Instant::now();
+    let answered = timeout(DEADLINE + LATE, exchange(&mut door.sender, request)).await;
+    let end = answered.unwrap_or(CallEnd::Overdue);
+    let mut again = Duration::ZERO;
+    let host = door.host;
+    if let CallEnd::Answered(answer) = &end {
+        if answer.whole && !door.sender.is_closed() {
+            *open = Some(door);
+        }
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            again = RETRY_BOUND;
+        }
+    }
+    world.note_call(CallRecord {
+        id,
+        kind,
+        path,
+        host,
+        second_key,
+        sent,
+        ended: Instant::now(),
+        end,
+    });
+    again
+}
+
+fn path_of(world: &World, rng: &mut StdRng, kind: CallKind, id: &str) -> Option<String> {
+    let prefix = match kind {
+        CallKind::Draft => "/draft/".to_owned(),
+        CallKind::Once => "/once/".to_owned(),
+        CallKind::Status => "/status/".to_owned(),
+        CallKind::Receipt => "/receipt/".to_owned(),
+        CallKind::Added => {
+            let routes = world.routes.borrow();
+            let index = rng.random_range(0..routes.len().max(1));
+            routes.get(index)?.prefix.clone()
+        }
+    };
+    Some(format!("{prefix}{id}"))
+}
+
+async fn connect(world: &World, rng: &mut StdRng) -> Option<OpenDoor> {
+    let host = rng.random_range(0..world.doors.len());
+    let address: SocketAddr = world.doors[host];
+    let stream = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
+    let stream = stream.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(connection);
+    Some(OpenDoor { host, sender })
+}
+
+/// Get the body of a call.
+pub fn body_of(id: &str) -> String {
+    format!("prompt of {id}")
+}
+
+fn request(kind: CallKind, path: &str, id: &str, second_key: bool) -> Request<Full<Bytes>> {
+    let key = if second_key { SECOND_KEY } else { KEY };
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", HOST)
+        .header("request-id", id)
+        .header("deadline-ms", DEADLINE.as_millis().to_string())
+        .header("authorization", format!("Bearer {key}"))
+        // Fields that only the system may set.
+        .header("tenant", "forged")
+        .header("hold", "forged");
+    if kind.is_stream() {
+        builder = builder
+            .header("model", "m")
+            .header("token-count", "100,80")
+            .header("length-hint", "40");
+    }
+    let body = Full::new(Bytes::from(body_of(id)));
+    builder.body(body).expect("a request")
+}
+
+async fn exchange(sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> CallEnd {
+    if sender.ready().await.is_err() {
+        return CallEnd::NoConnection;
+    }
+    let Ok(response) = sender.send_request(request).await else {
+        return CallEnd::Closed;
+    };
+    let (head, mut body) = response.into_parts();
+    let field = |name: &str| {
+        let value = head.headers.get(name);
+        let text = value.and_then(|value| value.to_str().ok());
+        text.unwrap_or_default().to_owned()
+    };
+    let mut bytes = Vec::new();
+    let whole = loop {
+        match body.frame().await {
+            None => break true,
+            Some(Err(_)) => break false,
+            Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
+        }
+    };
+    CallEnd::Answered(SeenAnswer {
+        status: head.status,
+        id: field("request-id"),
+        seal: field("response-seal"),
+        body: String::from_utf8_lossy(&bytes).into_owned(),
+        whole,
+    })
+}
--- /dev/null
+++ b/bergamotswitch/tests/soak_world/judge.rs
@@ -0,0 +1,252 @@
+//! The promises, checked from what callers and targets saw.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use bergamotswitch_standin::users_target::{SeenCall, event_text};
+use http::StatusCode;
+
+use super::callers::{CallEnd, CallKind, CallRecord, DEADLINE, SeenAnswer, body_of};
+use super::{EVENTS, World, overlaps};
+use crate::users::REVOKE_MS;
+
+/// How long all has to be calm before something for it to be in touch.
+const TOUCH: Duration = Duration::from_secs(3);
+/// The time until a configuration is in force, and until a leaving target gets
+/// no more, and what the test's own ways take at most.
+const APPLY: Duration = Duration::from_secs(2);
+const DRAIN: Duration = Duration::from_secs(2);
+const SLACK: Duration = Duration::from_millis(400);
+/// How many times its connection may be gone at a planned stop: calls that
+/// cross the close are none of the host's.
+const SERVED_PERCENT: usize = 90;
+
+/// A `SeenRun` is a call that a target began to work on.
+struct SeenRun {
+    target: usize,
+    call: SeenCall,
+}
+
+/// Get whether a caller got what it asked for.
+pub fn is_served(call: &CallRecord) -> bool {
+    match &call.end {
+        CallEnd::Answered(answer) => answer.status == StatusCode::OK && answer.whole,
+        CallEnd::NoConnection | CallEnd::Closed | CallEnd::Overdue => false,
+    }
+}
+
+/// Get all promises that were broken.
+pub fn problems(world: &World) -> Vec<String> {
+    let mut problems = world.problems.borrow().clone();
+    let calls = world.calls.borrow();
+    let runs = seen_runs(world);
+    let known: HashMap<&str, &CallRecord> =
+        calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    for call in calls.iter() {
+        let none = Vec::new();
+        let own = runs.get(&call.id).unwrap_or(&none);
+        let found = [
+            runs_twice(call, own),
+            refused_and_run(call, own),
+            wrong_answer(call),
+            denied(world, call),
+            overdue(world, call),
+            lost_at_stop(world, call, own),
+        ];
+        problems.extend(found.into_iter().flatten());
+    }
+    for (id, own) in &runs {
+        for run in own {
+            let found = match known.get(id.as_str()) {
+                Some(call) => [
+                    changed(call, run),
+                    revoked(world, call, run),
+                    drained(world, call, run),
+                ],
+                None => [Some(format!("UNASKED: nobody sent {id}")), None, None],
+            };
+            problems.extend(found.into_iter().flatten());
+        }
+    }
+    problems.extend(unserved(world, &calls));
+    problems
+}
+
+fn seen_runs(world: &World) -> HashMap<String, Vec<SeenRun>> {
+    let mut runs: HashMap<String, Vec<SeenRun>> = HashMap::new();
+    for (target, each) in world.targets.iter().enumerate() {
+        let ran = each.target.seen().into_iter().filter(|call| call.ran);
+        for call in ran {
+            let id = call.field("request-id").to_owned();
+            runs.entry(id).or_default().push(SeenRun { target, call });
+        }
+    }
+    runs
+}
+
+fn runs_twice(call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
+    let bound = if call.kind.is_idempotent() { 2 } else { 1 };
+    let count = runs.len();
+    (count > bound).then(|| format!("TWICE or BUDGET: {count} runs of {call:?}"))
+}
+
+fn refused_and_run(call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
+    let CallEnd::Answered(answer) = &call.end else {
+        return None;
+    };
+    let promise = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+    let broken = promise && answer.seal.is_empty() && !runs.is_empty();
+    broken.then(|| format!("REFUSED: {call:?} ran"))
+}
+
+/// Check an answer against what its target sends.
+fn wrong_answer(call: &CallRecord) -> Option<String> {
+    let CallEnd::Answered(answer) = &call.end else {
+        return None;
+    };
+    if !answer.id.is_empty() && answer.id != call.id {
+        return Some(format!("MIXED: another call's answer: {call:?}"));
+    }
+    if !answer.status.is_success() {
+        return None;
+    }
+    let right = match call.kind.is_stream() {
+        true => is_right_stream(answer),
+        false => is_right_text(answer),
+    };
+    (!right).then(|| format!("MIXED or ORDER: {call:?}"))
+}
+
+fn is_right_stream(answer: &SeenAnswer) -> bool {
+    let whole: String = (1..=EVENTS).map(event_text).collect();
+    let right = match answer.whole {
+        true => answer.body == whole,
+        false => whole.starts_with(&answer.body) && !answer.body.is_empty(),
+    };
+    // A stream may be cut before its first event.
+    let empty = !answer.whole && answer.body.is_empty();
+    (right || empty) && answer.seal.starts_with("seal-of-drafting")
+}
+
+fn is_right_text(answer: &SeenAnswer) -> bool {
+    let name = answer.seal.strip_prefix("seal-of-").unwrap_or("nobody");
+    let text = format!("from {name}");
+    match answer.whole {
+        true => answer.body == text,
+        false => text.starts_with(&answer.body),
+    }
+}
+
+/// Check that no call is denied that is allowed.
+fn denied(world: &World, call: &CallRecord) -> Option<String> {
+    let CallEnd::Answered(answer) = &call.end else {
+        return None;
+    };
+    if !answer.seal.is_empty() {
+        return None;
+    }
+    let broken = match answer.status {
+        StatusCode::NOT_FOUND if call.kind == CallKind::Added => {
+            let routes = world.routes.borrow();
+            let route = routes
+                .iter()
+                .find(|route| call.path.starts_with(&route.prefix));
+            let late = route.is_some_and(|route| call.sent > route.published + APPLY + SLACK);
+            late && in_touch(world, call.host, call.sent, call.ended)
+        }
+        StatusCode::NOT_FOUND => true,
+        StatusCode::UNAUTHORIZED => !call.second_key,
+        _ => false,
+    };
+    broken.then(|| format!("DENIED or CONFIG: {call:?}"))
+}
+
+fn overdue(world: &World, call: &CallRecord) -> Option<String> {
+    let late = call.ended.duration_since(call.sent) > DEADLINE + SLACK;
+    let calm = !world.is_disturbed(call.host, before(call.sent), call.ended);
+    (late && calm).then(|| format!("CONFIG: held beyond its time: {call:?}"))
+}
+
+/// In a run of planned work alone no call that reached a target is lost.
+fn lost_at_stop(world: &World, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
+    if !world.planned || runs.is_empty() {
+        return None;
+    }
+    let lost = match &call.end {
+        CallEnd::Closed => true,
+        CallEnd::Answered(answer) => !answer.whole,
+        CallEnd::NoConnection | CallEnd::Overdue => false,
+    };
+    lost.then(|| format!("LOST: {call:?}"))
+}
+
+/// Check that a target got a call as its caller sent it.
+fn changed(call: &CallRecord, run: &SeenRun) -> Option<String> {
+    let seen = &run.call;
+    let deadline: u128 = seen.field("deadline-ms").parse().unwrap_or(u128::MAX);
+    let right = seen.line == format!("POST {}", call.path)
+        && seen.body == body_of(&call.id).as_bytes()
+        && seen.field("tenant") == "company"
+        && seen.field("hold").is_empty()
+        && seen.field("authorization").is_empty()
+        && deadline <= DEADLINE.as_millis()
+        && world_service(call) == service_of(run);
+    (!right).then(|| format!("UNASKED, ROUTE or BUDGET: {call:?} came as {seen:?}"))
+}
+
+fn world_service(call: &CallRecord) -> usize {
+    usize::from(!call.kind.is_stream())
+}
+
+/// Targets of the two services take turns.
+fn service_of(run: &SeenRun) -> usize {
+    run.target % 2
+}
+
+/// Check that a key that was taken away works no longer, at any host.
+fn revoked(world: &World, call: &CallRecord, run: &SeenRun) -> Option<String> {
+    if !call.second_key {
+        return None;
+    }
+    let bound = Duration::from_millis(REVOKE_MS);
+    let revocations = world.revocations.borrow();
+    let broken = revocations.iter().any(|revocation| {
+        let until = revocation.until.unwrap_or(call.ended + TOUCH);
+        call.sent > revocation.from + bound && run.call.at < until
+    });
+    broken.then(|| format!("CONFIG: a revoked key works: {call:?}"))
+}
+
+/// Check that a target that leaves gets no new work.
+fn drained(world: &World, call: &CallRecord, run: &SeenRun) -> Option<String> {
+    let at = run.call.at;
+    let leavings = world.leavings.borrow();
+    let leaving = leavings.iter().find(|leaving| {
+        let until = leaving.until.unwrap_or(at);
+        leaving.target == run.target && at > leaving.from + DRAIN + SLACK && at < until
+    })?;
+    let calm = in_touch(world, call.host, leaving.from, at);
+    calm.then(|| format!("DRAIN: {call:?} at target {}", run.target))
+}
+
+/// Get whether a host and its store were in health over a span.
+fn in_touch(world: &World, host: usize, from: Instant, until: Instant) -> bool {
+    let from = before(from);
+    let store = overlaps(&world.store_disturbed.borrow(), from, until);
+    !store && !world.is_disturbed(host, from, until)
+}
+
+fn before(at: Instant) -> Instant {
+    at.checked_sub(TOUCH).unwrap_or(at)
+}
+
+/// Check that callers are served once all is over.
+fn unserved(world: &World, calls: &[CallRecord]) -> Option<String> {
+    let from = world.calm_from.get()?;
+    let late = calls.iter().filter(|call| call.sent > from);
+    let late: Vec<&CallRecord> = late.collect();
+    let served = late.iter().filter(|call| is_served(call)).count();
+    let enough = !late.is_empty() && served * 100 >= late.len() * SERVED_PERCENT;
+    let count = late.len();
+    (!enough).then(|| format!("RECOVER: {served} of {count} served after all was over"))
+}
--- /dev/null
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -0,0 +1,147 @@
+//! What goes wrong in a run, drawn from its seed.
+
+use std::time::Duration;
+
+use bergamotswitch_standin::users_store::StoreMood;
+use bergamotswitch_standin::users_target::TargetMood;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::relay::Flow;
+
+/// The time in which faults begin; each ends some seconds later at the latest.
+pub const FAULT_TIME: Duration = Duration::from_secs(7);
+/// How many faults a run has: enough for some to overlap.
+const FAULTS: std::ops::Range<usize> = 5..12;
+/// One run in so many has planned work alone.
+const PLANNED_PARTS: u64 = 4;
+
+/// A `Fault` is one thing that goes wrong or changes.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// SIGKILL.
+    Kill { host: usize },
+    /// SIGSTOP, and SIGCONT later.
+    Pause { host: usize, span: Duration },
+    /// SIGTERM.
+    Stop { host: usize },
+    /// SIGHUP.
+    Reload { host: usize },
+    /// The store answers otherwise.
+    Store { mood: StoreMood, span: Duration },
+    /// The store drops its history.
+    Compact,
+    /// The way from one host to the store.
+    StoreWay {
+        host: usize,
+        flow: Flow,
+        span: Duration,
+    },
+    /// The way from all hosts to a target.
+    TargetWay {
+        target: usize,
+        flow: Flow,
+        span: Duration,
+    },
+    /// A target answers its next calls otherwise.
+    Target {
+        target: usize,
+        mood: TargetMood,
+        calls: usize,
+    },
+    /// The second key is taken away, and given again later.
+    Revoke { span: Duration },
+    /// A route more.
+    Route,
+    /// A target drains, leaves, and registers again.
+    Drain { target: usize },
+}
+
+impl Fault {
+    /// Get whether it is work that operators plan.
+    pub fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Fault::Stop { .. } | Fault::Reload { .. } | Fault::Route | Fault::Drain { .. }
+        )
+    }
+}
+
+/// A `TimedFault` is a fault and when it begins.
+#[derive(Clone, Debug)]
+pub struct TimedFault {
+    pub at: Duration,
+    pub fault: Fault,
+}
+
+/// Get the faults of a run, and whether all of them are planned work.
+pub fn plan(seed: u64, hosts: usize, targets: usize) -> (Vec<TimedFault>, bool) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let planned = seed.is_multiple_of(PLANNED_PARTS);
+    let count = rng.random_range(FAULTS);
+    let mut faults = Vec::new();
+    while faults.len() < count {
+        let fault = draw_fault(&mut rng, hosts, targets);
+        let at = FAULT_TIME.mul_f64(rng.random::<f64>());
+        if !planned || fault.is_planned() {
+            faults.push(TimedFault { at, fault });
+        }
+    }
+    faults.sort_by_key(|fault| fault.at);
+    (faults, planned)
+}
+
+fn draw_fault(rng: &mut StdRng, hosts: usize, targets: usize) -> Fault {
+    let host = rng.random_range(0..hosts);
+    let target = rng.random_range(0..targets);
+    let span = Duration::from_millis(rng.random_range(100..3_500));
+    match rng.random_range(0..12) {
+        0 => Fault::Kill { host },
+        1 => Fault::Pause { host, span },
+        2 => Fault::Stop { host },
+        3 => Fault::Reload { host },
+        4 => Fault::Store {
+            mood: match rng.random_bool(0.5) {
+                true => StoreMood::Busy,
+                false => StoreMood::Silent,
+            },
+            span,
+        },
+        5 => Fault::Compact,
+        6 => Fault::StoreWay {
+            host,
+            flow: draw_flow(rng),
+            span,
+        },
+        7 => Fault::TargetWay {
+            target,
+            flow: draw_flow(rng),
+            span,
+        },
+        8 => Fault::Target {
+            target,
+            mood: draw_mood(rng),
+            calls: rng.random_range(1..6),
+        },
+        9 => Fault::Revoke { span: span * 2 },
+        10 => Fault::Route,
+        _ => Fault::Drain { target },
+    }
+}
+
+fn draw_flow(rng: &mut StdRng) -> Flow {
+    let flows = [Flow::Forth, Flow::Back, Flow::Cut, Flow::Slow, Flow::Reset];
+    flows[rng.random_range(0..flows.len())]
+}
+
+fn draw_mood(rng: &mut StdRng) -> TargetMood {
+    match rng.random_range(0..7) {
+        0 => TargetMood::Full,
+        1 => TargetMood::Failing,
+        2 => TargetMood::Unsigned,
+        3 => TargetMood::Crossed,
+        4 => TargetMood::Closing,
+        5 => TargetMood::Mute,
+        _ => TargetMood::BreakAfter(rng.random_range(0..8)),
+    }
+}
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -6,7 +6,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -59,6 +59,26 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Signal a process that may have ended already.
+    pub fn try_signal(&self, name: &str) {
+        let process = self.child.id().to_string();
+        let mut kill = Command::new("kill");
+        kill.args([format!("-{name}"), process])
+            .stderr(Stdio::null());
+        // One that has ended takes no signal, and needs none.
+        let _ = kill.status();
+    }
+
+    /// Get how the process ended, where it has.
+    pub fn end(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("child")
+    }
+
+    /// Start the process again, with the same settings.
+    pub fn start_again(&mut self) {
+        self.child = spawn_host(&self.settings);
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().expect("host runs");
         self.child.wait().expect("host ends");
@@ -76,8 +96,7 @@
     }
 
     pub async fn is_ready(&self) -> bool {
-        let answer = Call::get("/readyz").send(self.readiness).await;
-        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        is_ready(self.readiness).await
     }
 
     /// Get the addresses that the host names.
@@ -141,50 +160,12 @@
     /// Publish the routes with these keys, and further ones to the desk.
     pub fn publish(&mut self, keys: &[&str], more: &[&str]) {
         self.version += 3;
-        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-            json!({
-                "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
-                "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 0,
-                "service": service, "maxAttempts": 2, "public": false,
-                "resumable": name == "draft", "gapAimMs": 300,
-            })
-        };
-        let mut routes = vec![
-            route("draft", "/draft/", "streaming", "drafting"),
-            route("once", "/once/", "streaming", "drafting"),
-            route("status", "/status/", "safe", "desk"),
-            route("receipt", "/receipt/", "unsafe", "desk"),
-        ];
-        let mut open = route("open", "/open/", "safe", "desk");
-        open["public"] = json!(true);
-        routes.push(open);
-        for prefix in more {
-            routes.push(route("more", prefix, "safe", "desk"));
-        }
-        let config = json!({
-            "version": self.version,
-            "routes": routes,
-            "services": [
-                {"name": "drafting", "healthPath": "/healthz", "maxConnections": 100,
-                 "engine": {"slots": 4, "kvCapacityTokens": 100_000}},
-                {"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
-            ],
-            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
-                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
-            "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
-                         "plainTokens": 10, "ratePerS": 1_000_000, "burst": 1_000_000}],
-        });
-        self.store.put("op/config", &config);
+        publish(&self.store, self.version, keys, more);
     }
 
     /// Register a target as it does itself.
     pub fn register(&self, service: &str, target: &UsersTarget, state: &str) {
-        let entry = json!({
-            "service": service, "address": target.address().to_string(), "zone": "hall-1",
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1,
-        });
-        self.store
-            .put(&format!("servers/{}", target.name()), &entry);
+        register(&self.store, service, target.name(), target.address(), state);
     }
 
     fn start_hosts(&mut self, count: usize) {
@@ -215,9 +196,67 @@
     }
 }
 
+/// Get whether the host that says so at this address is ready.
+pub async fn is_ready(address: SocketAddr) -> bool {
+    let answer = Call::get("/readyz").send(address).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
+/// Publish a version of the routes with these keys, and further routes to the
+/// desk.
+pub fn publish(store: &UsersStore, version: u64, keys: &[&str], more: &[&str]) {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
+            "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 0,
+            "service": service, "maxAttempts": 2, "public": false,
+            "resumable": name == "draft", "gapAimMs": 300,
+        })
+    };
+    let mut routes = vec![
+        route("draft", "/draft/", "streaming", "drafting"),
+        route("once", "/once/", "streaming", "drafting"),
+        route("status", "/status/", "safe", "desk"),
+        route("receipt", "/receipt/", "unsafe", "desk"),
+    ];
+    let mut open = route("open", "/open/", "safe", "desk");
+    open["public"] = json!(true);
+    routes.push(open);
+    for prefix in more {
+        routes.push(route("more", prefix, "safe", "desk"));
+    }
+    let config = json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "drafting", "healthPath": "/healthz", "maxConnections": 100,
+             "engine": {"slots": 4, "kvCapacityTokens": 100_000}},
+            {"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
+                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
+                     "plainTokens": 10, "ratePerS": 1_000_000, "burst": 1_000_000}],
+    });
+    store.put("op/config", &config);
+}
+
+/// Register a target at an address, which may be that of a relay before it.
+pub fn register(store: &UsersStore, service: &str, name: &str, address: SocketAddr, state: &str) {
+    let entry = json!({
+        "service": service, "address": address.to_string(), "zone": "hall-1",
+        "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0, "sequence": 1,
+    });
+    store.put(&format!("servers/{name}"), &entry);
+}
+
 /// Try to start a host. A port that was free a moment ago may be taken by
 /// another test by now; then the process ends at once, and there is none.
-fn start_host(number: usize, seed: Option<SocketAddr>, store: SocketAddr) -> Option<HostProcess> {
+pub fn start_host(
+    number: usize,
+    seed: Option<SocketAddr>,
+    store: SocketAddr,
+) -> Option<HostProcess> {
     let [link, callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
     let seed = seed.unwrap_or(link);
     let settings = json!({
@@ -238,13 +277,7 @@
     );
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, settings.to_string()).expect("settings file");
-    let child = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"))
-        .args(["serve", "--settings"])
-        .arg(&path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("host starts");
+    let child = spawn_host(&path);
     let mut host = HostProcess {
         link,
         callers,
@@ -264,7 +297,24 @@
     Some(host)
 }
 
-fn free_address() -> SocketAddr {
+fn spawn_host(settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
+    command.args(["serve", "--settings"]).arg(settings);
+    // A run that is traced keeps the hosts' lines.
+    match std::env::var_os("BERGAMOT_TEST_LOGS") {
+        Some(directory) => {
+            let name = settings.with_extension("log");
+            let path = Path::new(&directory).join(name.file_name().unwrap_or_default());
+            let mut options = std::fs::OpenOptions::new();
+            let file = options.create(true).append(true).open(path);
+            command.stdout(file.expect("log file"))
+        }
+        None => command.stdout(Stdio::null()),
+    };
+    command.stderr(Stdio::null()).spawn().expect("host starts")
+}
+
+pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("free port");
     listener.local_addr().expect("address")
 }
