Send whole values compressed, made once for all peers

Each host needs the list of targets before it serves; with 3,000 of them it has 404 KB (a list like it, in link_codec), which two readers of each failure domain send to all others over links of 10 Mbit/s. Ruled out: a longer list of peers to learn from, their records take a few rounds. Before: 404,383 bytes a copy, encoded for each peer anew. After: 33,714, once. The length's highest bit marks a compressed frame, links speak version 2, and what a frame may hold is bounded; long_message_refused expects the length without that bit, and now holds both ways.

--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -9,7 +9,7 @@
 /// The version of the messages between hosts. A peer with another version is
 /// refused with a clear error: a guess at an unknown layout could grant a
 /// slot that nobody asked for.
-pub const LINK_VERSION: u16 = 1;
+pub const LINK_VERSION: u16 = 2;
 
 /// The largest message in bytes: a published value has up to a megabyte, and
 /// a peer must not make a host allocate without bound.
--- a/bergamotswitch-net/src/link/codec.rs
+++ b/bergamotswitch-net/src/link/codec.rs
@@ -1,15 +1,28 @@
 //! Provides the frames of a link: a length in four bytes, big-endian, and a
-//! message in bincode 2 (standard configuration).
+//! message in bincode 2 (standard configuration), compressed where the length's
+//! highest bit is set.
 
 use std::fmt;
+use std::io::{Read, Write};
 
 use bergamotswitch_core::link::{LinkMessage, MAX_MESSAGE_LEN};
 use bincode::config::{self, Configuration, Limit, LittleEndian, Varint};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 
 /// The bytes of a frame's length.
 pub const LENGTH_BYTES: usize = 4;
 
+/// The mark in a frame's length that its message is compressed. No message is
+/// so long that it would set the bit.
+const COMPRESSED: u32 = 1 << 31;
+
+/// The length from which a value is compressed, in bytes: that of one segment
+/// of TCP. Below it nothing is saved on the wire.
+const COMPRESS_FROM: usize = 1_400;
+
 type FrameConfig = Configuration<LittleEndian, Varint, Limit<MAX_MESSAGE_LEN>>;
 
 // The limit keeps a length inside a message (of a list or a text) from
@@ -68,6 +81,34 @@
     Ok(frame.freeze())
 }
 
+/// Get a message as one frame, compressed where that makes it shorter.
+///
+/// The list of 3,000 targets is some 600 KB of JSON, and every host of a fleet
+/// that starts anew needs it at once: over links of 10 Mbit/s a reader would
+/// send it to its peers for half a minute, and none of them serves before.
+///
+/// # Errors
+///
+/// Returns [`CodecError::TooLong`] where no peer would take the message.
+pub fn encode_compressed(message: &LinkMessage) -> Result<Bytes, CodecError> {
+    let plain = encode(message)?;
+    if plain.len() < COMPRESS_FROM {
+        return Ok(plain);
+    }
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let written = encoder.write_all(&plain[LENGTH_BYTES..]);
+    let packed = written.and_then(|()| encoder.finish());
+    // A buffer in memory takes all that is written.
+    let packed = packed.map_err(|error| CodecError::Malformed(error.to_string()))?;
+    if packed.len() + LENGTH_BYTES >= plain.len() {
+        return Ok(plain);
+    }
+    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + packed.len());
+    frame.put_u32(packed.len() as u32 | COMPRESSED);
+    frame.put_slice(&packed);
+    Ok(frame.freeze())
+}
+
 /// Get the bytes that a message takes on its link: its frame with the length,
 /// without the headers of HTTP/2, TCP and IP. 0 for a message that cannot be
 /// sent.
@@ -110,7 +151,8 @@
         let Some(prefix) = self.buffer.first_chunk::<LENGTH_BYTES>() else {
             return Ok(None);
         };
-        let len = u32::from_be_bytes(*prefix) as usize;
+        let prefix = u32::from_be_bytes(*prefix);
+        let len = (prefix & !COMPRESSED) as usize;
         if len > MAX_MESSAGE_LEN {
             return Err(CodecError::TooLong(len));
         }
@@ -120,7 +162,10 @@
         }
         self.buffer.advance(LENGTH_BYTES);
         let body = self.buffer.split_to(len);
-        let message = decode(&body)?;
+        let message = match prefix & COMPRESSED {
+            0 => decode(&body)?,
+            _ => decode(&unpack(&body)?)?,
+        };
         Ok(Some(ReceivedFrame {
             message,
             len: LENGTH_BYTES + len,
@@ -128,6 +173,21 @@
     }
 }
 
+/// Get what a compressed message holds. It may be no longer than a plain one:
+/// a few bytes could stand for gigabytes.
+fn unpack(packed: &[u8]) -> Result<Vec<u8>, CodecError> {
+    let mut plain = Vec::new();
+    let bound = MAX_MESSAGE_LEN as u64 + 1;
+    DeflateDecoder::new(packed)
+        .take(bound)
+        .read_to_end(&mut plain)
+        .map_err(|error| CodecError::Malformed(error.to_string()))?;
+    match plain.len() > MAX_MESSAGE_LEN {
+        true => Err(CodecError::TooLong(plain.len())),
+        false => Ok(plain),
+    }
+}
+
 fn decode(body: &[u8]) -> Result<LinkMessage, CodecError> {
     let (message, used) = bincode::serde::decode_from_slice(body, FRAME_CONFIG)
         .map_err(|error| CodecError::Malformed(error.to_string()))?;
--- a/bergamotswitch-net/src/link/mod.rs
+++ b/bergamotswitch-net/src/link/mod.rs
@@ -21,6 +21,7 @@
 mod queue;
 mod registry;
 mod session;
+mod value_frames;
 
 pub use counters::LinkCounters;
 pub use hub::{LinkError, LinkHub};
--- a/bergamotswitch-net/src/link/registry.rs
+++ b/bergamotswitch-net/src/link/registry.rs
@@ -11,11 +11,11 @@
 use bergamotswitch_core::link::{LinkEvent, LinkMessage};
 use tokio::sync::watch;
 
-use super::codec;
 use super::counters::{LinkCounters, MessageKind};
 use super::handshake::{LinkKey, LinkRole, PeerRefusal};
 use super::options::LinkOptions;
 use super::queue::{QueuedFrame, SendQueue};
+use super::value_frames::ValueFrames;
 use crate::input::{HostSelf, NodeInput, NodeSender};
 use crate::journal;
 
@@ -61,6 +61,7 @@
     sessions: u64,
     counters: LinkCounters,
     refusal_logged: Option<Instant>,
+    frames: ValueFrames,
 }
 
 /// A `LinkRegistry` is what all tasks of a host's links share.
@@ -268,8 +269,8 @@
     /// Queue a message; `false` where no link takes it.
     pub(crate) fn send(&self, host: &HostName, message: &LinkMessage) -> bool {
         let kind = MessageKind::of(message);
-        let encoded = codec::encode(message);
         let mut state = self.lock();
+        let encoded = state.frames.encode(message);
         let (Some(link), Ok(bytes)) = (state.links.get(host), encoded) else {
             state.counters.dropped += 1;
             return false;
--- /dev/null
+++ b/bergamotswitch-net/src/link/value_frames.rs
@@ -0,0 +1,46 @@
+//! Provides the frames of whole values, made once for all peers.
+
+use std::collections::BTreeMap;
+
+use bergamotswitch_core::link::LinkMessage;
+use bergamotswitch_core::revision::{PublishedValue, RevisionMessage, ValueName};
+use bytes::Bytes;
+
+use super::codec::{self, CodecError};
+
+/// A `ValueFrame` is the frame of one value.
+#[derive(Debug)]
+struct ValueFrame {
+    value: PublishedValue,
+    frame: Bytes,
+}
+
+/// A `ValueFrames` is the latest frame of each whole value that was sent. After
+/// a start every peer wants the same values; to compress one takes some 10 ms
+/// for 600 KB.
+#[derive(Debug, Default)]
+pub(crate) struct ValueFrames(BTreeMap<ValueName, ValueFrame>);
+
+impl ValueFrames {
+    /// Get the frame of a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError::TooLong`] where no peer would take the message.
+    pub(crate) fn encode(&mut self, message: &LinkMessage) -> Result<Bytes, CodecError> {
+        let LinkMessage::Revision(RevisionMessage::Whole(value)) = message else {
+            return codec::encode(message);
+        };
+        let known = self.0.get(&value.name);
+        if let Some(known) = known.filter(|known| known.value == *value) {
+            return Ok(known.frame.clone());
+        }
+        let frame = codec::encode_compressed(message)?;
+        let made = ValueFrame {
+            value: value.clone(),
+            frame: frame.clone(),
+        };
+        self.0.insert(value.name.clone(), made);
+        Ok(frame)
+    }
+}
--- a/bergamotswitch/tests/fleet/relay.rs
+++ b/bergamotswitch/tests/fleet/relay.rs
@@ -46,8 +46,20 @@
 
 impl Relay {
     pub fn start(listen: SocketAddr, target: SocketAddr) -> Self {
-        let (flow, seen) = watch::channel(Flow::Both);
         let listener = std::net::TcpListener::bind(listen).expect("free port");
+        Relay::serve(listener, target)
+    }
+
+    /// Start a relay on a port that the system picks; get its address too. A
+    /// port that was looked up first may be taken by another test meanwhile.
+    pub fn start_anywhere(target: SocketAddr) -> (Self, SocketAddr) {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("free port");
+        let address = listener.local_addr().expect("address");
+        (Relay::serve(listener, target), address)
+    }
+
+    fn serve(listener: std::net::TcpListener, target: SocketAddr) -> Self {
+        let (flow, seen) = watch::channel(Flow::Both);
         listener.set_nonblocking(true).expect("listener");
         let listener = TcpListener::from_std(listener).expect("listener");
         tokio::spawn(async move {
