Keep the age of what a peer confirms where it lies before the own start

Cause: the host asks its peers when the routes were known to be the newest; a moment before its own start cannot be told by Moment and became the start, so the routes looked as young as the process (506 logged at 24.06, the store silent since 20.8, all peers without trust since 22.8). Ruled out: the store's silence (its watches tell nothing either), the peers (each logged 505 in time). Before: key_trust::before_own_start failed, 1,000 ms in place of 3,400.

--- a/bergamotswitch-core/src/revision/confirmation.rs
+++ b/bergamotswitch-core/src/revision/confirmation.rs
@@ -16,12 +16,38 @@
 use crate::host::HostName;
 
 /// A `Confirmation` is the latest moment at which a revision was the newest.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Confirmation {
-    at: Moment,
+    at: ConfirmedAt,
     revision: Revision,
 }
 
+/// A `ConfirmedAt` is a moment that may lie before the start of this process,
+/// in microseconds since that.
+///
+/// A host that has just started hears from its peers of moments before its
+/// start. Taken for the start itself, as [`Moment`] would have it, they would
+/// look as young as the process, and a key that was revoked long ago would work
+/// there for as long as keys are relied on without news. One would notice it by
+/// calls with a revoked key that run on hosts started while the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ConfirmedAt(i64);
+
+impl ConfirmedAt {
+    fn new(at: Moment) -> Self {
+        ConfirmedAt(i64::try_from(at.as_micros()).unwrap_or(i64::MAX))
+    }
+
+    fn before(self, age_ms: u32) -> Self {
+        ConfirmedAt(self.0.saturating_sub(i64::from(age_ms) * 1_000))
+    }
+
+    fn age(self, now: Moment) -> Duration {
+        let micros = ConfirmedAt::new(now).0.saturating_sub(self.0);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+    }
+}
+
 /// A `Confirmations` is the confirmations of all values.
 #[derive(Debug)]
 pub(super) struct Confirmations {
@@ -51,13 +77,13 @@
     pub fn confirmed_age(&self, now: Moment, name: &ValueName) -> Option<Duration> {
         let confirmation = self.confirmations.values.get(name)?;
         let in_force = self.values.get(name)?.in_force()?;
-        (in_force >= confirmation.revision).then(|| now.since(confirmation.at))
+        (in_force >= confirmation.revision).then(|| confirmation.at.age(now))
     }
 
     /// Take note that the store answered the call in flight.
     pub(super) fn confirm_by_call(&mut self, name: &ValueName, revision: Revision) {
         if let Some(sent_at) = self.call_sent_at(name) {
-            self.confirm(name, sent_at, revision);
+            self.confirm(name, ConfirmedAt::new(sent_at), revision);
         }
     }
 
@@ -124,15 +150,15 @@
         if self.seen(name) < revision {
             return;
         }
-        let age = u64::from(age_ms) * 1_000;
-        let at = Moment::from_micros(asked_at.as_micros().saturating_sub(age));
+        let at = ConfirmedAt::new(asked_at).before(age_ms);
         self.confirm(name, at, revision);
     }
 
-    fn confirm(&mut self, name: &ValueName, at: Moment, revision: Revision) {
-        let confirmation = self.confirmations.values.entry(name.clone()).or_default();
-        if at > confirmation.at {
-            *confirmation = Confirmation { at, revision };
+    fn confirm(&mut self, name: &ValueName, at: ConfirmedAt, revision: Revision) {
+        let known = self.confirmations.values.get(name);
+        if known.is_none_or(|known| at > known.at) {
+            let confirmation = Confirmation { at, revision };
+            self.confirmations.values.insert(name.clone(), confirmation);
         }
     }
 }
--- a/bergamotswitch-core/tests/key_trust.rs
+++ b/bergamotswitch-core/tests/key_trust.rs
@@ -82,3 +82,22 @@
     let book = book();
     assert_eq!(age_ms(&book, at(5_000)), None);
 }
+
+// Symptom: a host that has just started serves calls with a key that was taken
+// away four seconds before. Sequence: the store falls silent, the key is taken
+// away, its peers rely on keys no longer; the host starts, gets the earlier
+// routes from them and asks when they were the newest. Cause: the moment that
+// they tell lies before its own start, and was taken for the start.
+#[test]
+fn before_own_start() {
+    let mut book = book();
+    book.handle(at(50), RevisionEvent::PeerUp(host(1)));
+    let whole = RevisionMessage::Whole(published(ROUTES_VALUE, 5, "{}"));
+    book.handle(at(100), RevisionEvent::Peer(host(1), whole));
+    book.settle(at(100), &name(ROUTES_VALUE), Revision(5), Ok(()));
+    book.handle(at(1_000), confirmed(at(900), 5, 3_300));
+    assert_eq!(age_ms(&book, at(1_000)), Some(3_400));
+    // A younger word counts at once, also where it is older than the process.
+    book.handle(at(1_200), confirmed(at(1_100), 5, 1_500));
+    assert_eq!(age_ms(&book, at(1_200)), Some(1_600));
+}
--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -67,6 +67,14 @@
     assert_eq!(failed_seeds(4..6, FEW_HOSTS, 2), Vec::<u64>::new());
 }
 
+// Seeds that failed once, each with its cause. With five hosts:
+// 1: a host that was killed while the store was silent and a key was taken away
+//    took its peers' old word of the routes for a young one (`key_trust`).
+#[test]
+fn kept_seeds() {
+    assert_eq!(failed_seeds(1..2, HOSTS_BY_HAND, 1), Vec::<u64>::new());
+}
+
 #[test]
 #[ignore = "takes minutes; played by hand, with seeds from SOAK_SEEDS"]
 fn many_seeds() {
