--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_routing.rs
@@ -10,7 +10,6 @@
 
 use crate::clock::Moment;
 use crate::request::TokenCost;
-use crate::target::TargetName;
 
 use super::back_off::ProbeNeed;
 use super::queue::Placement;
@@ -167,16 +166,15 @@
             Some(_) => times.is_timely(load, cost),
             None => true,
         };
-        let names: Vec<TargetName> = self
-            .candidates(placement)
-            .filter(|open| open.need == ProbeNeed::None && kept(open.load))
-            .map(|open| open.load.target().name.clone())
-            .collect();
-        for name in names {
-            let is_it = |open: &OpenTarget<'_>| open.load.target().name == name;
-            self.open.retain(|open| !is_it(open));
-            closed.close(&name);
-        }
+        let avoids = self.avoids(placement);
+        self.open.retain(|open| {
+            let allowed = may_go(open.load, placement, avoids);
+            let closes = allowed && open.need == ProbeNeed::None && kept(open.load);
+            if closes {
+                closed.close(&open.load.target().name);
+            }
+            !closes
+        });
     }
 
     /// Get whether a target has room for this very request.
@@ -192,12 +190,8 @@
     /// Get the open targets where `placement` may go.
     fn candidates(&self, placement: &Placement) -> impl Iterator<Item = &OpenTarget<'a>> {
         let avoids = self.avoids(placement);
-        self.open.iter().filter(move |open| {
-            let target = open.load.target();
-            let domains = &placement.domains;
-            let in_domain = domains.is_empty() || domains.contains(&target.domain);
-            in_domain && !(avoids && placement.avoid.contains(&target.name))
-        })
+        let open = self.open.iter();
+        open.filter(move |open| may_go(open.load, placement, avoids))
     }
 
     /// Get whether the targets to avoid are avoided: they come back where no
@@ -213,8 +207,8 @@
     fn any_usable(&self, placement: &Placement, is_such: impl Fn(&TargetLoad) -> bool) -> bool {
         let avoids = self.avoids(placement);
         in_domains(self.targets, placement).any(|load| {
-            let avoided = avoids && placement.avoid.contains(&load.target().name);
-            !avoided && !load.back_off().is_active() && is_such(load)
+            let usable = may_go(load, placement, avoids) && !load.back_off().is_active();
+            usable && is_such(load)
         })
     }
 
@@ -222,3 +216,10 @@
         self.any_usable(placement, |_| true)
     }
 }
+
+/// Get whether `placement` may go to a target, where it avoids some or does not.
+fn may_go(load: &TargetLoad, placement: &Placement, avoids: bool) -> bool {
+    let target = load.target();
+    let in_domain = placement.domains.is_empty() || placement.domains.contains(&target.domain);
+    in_domain && !(avoids && placement.avoid.contains(&target.name))
+}
