--- a/bergamotswitch-net/src/link/codec.rs
+++ b/bergamotswitch-net/src/link/codec.rs
@@ -83,9 +83,10 @@
 
 /// Get a message as one frame, compressed where that makes it shorter.
 ///
-/// The list of 3,000 targets is some 600 KB of JSON, and every host of a fleet
-/// that starts anew needs it at once: over links of 10 Mbit/s a reader would
-/// send it to its peers for half a minute, and none of them serves before.
+/// The list of 3,000 targets is some 400 KB of JSON, and every host of a fleet
+/// that starts anew needs it before it serves: over a link of 10 Mbit/s a reader
+/// with fifty peers would send it for 16 s. Compressed it has 34 KB. At 300
+/// hosts the mean host's bytes of all kinds fell from 94 to 51 kB/s (one run).
 ///
 /// # Errors
 ///
--- a/bergamotswitch-net/src/link/value_frames.rs
+++ b/bergamotswitch-net/src/link/value_frames.rs
@@ -16,8 +16,8 @@
 }
 
 /// A `ValueFrames` is the latest frame of each whole value that was sent. After
-/// a start every peer wants the same values; to compress one takes some 10 ms
-/// for 600 KB.
+/// a start every peer wants the same values; to compress it for each would take
+/// an owner's or reader's processor for nothing.
 #[derive(Debug, Default)]
 pub(crate) struct ValueFrames(BTreeMap<ValueName, ValueFrame>);
 
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -264,10 +264,10 @@
     }))
 }
 
-// Symptom: in a fleet of 300 hosts before 3,000 targets nobody is served for
-// half a minute after all hosts were killed. Sequence: two readers of each
-// failure domain read the list of targets and send it, 600 KB long, to fifty
-// peers each over links of 10 Mbit/s. Cause: values went as plain text.
+// Symptom: in a fleet of 300 hosts before 3,000 targets the links of the readers
+// are full for many seconds after a start of all hosts. Sequence: two readers of
+// each failure domain read the list of targets and send it, 400 KB long, to
+// fifty peers each over links of 10 Mbit/s. Cause: values went as plain text.
 #[test]
 fn compressed_values() {
     let message = target_list(3_000);
