--- a/bergamotswitch/tests/soak_world/callers.rs
+++ b/bergamotswitch/tests/soak_world/callers.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use super::World;
+use super::SoakWorld;
 use crate::users::{HOST, KEY};
 
 /// How long a caller waits for an answer.
@@ -96,7 +96,7 @@
 }
 
 /// Send calls until the world's callers are told to end.
-pub async fn run_caller(world: Rc<World>, number: u64) {
+pub async fn run_caller(world: Rc<SoakWorld>, number: u64) {
     let mut rng = StdRng::seed_from_u64(world.seed ^ (number << 32));
     let mut open: Option<OpenDoor> = None;
     let mut count = 0;
@@ -111,7 +111,7 @@
 
 /// Send a call; get after how long to come back.
 async fn send_one(
-    world: &Rc<World>,
+    world: &Rc<SoakWorld>,
     rng: &mut StdRng,
     open: &mut Option<OpenDoor>,
     id: String,
@@ -162,7 +162,7 @@
     again
 }
 
-fn path_of(world: &World, rng: &mut StdRng, kind: CallKind, id: &str) -> Option<String> {
+fn path_of(world: &SoakWorld, rng: &mut StdRng, kind: CallKind, id: &str) -> Option<String> {
     let prefix = match kind {
         CallKind::Draft => "/draft/".to_owned(),
         CallKind::Once => "/once/".to_owned(),
@@ -177,7 +177,7 @@
     Some(format!("{prefix}{id}"))
 }
 
-async fn connect(world: &World, rng: &mut StdRng) -> Option<OpenDoor> {
+async fn connect(world: &SoakWorld, rng: &mut StdRng) -> Option<OpenDoor> {
     let host = rng.random_range(0..world.doors.len());
     let address: SocketAddr = world.doors[host];
     let stream = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
--- a/bergamotswitch/tests/soak_world/judge.rs
+++ b/bergamotswitch/tests/soak_world/judge.rs
@@ -7,18 +7,17 @@
 use http::StatusCode;
 
 use super::callers::{CallEnd, CallKind, CallRecord, DEADLINE, SeenAnswer, body_of};
-use super::{EVENTS, World, overlaps};
+use super::{EVENTS, SoakWorld, overlaps};
 use crate::users::REVOKE_MS;
 
-/// How long all has to be calm before something for it to be in touch.
-const TOUCH: Duration = Duration::from_secs(3);
+/// How long a host and the store have to be in health before a bound holds.
+const CONTACT: Duration = Duration::from_secs(3);
 /// The time until a configuration is in force, and until a leaving target gets
 /// no more, and what the test's own ways take at most.
 const APPLY: Duration = Duration::from_secs(2);
 const DRAIN: Duration = Duration::from_secs(2);
 const SLACK: Duration = Duration::from_millis(400);
-/// How many times its connection may be gone at a planned stop: calls that
-/// cross the close are none of the host's.
+/// The part of the calls that has to be served once all is over.
 const SERVED_PERCENT: usize = 90;
 
 /// A `SeenRun` is a call that a target began to work on.
@@ -36,7 +35,7 @@
 }
 
 /// Get all promises that were broken.
-pub fn problems(world: &World) -> Vec<String> {
+pub fn problems(world: &SoakWorld) -> Vec<String> {
     let mut problems = world.problems.borrow().clone();
     let calls = world.calls.borrow();
     let runs = seen_runs(world);
@@ -72,7 +71,7 @@
     problems
 }
 
-fn seen_runs(world: &World) -> HashMap<String, Vec<SeenRun>> {
+fn seen_runs(world: &SoakWorld) -> HashMap<String, Vec<SeenRun>> {
     let mut runs: HashMap<String, Vec<SeenRun>> = HashMap::new();
     for (target, each) in world.targets.iter().enumerate() {
         let ran = each.target.seen().into_iter().filter(|call| call.ran);
@@ -138,7 +137,7 @@
 }
 
 /// Check that no call is denied that is allowed.
-fn denied(world: &World, call: &CallRecord) -> Option<String> {
+fn denied(world: &SoakWorld, call: &CallRecord) -> Option<String> {
     let CallEnd::Answered(answer) = &call.end else {
         return None;
     };
@@ -161,14 +160,14 @@
     broken.then(|| format!("DENIED or CONFIG: {call:?}"))
 }
 
-fn overdue(world: &World, call: &CallRecord) -> Option<String> {
+fn overdue(world: &SoakWorld, call: &CallRecord) -> Option<String> {
     let late = call.ended.duration_since(call.sent) > DEADLINE + SLACK;
     let calm = !world.is_disturbed(call.host, before(call.sent), call.ended);
     (late && calm).then(|| format!("CONFIG: held beyond its time: {call:?}"))
 }
 
 /// In a run of planned work alone no call that reached a target is lost.
-fn lost_at_stop(world: &World, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
+fn lost_at_stop(world: &SoakWorld, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
     if !world.planned || runs.is_empty() {
         return None;
     }
@@ -190,35 +189,35 @@
         && seen.field("hold").is_empty()
         && seen.field("authorization").is_empty()
         && deadline <= DEADLINE.as_millis()
-        && world_service(call) == service_of(run);
+        && service_of_call(call) == service_of_run(run);
     (!right).then(|| format!("UNASKED, ROUTE or BUDGET: {call:?} came as {seen:?}"))
 }
 
-fn world_service(call: &CallRecord) -> usize {
+fn service_of_call(call: &CallRecord) -> usize {
     usize::from(!call.kind.is_stream())
 }
 
 /// Targets of the two services take turns.
-fn service_of(run: &SeenRun) -> usize {
+fn service_of_run(run: &SeenRun) -> usize {
     run.target % 2
 }
 
 /// Check that a key that was taken away works no longer, at any host.
-fn revoked(world: &World, call: &CallRecord, run: &SeenRun) -> Option<String> {
+fn revoked(world: &SoakWorld, call: &CallRecord, run: &SeenRun) -> Option<String> {
     if !call.second_key {
         return None;
     }
     let bound = Duration::from_millis(REVOKE_MS);
     let revocations = world.revocations.borrow();
     let broken = revocations.iter().any(|revocation| {
-        let until = revocation.until.unwrap_or(call.ended + TOUCH);
+        let until = revocation.until.unwrap_or(call.ended + CONTACT);
         call.sent > revocation.from + bound && run.call.at < until
     });
     broken.then(|| format!("CONFIG: a revoked key works: {call:?}"))
 }
 
 /// Check that a target that leaves gets no new work.
-fn drained(world: &World, call: &CallRecord, run: &SeenRun) -> Option<String> {
+fn drained(world: &SoakWorld, call: &CallRecord, run: &SeenRun) -> Option<String> {
     let at = run.call.at;
     let leavings = world.leavings.borrow();
     let leaving = leavings.iter().find(|leaving| {
@@ -230,18 +229,18 @@
 }
 
 /// Get whether a host and its store were in health over a span.
-fn in_touch(world: &World, host: usize, from: Instant, until: Instant) -> bool {
+fn in_touch(world: &SoakWorld, host: usize, from: Instant, until: Instant) -> bool {
     let from = before(from);
     let store = overlaps(&world.store_disturbed.borrow(), from, until);
     !store && !world.is_disturbed(host, from, until)
 }
 
 fn before(at: Instant) -> Instant {
-    at.checked_sub(TOUCH).unwrap_or(at)
+    at.checked_sub(CONTACT).unwrap_or(at)
 }
 
 /// Check that callers are served once all is over.
-fn unserved(world: &World, calls: &[CallRecord]) -> Option<String> {
+fn unserved(world: &SoakWorld, calls: &[CallRecord]) -> Option<String> {
     let from = world.calm_from.get()?;
     let late = calls.iter().filter(|call| call.sent > from);
     let late: Vec<&CallRecord> = late.collect();
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -18,7 +18,7 @@
 use crate::relay::{Flow, Relay};
 use crate::users::{self, HostProcess, KEY, start_host};
 use callers::{CallRecord, SECOND_KEY, run_caller};
-use plan::{Fault, TimedFault};
+use plan::{SiteFault, TimedFault};
 
 /// The targets of a run: two of each service. A stream has so many events, one
 /// each 15 ms.
@@ -42,9 +42,10 @@
 /// The most tries to start a host on ports that are free.
 const START_TRIES: usize = 5;
 
-/// A `Disturbance` is a span in which something was not in health.
+/// A `FaultSpan` is a span in which a host, a target or the store was disturbed,
+/// or a key was taken away; without an end while it goes on.
 #[derive(Clone, Copy, Debug)]
-struct Disturbance {
+struct FaultSpan {
     from: Instant,
     until: Option<Instant>,
 }
@@ -55,16 +56,9 @@
     published: Instant,
 }
 
-/// A `Revocation` is a span without the second key.
+/// A `TargetLeave` is a target's leaving, and its return.
 #[derive(Clone, Copy, Debug)]
-struct Revocation {
-    from: Instant,
-    until: Option<Instant>,
-}
-
-/// A `Leaving` is a target's leaving, and its return.
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
+struct TargetLeave {
     target: usize,
     from: Instant,
     until: Option<Instant>,
@@ -75,7 +69,7 @@
     store_way: Relay,
     /// Whether the next end of its process is wanted.
     ends: Cell<bool>,
-    disturbed: RefCell<Vec<Disturbance>>,
+    disturbed: RefCell<Vec<FaultSpan>>,
 }
 
 struct WorldTarget {
@@ -83,11 +77,11 @@
     service: &'static str,
     relay: Relay,
     address: SocketAddr,
-    disturbed: RefCell<Vec<Disturbance>>,
+    disturbed: RefCell<Vec<FaultSpan>>,
 }
 
-/// A `World` is a site under faults.
-pub struct World {
+/// A `SoakWorld` is a site under faults.
+pub struct SoakWorld {
     pub seed: u64,
     planned: bool,
     store: UsersStore,
@@ -97,9 +91,9 @@
     version: Cell<u64>,
     has_second_key: Cell<bool>,
     routes: RefCell<Vec<AddedRoute>>,
-    revocations: RefCell<Vec<Revocation>>,
-    leavings: RefCell<Vec<Leaving>>,
-    store_disturbed: RefCell<Vec<Disturbance>>,
+    revocations: RefCell<Vec<FaultSpan>>,
+    leavings: RefCell<Vec<TargetLeave>>,
+    store_disturbed: RefCell<Vec<FaultSpan>>,
     calls: RefCell<Vec<CallRecord>>,
     problems: RefCell<Vec<String>>,
     callers_end: Cell<bool>,
@@ -108,7 +102,7 @@
 }
 
 /// What a run showed.
-pub struct Outcome {
+pub struct RunOutcome {
     pub calls: usize,
     pub served: usize,
     pub problems: Vec<String>,
@@ -116,19 +110,19 @@
 }
 
 /// Play a seed with so many hosts.
-pub fn play(seed: u64, hosts: usize) -> Outcome {
+pub fn play(seed: u64, hosts: usize) -> RunOutcome {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let runtime = runtime.expect("runtime");
     LocalSet::new().block_on(&runtime, async move {
         let (faults, planned) = plan::plan(seed, hosts, TARGETS);
-        let world = World::start(seed, hosts, planned).await;
+        let world = SoakWorld::start(seed, hosts, planned).await;
         world.run(faults).await
     })
 }
 
-impl World {
+impl SoakWorld {
     async fn start(seed: u64, count: usize, planned: bool) -> Rc<Self> {
         let store = UsersStore::start().await.expect("store");
         let mut targets = Vec::new();
@@ -164,7 +158,7 @@
         }
         let doors = hosts.iter().map(|host| host.process.borrow().callers);
         let doors = doors.collect();
-        let world = Rc::new(World {
+        let world = Rc::new(SoakWorld {
             seed,
             planned,
             store,
@@ -190,7 +184,7 @@
         world
     }
 
-    async fn run(self: Rc<Self>, faults: Vec<TimedFault>) -> Outcome {
+    async fn run(self: Rc<Self>, faults: Vec<TimedFault>) -> RunOutcome {
         self.all_ready("at the start").await;
         let texts = faults.iter().map(|fault| format!("{fault:?}")).collect();
         let callers: Vec<_> = (0..CALLERS_PER_HOST * self.hosts.len() as u64)
@@ -220,7 +214,7 @@
         }
         let problems = judge::problems(&self);
         let calls = self.calls.borrow();
-        Outcome {
+        RunOutcome {
             calls: calls.len(),
             served: calls.iter().filter(|call| judge::is_served(call)).count(),
             problems,
@@ -276,60 +270,60 @@
     async fn strike(self: Rc<Self>, timed: TimedFault) {
         sleep(timed.at).await;
         match timed.fault {
-            Fault::Kill { host } => {
-                let _lasting = Lasting::new(&self.hosts[host].disturbed);
+            SiteFault::Kill { host } => {
+                let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
                 self.hosts[host].ends.set(true);
                 self.hosts[host].process.borrow().try_signal("KILL");
                 sleep(DOWN_TIME * 2).await;
             }
-            Fault::Pause { host, span } => {
-                let _lasting = Lasting::new(&self.hosts[host].disturbed);
+            SiteFault::Pause { host, span } => {
+                let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
                 self.hosts[host].process.borrow().try_signal("STOP");
                 sleep(span).await;
                 self.hosts[host].process.borrow().try_signal("CONT");
             }
-            Fault::Stop { host } => self.stop(host).await,
-            Fault::Reload { host } => self.hosts[host].process.borrow().try_signal("HUP"),
-            Fault::Store { mood, span } => {
-                let _lasting = Lasting::new(&self.store_disturbed);
+            SiteFault::Stop { host } => self.stop(host).await,
+            SiteFault::Reload { host } => self.hosts[host].process.borrow().try_signal("HUP"),
+            SiteFault::Store { mood, span } => {
+                let _guard = DisturbanceGuard::new(&self.store_disturbed);
                 self.store.set_mood(mood);
                 sleep(span).await;
                 self.store.set_mood(StoreMood::Well);
             }
-            Fault::Compact => {
-                let _lasting = Lasting::new(&self.store_disturbed);
+            SiteFault::Compact => {
+                let _guard = DisturbanceGuard::new(&self.store_disturbed);
                 self.store.compact();
             }
-            Fault::StoreWay { host, flow, span } => {
-                let _lasting = Lasting::new(&self.hosts[host].disturbed);
+            SiteFault::StoreWay { host, flow, span } => {
+                let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
                 self.hosts[host].store_way.set(flow);
                 sleep(span).await;
                 self.hosts[host].store_way.set(Flow::Both);
             }
-            Fault::TargetWay { target, flow, span } => {
-                let _lasting = Lasting::new(&self.targets[target].disturbed);
+            SiteFault::TargetWay { target, flow, span } => {
+                let _guard = DisturbanceGuard::new(&self.targets[target].disturbed);
                 self.targets[target].relay.set(flow);
                 sleep(span).await;
                 self.targets[target].relay.set(Flow::Both);
             }
-            Fault::Target {
+            SiteFault::Target {
                 target,
                 mood,
                 calls,
             } => {
-                let _lasting = Lasting::new(&self.targets[target].disturbed);
+                let _guard = DisturbanceGuard::new(&self.targets[target].disturbed);
                 self.targets[target].target.expect(&vec![mood; calls]);
                 sleep(Duration::from_secs(1)).await;
             }
-            Fault::Revoke { span } => self.revoke(span).await,
-            Fault::RevokeUnseen { span } => {
-                let _lasting = Lasting::new(&self.store_disturbed);
+            SiteFault::Revoke { span } => self.revoke(span).await,
+            SiteFault::RevokeUnseen { span } => {
+                let _guard = DisturbanceGuard::new(&self.store_disturbed);
                 self.store.set_mood(StoreMood::Silent);
                 self.revoke(span).await;
                 self.store.set_mood(StoreMood::Well);
             }
-            Fault::Route => self.add_route(),
-            Fault::Drain { target } => self.drain(target).await,
+            SiteFault::Route => self.add_route(),
+            SiteFault::Drain { target } => self.drain(target).await,
         }
     }
 
@@ -338,7 +332,7 @@
         let calm = !self.is_disturbed(host, began, began);
         self.hosts[host].ends.set(true);
         self.hosts[host].process.borrow().try_signal("TERM");
-        let _lasting = Lasting::new(&self.hosts[host].disturbed);
+        let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
         while self.hosts[host].ends.get() {
             sleep(Duration::from_millis(20)).await;
             let now = Instant::now();
@@ -362,7 +356,7 @@
         let until = None;
         self.revocations
             .borrow_mut()
-            .push(Revocation { from, until });
+            .push(FaultSpan { from, until });
         sleep(span + Duration::from_millis(users::REVOKE_MS)).await;
         self.has_second_key.set(true);
         self.revocations.borrow_mut()[index].until = Some(Instant::now());
@@ -391,7 +385,7 @@
         }
         self.register(target, "draining");
         let place = self.leavings.borrow().len();
-        self.leavings.borrow_mut().push(Leaving {
+        self.leavings.borrow_mut().push(TargetLeave {
             target: index,
             from: Instant::now(),
             until: None,
@@ -412,7 +406,7 @@
             let Some(status) = host.process.borrow_mut().end() else {
                 continue;
             };
-            let _lasting = Lasting::new(&host.disturbed);
+            let _guard = DisturbanceGuard::new(&host.disturbed);
             if !host.ends.replace(false) {
                 self.problem(format!("host {index} ended by itself: {status}"));
             }
@@ -427,28 +421,28 @@
     }
 }
 
-/// A `Lasting` is a disturbance that goes on until it is dropped.
-struct Lasting<'a> {
-    list: &'a RefCell<Vec<Disturbance>>,
+/// A `DisturbanceGuard` is a span that goes on until it is dropped.
+struct DisturbanceGuard<'a> {
+    list: &'a RefCell<Vec<FaultSpan>>,
     index: usize,
 }
 
-impl<'a> Lasting<'a> {
-    fn new(list: &'a RefCell<Vec<Disturbance>>) -> Self {
+impl<'a> DisturbanceGuard<'a> {
+    fn new(list: &'a RefCell<Vec<FaultSpan>>) -> Self {
         let index = list.borrow().len();
         let from = Instant::now();
-        list.borrow_mut().push(Disturbance { from, until: None });
-        Lasting { list, index }
+        list.borrow_mut().push(FaultSpan { from, until: None });
+        DisturbanceGuard { list, index }
     }
 }
 
-impl Drop for Lasting<'_> {
+impl Drop for DisturbanceGuard<'_> {
     fn drop(&mut self) {
         self.list.borrow_mut()[self.index].until = Some(Instant::now());
     }
 }
 
-fn overlaps(list: &[Disturbance], from: Instant, until: Instant) -> bool {
+fn overlaps(list: &[FaultSpan], from: Instant, until: Instant) -> bool {
     list.iter().any(|disturbance| {
         let ends = disturbance.until;
         disturbance.from <= until && ends.is_none_or(|ends| ends >= from)
--- a/bergamotswitch/tests/soak_world/plan.rs
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -16,9 +16,9 @@
 /// One run in so many has planned work alone.
 const PLANNED_PARTS: u64 = 4;
 
-/// A `Fault` is one thing that goes wrong or changes.
+/// A `SiteFault` is one thing that goes wrong or changes.
 #[derive(Clone, Debug)]
-pub enum Fault {
+pub enum SiteFault {
     /// SIGKILL.
     Kill { host: usize },
     /// SIGSTOP, and SIGCONT later.
@@ -59,12 +59,15 @@
     Drain { target: usize },
 }
 
-impl Fault {
+impl SiteFault {
     /// Get whether it is work that operators plan.
     pub fn is_planned(&self) -> bool {
         matches!(
             self,
-            Fault::Stop { .. } | Fault::Reload { .. } | Fault::Route | Fault::Drain { .. }
+            SiteFault::Stop { .. }
+                | SiteFault::Reload { .. }
+                | SiteFault::Route
+                | SiteFault::Drain { .. }
         )
     }
 }
@@ -73,7 +76,7 @@
 #[derive(Clone, Debug)]
 pub struct TimedFault {
     pub at: Duration,
-    pub fault: Fault,
+    pub fault: SiteFault,
 }
 
 /// Get the faults of a run, and whether all of them are planned work.
@@ -93,45 +96,45 @@
     (faults, planned)
 }
 
-fn draw_fault(rng: &mut StdRng, hosts: usize, targets: usize) -> Fault {
+fn draw_fault(rng: &mut StdRng, hosts: usize, targets: usize) -> SiteFault {
     let host = rng.random_range(0..hosts);
     let target = rng.random_range(0..targets);
     let span = Duration::from_millis(rng.random_range(100..3_500));
     match rng.random_range(0..13) {
-        0 => Fault::Kill { host },
-        1 => Fault::Pause { host, span },
-        2 => Fault::Stop { host },
-        3 => Fault::Reload { host },
-        4 => Fault::Store {
+        0 => SiteFault::Kill { host },
+        1 => SiteFault::Pause { host, span },
+        2 => SiteFault::Stop { host },
+        3 => SiteFault::Reload { host },
+        4 => SiteFault::Store {
             mood: match rng.random_bool(0.5) {
                 true => StoreMood::Busy,
                 false => StoreMood::Silent,
             },
             span,
         },
-        5 => Fault::Compact,
-        6 => Fault::StoreWay {
+        5 => SiteFault::Compact,
+        6 => SiteFault::StoreWay {
             host,
             flow: draw_flow(rng),
             span,
         },
-        7 => Fault::TargetWay {
+        7 => SiteFault::TargetWay {
             target,
             flow: draw_flow(rng),
             span,
         },
-        8 => Fault::Target {
+        8 => SiteFault::Target {
             target,
             mood: draw_mood(rng),
             calls: rng.random_range(1..6),
         },
-        9 => Fault::Revoke { span: span * 2 },
-        10 => Fault::Route,
+        9 => SiteFault::Revoke { span: span * 2 },
+        10 => SiteFault::Route,
         // Long enough for a host to rely on what it knew for too long.
-        11 => Fault::RevokeUnseen {
+        11 => SiteFault::RevokeUnseen {
             span: Duration::from_millis(4_000) + span / 2,
         },
-        _ => Fault::Drain { target },
+        _ => SiteFault::Drain { target },
     }
 }
 
