Ask in one place whether an ask may go to a failure domain; name both ways of milliseconds

The check of an ask's failure domains stood in the routing by tokens and, written again, in the one by places; both ask the placement now. Two functions of one name turned milliseconds into spans and back. Tests: a condition that cancelled itself in the soak's check of cut streams, a pause bounded by itself, an iterator wrapped twice.

--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -18,7 +18,7 @@
 use super::prefix_table::WarmTarget;
 use super::queue::{Placement, QueuedAsk};
 use super::routing::{ClosedTargets, Route, RouteQuery, allowed, choose};
-use super::slot_routing::millis;
+use super::run_gauge::millis;
 use super::target_load::TargetLoad;
 
 /// The bounds of a "come back after": a caller must neither return at once
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -21,6 +21,7 @@
 use super::quota::QuotaBook;
 use super::release_pace::ReleasePace;
 use super::routing::{TargetSet, allowed};
+use super::run_gauge::span_of;
 use super::wait_plan::WaitPlan;
 use super::{OwnerAction, OwnerEvent};
 
@@ -265,7 +266,9 @@
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_leaving());
         let firsts = working.map(|load| load.first_ms(cost));
-        firsts.min_by(f64::total_cmp).map_or(Duration::ZERO, millis)
+        firsts
+            .min_by(f64::total_cmp)
+            .map_or(Duration::ZERO, span_of)
     }
 
     /// Get how long a run of this cost should take: the mean of the targets
@@ -276,7 +279,7 @@
         let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
             (count + 1, sum_ms + load.run_ms(cost))
         });
-        millis(sum_ms / f64::from(count.max(1)))
+        span_of(sum_ms / f64::from(count.max(1)))
     }
 
     fn expire_asks(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
@@ -337,10 +340,6 @@
     }
 }
 
-fn millis(millis: f64) -> Duration {
-    Duration::from_secs_f64(millis / 1_000.0)
-}
-
 /// Get the shard that a message is about.
 fn shard_of(message: &OwnerMessage) -> &PoolShard {
     match message {
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/queue.rs
@@ -36,6 +36,11 @@
         !self.long && self.domains.is_empty() && self.avoid.is_empty() && self.aim_ms.is_none()
     }
 
+    /// Get whether it may go to targets of a failure domain.
+    pub fn allows(&self, domain: &DomainName) -> bool {
+        self.domains.is_empty() || self.domains.contains(domain)
+    }
+
     /// Get the placement of an ask.
     pub fn of(ask: &Ask, long: bool) -> Self {
         let mut domains = ask.domains.clone();
--- a/bergamotswitch-core/src/pool_owner/routing.rs
+++ b/bergamotswitch-core/src/pool_owner/routing.rs
@@ -98,10 +98,7 @@
     placement: &Placement,
 ) -> impl Iterator<Item = &'a TargetLoad> {
     let live = targets.values().filter(|load| !load.is_leaving());
-    live.filter(|load| {
-        let domain = &load.target().domain;
-        placement.domains.is_empty() || placement.domains.contains(domain)
-    })
+    live.filter(|load| placement.allows(&load.target().domain))
 }
 
 /// Get the predicted time until a request would end at a target, in
--- a/bergamotswitch-core/src/pool_owner/run_gauge.rs
+++ b/bergamotswitch-core/src/pool_owner/run_gauge.rs
@@ -1,5 +1,7 @@
 //! Provides the times that runs take at a target, from recent ones.
 
+use std::time::Duration;
+
 use crate::permit::Usage;
 use crate::request::TokenCost;
 
@@ -110,6 +112,16 @@
     }
 }
 
+/// Get a span in milliseconds, as predicted times are.
+pub(super) fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
+
+/// Get the span of so many milliseconds.
+pub(super) fn span_of(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis / 1_000.0)
+}
+
 /// Get the part of a full target's time to the first output.
 fn crowding(crowd: f64) -> f64 {
     EMPTY_PART + (1.0 - EMPTY_PART) * crowd.clamp(0.0, 1.0)
--- a/bergamotswitch-core/src/pool_owner/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_dispatch.rs
@@ -13,7 +13,8 @@
 use super::prefix_table::WarmTarget;
 use super::queue::{Placement, QueuedAsk};
 use super::routing::{ClosedTargets, Route};
-use super::slot_routing::{AskTimes, SlotView, millis};
+use super::run_gauge::millis;
+use super::slot_routing::{AskTimes, SlotView};
 
 /// How sure a run's end before its deadline has to be, as a multiple of
 /// its predicted time. Callers' guesses at their outputs are right at the median
--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_routing.rs
@@ -6,8 +6,6 @@
 //! leaves the slow ones to asks that bear them. An ask that is late already
 //! goes wherever there is room.
 
-use std::time::Duration;
-
 use crate::clock::Moment;
 use crate::request::TokenCost;
 
@@ -49,11 +47,6 @@
     }
 }
 
-/// Get a span in milliseconds.
-pub(super) fn millis(span: Duration) -> f64 {
-    span.as_secs_f64() * 1_000.0
-}
-
 /// An `OpenTarget` is a target that may take a request now.
 #[derive(Clone, Copy, Debug)]
 struct OpenTarget<'a> {
@@ -220,6 +213,5 @@
 /// Get whether `placement` may go to a target, where it avoids some or does not.
 fn may_go(load: &TargetLoad, placement: &Placement, avoids: bool) -> bool {
     let target = load.target();
-    let in_domain = placement.domains.is_empty() || placement.domains.contains(&target.domain);
-    in_domain && !(avoids && placement.avoid.contains(&target.name))
+    placement.allows(&target.domain) && !(avoids && placement.avoid.contains(&target.name))
 }
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -214,8 +214,11 @@
     for spec in FleetLimits::TABLE {
         let Some((value, base, probe)) = probes.get(spec.name) else {
             let mut elsewhere = OF_SOCKETS.split_whitespace();
-            let mut elsewhere = elsewhere.by_ref().filter(|name| *name == spec.name);
-            assert!(elsewhere.next().is_some(), "{} is idle", spec.name);
+            assert!(
+                elsewhere.any(|name| name == spec.name),
+                "{} is idle",
+                spec.name
+            );
             continue;
         };
         let mut limits = base.clone();
--- a/bergamotswitch/tests/soak_world/callers.rs
+++ b/bergamotswitch/tests/soak_world/callers.rs
@@ -26,8 +26,8 @@
 pub const SECOND_KEY: &str = "second-key-of-the-account";
 /// The mean pause between two calls of a caller.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
-/// How long a caller holds to what it is told of when to come back.
-const RETRY_BOUND: Duration = Duration::from_millis(800);
+/// How long a caller stays away that was refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(800);
 
 /// The kinds of calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,7 +105,7 @@
         let id = format!("c{number}-{count}");
         let again = send_one(&world, &mut rng, &mut open, id).await;
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
-        sleep(pause.max(again.min(RETRY_BOUND))).await;
+        sleep(pause.max(again)).await;
     }
 }
 
@@ -146,7 +146,7 @@
             *open = Some(door);
         }
         if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-            again = RETRY_BOUND;
+            again = REFUSED_PAUSE;
         }
     }
     world.note_call(CallRecord {
--- a/bergamotswitch/tests/soak_world/judge.rs
+++ b/bergamotswitch/tests/soak_world/judge.rs
@@ -120,11 +120,10 @@
     let whole: String = (1..=EVENTS).map(event_text).collect();
     let right = match answer.whole {
         true => answer.body == whole,
-        false => whole.starts_with(&answer.body) && !answer.body.is_empty(),
+        // A stream may be cut before its first event, too.
+        false => whole.starts_with(&answer.body),
     };
-    // A stream may be cut before its first event.
-    let empty = !answer.whole && answer.body.is_empty();
-    (right || empty) && answer.seal.starts_with("seal-of-drafting")
+    right && answer.seal.starts_with("seal-of-drafting")
 }
 
 fn is_right_text(answer: &SeenAnswer) -> bool {
