Start, signal and end hosts in one module of the tests; set wrong answers anew each round

Two test worlds had each their own way to start, signal and end a host's process; host_child is the one.

gateway_calls::wrong_answers: a wrong answer that one round left at a target made both targets fail a call of the next round, where no third attempt is allowed. Each round now sets the wrong answers anew; the assertions stay as they were.

--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -119,6 +119,11 @@
         lock(&self.shared.moods).extend(moods.iter().cloned());
     }
 
+    /// Set how the next calls are answered, in place of what was set before.
+    pub fn expect_only(&self, moods: &[TargetMood]) {
+        *lock(&self.shared.moods) = moods.iter().cloned().collect();
+    }
+
     /// Get the calls that came.
     pub fn seen(&self) -> Vec<SeenCall> {
         lock(&self.shared.seen).clone()
--- a/bergamotswitch/tests/fleet/mod.rs
+++ b/bergamotswitch/tests/fleet/mod.rs
@@ -5,6 +5,8 @@
 #![allow(dead_code)]
 
 pub mod caller;
+#[path = "../host_child/mod.rs"]
+mod host_child;
 pub mod relay;
 
 use std::collections::BTreeMap;
@@ -22,6 +24,8 @@
 use http::{HeaderMap, Method};
 use serde_json::{Value, json};
 
+use self::host_child::HostChild;
+
 /// The port of the control address, besides those of the deployments.
 const CONTROL_PORT: u16 = 7900;
 /// Long enough for a busy machine; no test waits this long in good health.
@@ -35,18 +39,14 @@
 /// One host's process.
 pub struct HostProcess {
     pub settings: HostSettings,
-    path: PathBuf,
-    child: Child,
+    child: HostChild,
 }
 
 impl HostProcess {
     fn start(path: PathBuf) -> Self {
-        let settings = read_settings(&path);
-        let child = spawn_host(&path);
         HostProcess {
-            settings,
-            path,
-            child,
+            settings: read_settings(&path),
+            child: HostChild::start(path),
         }
     }
 
@@ -59,26 +59,25 @@
     }
 
     pub fn kill(&mut self) {
-        self.child.kill().expect("host runs");
-        self.child.wait().expect("host ends");
+        self.child.kill();
     }
 
     pub fn restart(&mut self) {
-        self.child = spawn_host(&self.path);
+        self.child.restart();
     }
 
     pub fn signal(&self, name: &str) {
-        send_signal(self.child.id(), name);
+        self.child.signal(name);
     }
 
     pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().expect("child").is_some()
+        self.child.end().is_some()
     }
 
     pub fn wait_end(&mut self, patience: Duration) -> Option<ExitStatus> {
         let until = Instant::now() + patience;
         while Instant::now() < until {
-            if let Some(status) = self.child.try_wait().expect("child") {
+            if let Some(status) = self.child.end() {
                 return Some(status);
             }
             std::thread::sleep(Duration::from_millis(20));
@@ -87,23 +86,6 @@
     }
 }
 
-fn send_signal(process: u32, name: &str) {
-    let status = Command::new("kill")
-        .args([format!("-{name}"), process.to_string()])
-        .status();
-    assert!(status.expect("kill runs").success());
-}
-
-fn spawn_host(path: &PathBuf) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_bergamotswitch"))
-        .args(["serve", "--settings"])
-        .arg(path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("host starts")
-}
-
 /// A whole fleet; dropping it ends its processes.
 pub struct Fleet {
     pub hosts: Vec<HostProcess>,
@@ -255,11 +237,8 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for host in &mut self.hosts {
-            // A stopped process takes no other signal than this one.
-            let _ = host.child.kill();
-            let _ = host.child.wait();
-        }
+        // The hosts end before what they read from.
+        self.hosts.clear();
         let _ = self.platform.kill();
         let _ = self.platform.wait();
     }
--- a/bergamotswitch/tests/gateway_calls.rs
+++ b/bergamotswitch/tests/gateway_calls.rs
@@ -121,8 +121,10 @@
     .into_iter()
     .enumerate()
     {
+        // A mood that the round before left at one desk would make both fail a
+        // call in this one, and no third attempt is allowed.
         for desk in &site.desks {
-            desk.expect(std::slice::from_ref(&mood));
+            desk.expect_only(std::slice::from_ref(&mood));
         }
         let before = seen(&site).len();
         let id = format!("unsafe-{number}");
@@ -133,8 +135,8 @@
         // It may have run, and a second run would do harm.
         assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{mood:?}");
         assert_eq!(seen(&site).len(), before + 1, "{mood:?}");
-        // The other desk still has the mood; a call that may run again is sent
-        // to the next one.
+        // The other desk still has the mood; a call that may run again and goes
+        // there is sent to the next one.
         let id = format!("safe-{number}");
         let answer = Call::new("GET", "/status/1", &id)
             .send(site.door())
--- a/bergamotswitch/tests/gateway_news.rs
+++ b/bergamotswitch/tests/gateway_news.rs
@@ -17,12 +17,12 @@
 async fn found_members() {
     let mut site = Site::start(3).await;
     // One that dies is not named any more, and one that stops at once.
-    site.hosts[2].kill();
+    site.hosts[2].child.kill();
     until("the dead host is dropped", async || {
         site.hosts[0].named().await.len() == 2
     })
     .await;
-    site.hosts[1].signal("TERM");
+    site.hosts[1].child.signal("TERM");
     until("the stopping host is not named", async || {
         let own = site.hosts[0].callers.to_string();
         site.hosts[0].named().await == [own]
--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -100,7 +100,7 @@
     let mut body = response.expect("answer").into_body();
     let first = body.frame().await.expect("piece").expect("piece");
     let mut bytes = first.into_data().unwrap_or_default().to_vec();
-    site.hosts[0].signal("TERM");
+    site.hosts[0].child.signal("TERM");
     while let Some(frame) = body.frame().await {
         let frame = frame.expect("the stream goes on to its end");
         bytes.extend(frame.into_data().unwrap_or_default());
@@ -132,7 +132,7 @@
     });
     let callers: Vec<_> = callers.collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
-    site.hosts[0].signal("TERM");
+    site.hosts[0].child.signal("TERM");
     let ended = tokio::time::timeout(STOP_TIME, site.hosts[0].ended()).await;
     assert!(ended.expect("an end within the grace").success());
     for caller in callers {
--- /dev/null
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -0,0 +1,77 @@
+//! A host's process, as tests start, signal and end it.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A `HostChild` is a running host; its drop ends it.
+pub struct HostChild {
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Drop for HostChild {
+    fn drop(&mut self) {
+        // A process that has ended already needs no kill; one that is stopped
+        // takes no other signal.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl HostChild {
+    /// Start a host with this settings file.
+    pub fn start(settings: PathBuf) -> Self {
+        let child = spawn(&settings);
+        HostChild { settings, child }
+    }
+
+    /// Start it again, with the same settings.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings);
+    }
+
+    /// Kill it and wait for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("host runs");
+        self.child.wait().expect("host ends");
+    }
+
+    /// Get how it ended, where it has.
+    pub fn end(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("child")
+    }
+
+    /// Signal it; it runs.
+    pub fn signal(&self, name: &str) {
+        assert!(self.try_signal(name), "no process to signal");
+    }
+
+    /// Signal it; get whether it still runs.
+    pub fn try_signal(&self, name: &str) -> bool {
+        let process = self.child.id().to_string();
+        let mut kill = Command::new("kill");
+        kill.args([format!("-{name}"), process]);
+        kill.stderr(Stdio::null());
+        kill.status().expect("kill runs").success()
+    }
+}
+
+fn spawn(settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
+    command.args(["serve", "--settings"]).arg(settings);
+    // A run that is traced keeps the hosts' lines.
+    match std::env::var_os("BERGAMOT_TEST_LOGS") {
+        Some(directory) => {
+            let name = settings.with_extension("log");
+            let path = Path::new(&directory).join(name.file_name().unwrap_or_default());
+            let mut options = std::fs::OpenOptions::new();
+            let file = options.create(true).append(true).open(path);
+            command.stdout(file.expect("log file"))
+        }
+        None => command.stdout(Stdio::null()),
+    };
+    command.stderr(Stdio::null()).spawn().expect("host starts")
+}
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -39,8 +39,6 @@
 /// in which callers then are served.
 const RECOVERY: Duration = Duration::from_secs(6);
 const SERVED_TIME: Duration = Duration::from_secs(2);
-/// The most tries to start a host on ports that are free.
-const START_TRIES: usize = 5;
 
 /// A `FaultSpan` is a span in which a host, a target or the store was disturbed,
 /// or a key was taken away; without an end while it goes on.
@@ -147,10 +145,8 @@
         for number in 0..count {
             let (store_way, way) = Relay::start_anywhere(store.address());
             let seed = hosts.first().map(|host| host.process.borrow().link);
-            let mut tries = (0..START_TRIES).map(|_| start_host(number, seed, way));
-            let process = tries.find_map(|process| process).expect("a host starts");
             hosts.push(WorldHost {
-                process: RefCell::new(process),
+                process: RefCell::new(start_host(number, seed, way)),
                 store_way,
                 ends: Cell::new(false),
                 disturbed: RefCell::default(),
@@ -273,17 +269,17 @@
             SiteFault::Kill { host } => {
                 let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
                 self.hosts[host].ends.set(true);
-                self.hosts[host].process.borrow().try_signal("KILL");
+                self.signal(host, "KILL");
                 sleep(DOWN_TIME * 2).await;
             }
             SiteFault::Pause { host, span } => {
                 let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
-                self.hosts[host].process.borrow().try_signal("STOP");
+                self.signal(host, "STOP");
                 sleep(span).await;
-                self.hosts[host].process.borrow().try_signal("CONT");
+                self.signal(host, "CONT");
             }
             SiteFault::Stop { host } => self.stop(host).await,
-            SiteFault::Reload { host } => self.hosts[host].process.borrow().try_signal("HUP"),
+            SiteFault::Reload { host } => self.signal(host, "HUP"),
             SiteFault::Store { mood, span } => {
                 let _guard = DisturbanceGuard::new(&self.store_disturbed);
                 self.store.set_mood(mood);
@@ -327,11 +323,17 @@
         }
     }
 
+    /// Signal a host's process. One that has ended meanwhile takes no signal,
+    /// and needs none.
+    fn signal(&self, host: usize, name: &str) {
+        let _ = self.hosts[host].process.borrow().child.try_signal(name);
+    }
+
     async fn stop(&self, host: usize) {
         let began = Instant::now();
         let calm = !self.is_disturbed(host, began, began);
         self.hosts[host].ends.set(true);
-        self.hosts[host].process.borrow().try_signal("TERM");
+        self.signal(host, "TERM");
         let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
         while self.hosts[host].ends.get() {
             sleep(Duration::from_millis(20)).await;
@@ -341,7 +343,7 @@
                 if calm && self.planned {
                     self.problem(format!("LOST: host {host} does not end its stop"));
                 }
-                self.hosts[host].process.borrow().try_signal("KILL");
+                self.signal(host, "KILL");
             }
         }
     }
@@ -403,7 +405,7 @@
         let host = &self.hosts[index];
         while !self.keepers_end.get() {
             sleep(Duration::from_millis(20)).await;
-            let Some(status) = host.process.borrow_mut().end() else {
+            let Some(status) = host.process.borrow_mut().child.end() else {
                 continue;
             };
             let _guard = DisturbanceGuard::new(&host.disturbed);
@@ -411,7 +413,7 @@
                 self.problem(format!("host {index} ended by itself: {status}"));
             }
             sleep(DOWN_TIME).await;
-            host.process.borrow_mut().start_again();
+            host.process.borrow_mut().child.restart();
         }
     }
 
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -4,10 +4,12 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
+#[path = "../host_child/mod.rs"]
+mod host_child;
+
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -22,6 +24,8 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use self::host_child::HostChild;
+
 /// Long enough for a busy machine; no test waits this long in good health.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// The host name that callers send.
@@ -36,62 +40,20 @@
 /// How long a revoked key may still work.
 pub const REVOKE_MS: u64 = 3_000;
 
-/// One host's process; its drop ends it.
+/// One host of a site and its addresses.
 pub struct HostProcess {
     pub link: SocketAddr,
     pub callers: SocketAddr,
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
-    settings: PathBuf,
-    child: Child,
-}
-
-impl Drop for HostProcess {
-    fn drop(&mut self) {
-        // A process that has ended already needs no kill.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+    pub child: HostChild,
 }
 
 impl HostProcess {
-    pub fn signal(&self, name: &str) {
-        let process = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args([format!("-{name}"), process])
-            .status();
-        assert!(status.expect("kill runs").success());
-    }
-
-    /// Signal a process that may have ended already.
-    pub fn try_signal(&self, name: &str) {
-        let process = self.child.id().to_string();
-        let mut kill = Command::new("kill");
-        kill.args([format!("-{name}"), process])
-            .stderr(Stdio::null());
-        // One that has ended takes no signal, and needs none.
-        let _ = kill.status();
-    }
-
-    /// Get how the process ended, where it has.
-    pub fn end(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().expect("child")
-    }
-
-    /// Start the process again, with the same settings.
-    pub fn start_again(&mut self) {
-        self.child = spawn_host(&self.settings);
-    }
-
-    pub fn kill(&mut self) {
-        self.child.kill().expect("host runs");
-        self.child.wait().expect("host ends");
-    }
-
     pub async fn ended(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         loop {
-            if let Some(status) = self.child.try_wait().expect("child") {
+            if let Some(status) = self.child.end() {
                 return status;
             }
             assert!(Instant::now() < until, "the host does not end");
@@ -176,10 +138,7 @@
         for number in 0..count {
             let seed = self.hosts.first().map(|host| host.link);
             let store = self.store.address();
-            let mut tries = (0..START_TRIES).map(|_| start_host(number, seed, store));
-            let host = tries.find_map(|host| host);
-            self.hosts
-                .push(host.expect("a host that finds its ports free"));
+            self.hosts.push(start_host(number, seed, store));
         }
     }
 
@@ -254,9 +213,17 @@
     store.put(&format!("servers/{name}"), &entry);
 }
 
-/// Try to start a host. A port that was free a moment ago may be taken by
-/// another test by now; then the process ends at once, and there is none.
-pub fn start_host(
+/// Start a host. A port that was free a moment ago may be taken by another test
+/// by now; then others are tried.
+pub fn start_host(number: usize, seed: Option<SocketAddr>, store: SocketAddr) -> HostProcess {
+    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store));
+    let host = tries.find_map(|host| host);
+    host.expect("a host that finds its ports free")
+}
+
+/// Try to start a host; where a port is taken its process ends at once, and
+/// there is none.
+fn try_start_host(
     number: usize,
     seed: Option<SocketAddr>,
     store: SocketAddr,
@@ -281,18 +248,16 @@
     );
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, settings.to_string()).expect("settings file");
-    let child = spawn_host(&path);
     let mut host = HostProcess {
         link,
         callers,
         directory,
         readiness,
-        settings: path,
-        child,
+        child: HostChild::start(path),
     };
     let until = Instant::now() + PATIENCE;
     while std::net::TcpStream::connect(metrics).is_err() {
-        if host.child.try_wait().expect("child").is_some() {
+        if host.child.end().is_some() {
             return None;
         }
         assert!(Instant::now() < until, "the host does not listen");
@@ -301,23 +266,6 @@
     Some(host)
 }
 
-fn spawn_host(settings: &Path) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
-    command.args(["serve", "--settings"]).arg(settings);
-    // A run that is traced keeps the hosts' lines.
-    match std::env::var_os("BERGAMOT_TEST_LOGS") {
-        Some(directory) => {
-            let name = settings.with_extension("log");
-            let path = Path::new(&directory).join(name.file_name().unwrap_or_default());
-            let mut options = std::fs::OpenOptions::new();
-            let file = options.create(true).append(true).open(path);
-            command.stdout(file.expect("log file"))
-        }
-        None => command.stdout(Stdio::null()),
-    };
-    command.stderr(Stdio::null()).spawn().expect("host starts")
-}
-
 /// Get an address that is free now, below the ports that the system picks for
 /// outgoing connections: a host that is down for a moment would find its port
 /// taken by one of these when it starts again.
