--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -1,10 +1,12 @@
 //! Provides what log lines say of a gateway's request.
 
 use std::fmt::Display;
+use std::time::Duration;
 
 use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::entry::{Conclusion, Submission};
 use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::name::AccountName;
 use bergamotswitch_core::request::RequestId;
 use bergamotswitch_core::rules::{RuleName, Tier};
 use bergamotswitch_core::target::TargetName;
@@ -19,6 +21,9 @@
     /// are told the internal one.
     caller_id: Option<String>,
     rule: RuleName,
+    account: AccountName,
+    /// How long its answer may take to begin, where its route says so.
+    aim: Option<Duration>,
     /// The tier.
     pub(super) tier: Tier,
     prompt: u32,
@@ -36,6 +41,8 @@
         RequestLabel {
             caller_id: routed.map(|routed| routed.request_id.clone()),
             rule: submission.verdict.rule.clone(),
+            account: submission.account.clone(),
+            aim: submission.terms.patience,
             tier: submission.verdict.tier,
             prompt: submission.cost.prefill,
             output: submission.cost.decode,
@@ -92,11 +99,15 @@
             .first_at
             .map(|at| at.since(self.received_at).as_millis());
         let first = first.map_or(String::new(), |millis| millis.to_string());
-        let pairs: [(&str, &dyn Display); 14] = [
+        let aim = self.aim.map(|aim| aim.as_millis());
+        let aim = aim.map_or(String::new(), |millis| millis.to_string());
+        let pairs: [(&str, &dyn Display); 16] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
+            ("account", &self.account),
             ("tier", &self.tier.0),
+            ("aim_ms", &aim),
             ("outcome", &outcome),
             ("reason", &reason),
             ("ran", &ran),
--- a/bergamotswitch/src/command/args.rs
+++ b/bergamotswitch/src/command/args.rs
@@ -7,6 +7,7 @@
 use lexopt::prelude::*;
 
 use super::error::CommandError;
+use super::logs::{LogsArgs, LogsQuestion};
 
 /// The text of `--help`.
 pub const HELP: &str = "\
@@ -26,6 +27,11 @@
   bergamotswitch status --host IP:PORT [--json]
       What one host knows: revisions in force, shards owned, targets, queue by
       tier, peers.
+  bergamotswitch logs summary [--json] FILE...
+      What became of the requests in the hosts' logs: by reason, rank, route,
+      account, target and second, and the time that targets spent on them.
+  bergamotswitch logs trace ID [--json] FILE...
+      All lines about one request, over all hosts, in order of time.
   bergamotswitch demo
       Both deployments on loopback with stand-ins: three hosts each, real
       requests, and what became of them by tier.
@@ -33,7 +39,7 @@
 ";
 
 /// The commands that the program knows, as errors list them.
-const COMMANDS: &str = "serve, check, explain, status, demo";
+const COMMANDS: &str = "serve, check, explain, status, logs, demo";
 
 /// What stands after a command, as errors list it.
 const SERVE_ALLOWED: &str = "serve takes --settings FILE";
@@ -42,6 +48,7 @@
 --account NAME, --work KIND, --path PATH, --domain NAME, --prompt-tokens N, --stream";
 const STATUS_ALLOWED: &str = "status takes --host IP:PORT, --json";
 const HELP_ALLOWED: &str = "allowed before a command are --help, --version";
+const LOGS_ALLOWED: &str = "logs takes summary or trace ID, then --json and files";
 const DEMO_ALLOWED: &str = "demo takes no options";
 
 /// A `Command` is a parsed command line.
@@ -70,6 +77,8 @@
         /// Whether to print the JSON as it is.
         json: bool,
     },
+    /// Tell what logs say.
+    Logs(LogsArgs),
     /// Run the demo.
     Demo,
 }
@@ -114,6 +123,7 @@
             Some("check") => parse_check(&mut parser),
             Some("explain") => parse_explain(&mut parser),
             Some("status") => parse_status(&mut parser),
+            Some("logs") => parse_logs(&mut parser),
             Some("demo") => parse_demo(&mut parser),
             _ => Err(usage(format!("command {word:?}; allowed: {COMMANDS}"))),
         },
@@ -220,6 +230,37 @@
     Ok(Command::Status { host, json })
 }
 
+fn parse_logs(parser: &mut lexopt::Parser) -> Result<Command, CommandError> {
+    let mut words = Vec::new();
+    let mut json = false;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Value(word) => words.push(word),
+            Long("json") => json = true,
+            other => return Err(unexpected(other, LOGS_ALLOWED)),
+        }
+    }
+    let mut words = words.into_iter();
+    let verb = words.next().unwrap_or_default();
+    let question = match verb.to_str() {
+        Some("summary") => LogsQuestion::Summary,
+        Some("trace") => {
+            let id = words.next().and_then(|id| id.into_string().ok());
+            LogsQuestion::Trace(needed(id, "ID of logs trace")?)
+        }
+        _ => return Err(usage(format!("logs {verb:?}; {LOGS_ALLOWED}"))),
+    };
+    let files: Vec<PathBuf> = words.map(PathBuf::from).collect();
+    match files.is_empty() {
+        true => Err(usage("logs: name at least one file".into())),
+        false => Ok(Command::Logs(LogsArgs {
+            question,
+            files,
+            json,
+        })),
+    }
+}
+
 fn parse_demo(parser: &mut lexopt::Parser) -> Result<Command, CommandError> {
     match parser.next()? {
         Some(other) => Err(unexpected(other, DEMO_ALLOWED)),
--- /dev/null
+++ b/bergamotswitch/src/command/logs/summary.rs
@@ -0,0 +1,172 @@
+//! Provides what logs tell of all requests: outcomes by reason, rank, target
+//! and second, and the time that targets spent on them.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use serde_json::{Value, json};
+
+use super::fate::{FateTable, RequestFate};
+use super::line::LogLine;
+use super::reader::{ReadCount, read_all};
+use crate::command::error::CommandError;
+use crate::command::table::TextTable;
+
+/// The number of the event that a request has ended.
+const REQUEST_ENDED: u64 = 206;
+
+/// A `LogSummary` is the tables of many requests.
+#[derive(Debug, Default)]
+struct LogSummary {
+    all: FateTable,
+    reasons: FateTable,
+    ranks: FateTable,
+    routes: FateTable,
+    accounts: FateTable,
+    targets: FateTable,
+    seconds: FateTable,
+    /// Refusals by reason and how long they had waited.
+    waits: BTreeMap<String, WaitCount>,
+    /// How often each event was logged.
+    events: BTreeMap<(u64, String), u64>,
+}
+
+/// A `WaitCount` is refusals without a target by the time that they waited.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitCount {
+    at_once: u64,
+    waited: u64,
+    waited_ms: u64,
+}
+
+/// A refusal below this many milliseconds was made on arrival: the answer of
+/// another host takes a few.
+const AT_ONCE_MS: u64 = 20;
+
+impl LogSummary {
+    fn take(&mut self, line: &LogLine) {
+        let event = (line.event, line.text.clone());
+        *self.events.entry(event).or_default() += 1;
+        if line.event != REQUEST_ENDED {
+            return;
+        }
+        let fate = RequestFate::of(line);
+        let waited = line.number("waited_ms").unwrap_or(0);
+        let took = line.number("took_ms").unwrap_or(0);
+        let place_ms = match fate {
+            RequestFate::Untried => 0,
+            _ => took.saturating_sub(waited),
+        };
+        let reason = match line.field("reason") {
+            "" => line.field("outcome"),
+            reason => reason,
+        };
+        self.all.add("all", fate, place_ms);
+        self.reasons.add(reason, fate, place_ms);
+        self.ranks.add(line.field("tier"), fate, place_ms);
+        self.routes.add(line.field("route"), fate, place_ms);
+        self.accounts.add(line.field("account"), fate, place_ms);
+        self.seconds.add(line.second(), fate, place_ms);
+        // The last one held the place; those before it gave it back.
+        if let Some(target) = line.field("targets").rsplit(',').next()
+            && !target.is_empty()
+        {
+            self.targets.add(target, fate, place_ms);
+        }
+        if fate == RequestFate::Untried {
+            self.note_wait(reason, took);
+        }
+    }
+
+    fn note_wait(&mut self, reason: &str, took: u64) {
+        let wait = self.waits.entry(reason.to_owned()).or_default();
+        match took < AT_ONCE_MS {
+            true => wait.at_once += 1,
+            false => {
+                wait.waited += 1;
+                wait.waited_ms += took;
+            }
+        }
+    }
+
+    fn tables(&self) -> [(&'static str, &FateTable); 7] {
+        [
+            ("requests", &self.all),
+            ("reason", &self.reasons),
+            ("rank", &self.ranks),
+            ("route", &self.routes),
+            ("account", &self.accounts),
+            ("target", &self.targets),
+            ("second", &self.seconds),
+        ]
+    }
+
+    fn wait_table(&self) -> TextTable {
+        let mut table = TextTable::new(&["refused untried", "at once", "waited", "mean ms"]);
+        for (reason, wait) in &self.waits {
+            let mean = wait.waited_ms.checked_div(wait.waited);
+            table.add(vec![
+                reason.clone(),
+                wait.at_once.to_string(),
+                wait.waited.to_string(),
+                mean.map_or("-".to_owned(), |mean| mean.to_string()),
+            ]);
+        }
+        table
+    }
+
+    fn event_table(&self) -> TextTable {
+        let mut table = TextTable::new(&["event", "lines", "text"]);
+        for ((number, text), count) in &self.events {
+            table.add(vec![number.to_string(), count.to_string(), text.clone()]);
+        }
+        table
+    }
+
+    fn text(&self, count: ReadCount) -> String {
+        let mut text = String::new();
+        for (name, table) in self.tables() {
+            text += &table.text(name);
+            text.push('\n');
+        }
+        text += &format!("{}\n{}\n", self.wait_table(), self.event_table());
+        text + &format!(
+            "{} events, {} unreadable lines\n",
+            count.events, count.unreadable
+        )
+    }
+
+    fn json(&self, count: ReadCount) -> Value {
+        let tables = self.tables().into_iter();
+        let mut found: serde_json::Map<String, Value> = tables
+            .map(|(name, table)| (name.to_owned(), table.json()))
+            .collect();
+        let waits = self.waits.iter().map(|(reason, wait)| {
+            let mean = wait.waited_ms.checked_div(wait.waited);
+            let wait = json!({"at_once": wait.at_once, "waited": wait.waited, "mean_ms": mean});
+            (reason.clone(), wait)
+        });
+        let events = self.events.iter();
+        let events = events.map(|((number, _), count)| (number.to_string(), json!(count)));
+        found.insert("refused_untried".into(), Value::Object(waits.collect()));
+        found.insert("events".into(), Value::Object(events.collect()));
+        found.insert("read".into(), json!(count.events));
+        found.insert("unreadable".into(), json!(count.unreadable));
+        Value::Object(found)
+    }
+}
+
+/// Get the tables of all requests, and whether there were any.
+///
+/// # Errors
+///
+/// Returns [`CommandError::Read`] where a file cannot be read.
+pub(super) fn summary(files: &[PathBuf], json: bool) -> Result<(String, bool), CommandError> {
+    let mut summary = LogSummary::default();
+    let count = read_all(files, |line| summary.take(&line))?;
+    let text = match json {
+        true => format!("{:#}\n", summary.json(count)),
+        false => summary.text(count),
+    };
+    Ok((text, !summary.all.is_empty()))
+}
--- a/bergamotswitch/src/command/mod.rs
+++ b/bergamotswitch/src/command/mod.rs
@@ -1,5 +1,5 @@
 //! Provides the commands of the program: `serve`, `check`, `explain`,
-//! `status` and `demo`.
+//! `status`, `logs` and `demo`.
 
 mod args;
 mod check;
@@ -8,6 +8,7 @@
 mod error;
 mod explain;
 mod files;
+mod logs;
 mod output;
 mod serve;
 mod status;
@@ -18,6 +19,7 @@
 
 pub use self::args::{Command, ExplainArgs, parse};
 pub use self::error::CommandError;
+pub use self::logs::{LogsArgs, LogsQuestion};
 
 /// The exit code for a command line that is not understood or a command that
 /// could not be carried out; 1 is for findings.
@@ -43,6 +45,7 @@
         Command::Check { files } => check::check(&files),
         Command::Explain(args) => explain::explain(&args),
         Command::Status { host, json } => status::status(host, json),
+        Command::Logs(args) => logs::logs(&args),
         Command::Demo => demo::demo(),
     }
 }
--- a/bergamotswitch/tests/command_line.rs
+++ b/bergamotswitch/tests/command_line.rs
@@ -101,8 +101,11 @@
 
 #[test]
 fn usage_errors() {
-    let cases: [(&[&str], &[&str]); 9] = [
-        (&[], &["no command", "serve, check, explain, status, demo"]),
+    let cases: [(&[&str], &[&str]); 11] = [
+        (
+            &[],
+            &["no command", "serve, check, explain, status, logs, demo"],
+        ),
         (&["serv"], &["\"serv\"", "serve, check, explain"]),
         (&["serve"], &["--settings FILE"]),
         (&["serve", "--settings"], &["--settings"]),
@@ -113,6 +116,8 @@
             &["explain", "--prompt-tokens", "-1"],
             &["--prompt-tokens", "whole number from 0"],
         ),
+        (&["logs", "trace"], &["ID of logs trace"]),
+        (&["logs", "summary"], &["at least one file"]),
         (&["demo", "--fast"], &["--fast", "demo takes no options"]),
     ];
     for (args, texts) in cases {
--- /dev/null
+++ b/bergamotswitch/tests/log_questions.rs
@@ -0,0 +1,214 @@
+//! What `logs` tells an engineer from hosts' logs alone.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+/// A folder of logs that goes with the test.
+struct LogFolder(PathBuf);
+
+impl LogFolder {
+    fn new(name: &str) -> Self {
+        let name = format!("bergamotswitch-logs-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("a directory");
+        LogFolder(path)
+    }
+
+    fn write(&self, name: &str, lines: &[String]) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, lines.join("\n") + "\n").expect("written");
+        path.to_str().expect("UTF-8").to_owned()
+    }
+}
+
+impl Drop for LogFolder {
+    fn drop(&mut self) {
+        // A folder that stays in the system's own is no failure of the test.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn run(args: &[&str]) -> (i32, String) {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
+    let output = program.args(args).output().expect("the program runs");
+    let code = output.status.code().expect("an exit code");
+    (code, String::from_utf8(output.stdout).expect("UTF-8"))
+}
+
+fn line(second: u32, text: &str, fields: Value) -> String {
+    let at = format!("2026-12-01 06:00:{second:02}.250000 +00:00");
+    json!({"level": "INFO", "timestamp": at, "kv": fields, "text": text}).to_string()
+}
+
+struct Ended {
+    request: &'static str,
+    number: &'static str,
+    outcome: &'static str,
+    reason: &'static str,
+    targets: &'static str,
+    waited_ms: u64,
+    first_ms: &'static str,
+    took_ms: u64,
+}
+
+fn ended(second: u32, end: &Ended) -> String {
+    let fields = json!({
+        "event": 206, "request": end.request, "number": end.number, "route": "report",
+        "account": "crew", "tier": "0", "aim_ms": "400", "outcome": end.outcome,
+        "reason": end.reason, "targets": end.targets, "waited_ms": end.waited_ms.to_string(),
+        "first_ms": end.first_ms, "took_ms": end.took_ms.to_string(),
+    });
+    line(second, "request ended", fields)
+}
+
+fn started(host: &str, run: &str) -> String {
+    let about = format!("{host}~{run}");
+    line(
+        0,
+        "host started",
+        json!({"event": 100, "host": host, "about": about}),
+    )
+}
+
+fn write_logs(folder: &LogFolder) -> [String; 2] {
+    let first = [
+        started("front-1", "aa11"),
+        "ready callers=127.0.0.1:7101".to_owned(),
+        ended(
+            1,
+            &Ended {
+                request: "r-1",
+                number: "1",
+                outcome: "answered",
+                reason: "",
+                targets: "i-1",
+                waited_ms: 10,
+                first_ms: "300",
+                took_ms: 1_010,
+            },
+        ),
+        ended(
+            2,
+            &Ended {
+                request: "r-2",
+                number: "2",
+                outcome: "answered",
+                reason: "",
+                targets: "i-2,i-1",
+                waited_ms: 500,
+                first_ms: "900",
+                took_ms: 2_500,
+            },
+        ),
+        ended(
+            2,
+            &Ended {
+                request: "r-3",
+                number: "",
+                outcome: "refused",
+                reason: "overloaded",
+                targets: "",
+                waited_ms: 3,
+                first_ms: "",
+                took_ms: 3,
+            },
+        ),
+        ended(
+            3,
+            &Ended {
+                request: "r-4",
+                number: "13",
+                outcome: "refused",
+                reason: "target-failed",
+                targets: "i-1",
+                waited_ms: 0,
+                first_ms: "",
+                took_ms: 700,
+            },
+        ),
+    ];
+    let silent = json!({"event": 700, "attempt": "aa11-13-0", "cause": "no answer", "to": "i-1"});
+    let other = json!({"event": 700, "attempt": "aa11-1-0", "cause": "no answer", "to": "i-1"});
+    let second = [
+        started("front-2", "bb22"),
+        line(2, "connection silent, given up", silent),
+        line(2, "connection silent, given up", other),
+        "{\"cut".to_owned(),
+    ];
+    [
+        folder.write("front-1.log", &first),
+        folder.write("front-2.log", &second),
+    ]
+}
+
+#[test]
+fn outcome_tables() {
+    let folder = LogFolder::new("summary");
+    let [first, second] = write_logs(&folder);
+    let (code, text) = run(&["logs", "summary", "--json", &first, &second]);
+    assert_eq!(code, 0);
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let all = &found["requests"]["all"];
+    assert_eq!(all["in time"], json!({"requests": 1, "place_ms": 1_000}));
+    assert_eq!(all["late"], json!({"requests": 1, "place_ms": 2_000}));
+    assert_eq!(all["broken"], json!({"requests": 1, "place_ms": 700}));
+    assert_eq!(all["untried"], json!({"requests": 1, "place_ms": 0}));
+    assert_eq!(found["target"]["i-1"]["late"]["requests"], 1);
+    assert_eq!(found["reason"]["overloaded"]["untried"]["requests"], 1);
+    assert_eq!(found["refused_untried"]["overloaded"]["at_once"], 1);
+    assert_eq!(
+        found["second"]["2026-12-01 06:00:02"]["late"]["requests"],
+        1
+    );
+    assert_eq!(found["unreadable"], 2);
+    let (code, text) = run(&["logs", "summary", &first, &second]);
+    assert_eq!(code, 0);
+    assert!(text.contains("overloaded"), "{text}");
+    assert!(text.contains("2 unreadable lines"), "{text}");
+}
+
+#[test]
+fn one_request() {
+    let folder = LogFolder::new("trace");
+    let [first, second] = write_logs(&folder);
+    let (code, text) = run(&["logs", "trace", "r-4", &second, &first]);
+    assert_eq!(code, 0);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[0].contains("attempt=aa11-13-0"), "{text}");
+    assert!(lines[1].contains("reason=target-failed"), "{text}");
+    // The name of request 1 is the beginning of that of request 13.
+    let (code, text) = run(&["logs", "trace", "r-1", "--json", &first, &second]);
+    assert_eq!(code, 0);
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let lines = found["lines"].as_array().expect("lines");
+    let attempts = lines.iter().map(|line| &line["fields"]["attempt"]);
+    let attempts: Vec<&Value> = attempts.filter(|attempt| !attempt.is_null()).collect();
+    assert_eq!(attempts, [&json!("aa11-1-0")]);
+    let (code, _) = run(&["logs", "trace", "unknown", &first, &second]);
+    assert_eq!(code, 1);
+}
+
+// Symptom: the command ends with all memory used, or stops at a bad line.
+// Sequence: a log holds bytes that are no text, and a line without an end.
+// Cause: a line was read whole, and a bad one was an error.
+#[test]
+fn bad_lines() {
+    let folder = LogFolder::new("bad");
+    let [first, _] = write_logs(&folder);
+    let mut bytes = std::fs::read(&first).expect("log");
+    bytes.extend_from_slice(b"\xff\xfe{\x00\n\n");
+    bytes.extend(std::iter::repeat_n(b'{', 1 << 20));
+    std::fs::write(&first, bytes).expect("written");
+    let (code, text) = run(&["logs", "summary", "--json", &first]);
+    assert_eq!(code, 0);
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(found["read"], 5);
+    assert_eq!(found["unreadable"], 3);
+    let (code, _) = run(&["logs", "summary", "no-such-file"]);
+    assert_eq!(code, 2);
+    let (code, _) = run(&["logs", "guess", &first]);
+    assert_eq!(code, 2);
+}
