Owe tiers below the second a part of what the one above gets

Change: a tier below the second that was served less than two fifths of the share of the one above it lately goes before it, after the top tier, and may have a few asks wait where others are refused on arrival.

--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -181,6 +181,7 @@
         let Some(load) = self.targets.get_mut(&route.target) else {
             return;
         };
+        self.queue.note_fate(now, queued.ask.tier, true);
         self.sequence += 1;
         let id = PermitId {
             owner: self.me.incarnation,
@@ -280,7 +281,7 @@
         let tier = queued.ask.tier;
         if let Some(wait) = self.slot_wait(now, tier) {
             let lower_kept = self.queue.asks_through(tier) < self.queue.len();
-            if lower_kept || wait <= queued.plan.give_up_at.since(now) {
+            if self.queue.is_owed(tier) || lower_kept || wait <= queued.plan.give_up_at.since(now) {
                 return false;
             }
             let reason = RefusalReason::Overloaded;
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -24,6 +24,7 @@
 mod speed_gauge;
 mod target_change;
 pub mod target_load;
+mod tier_floor;
 mod token_limit;
 mod view;
 pub mod wait_plan;
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/queue.rs
@@ -13,6 +13,7 @@
 use crate::target::TargetName;
 
 use super::fair_queue::{QueueRank, TierEntry, TierQueue};
+use super::tier_floor::TierFloor;
 use super::wait_plan::WaitPlan;
 
 /// A `Placement` says where an ask may go. Asks of one placement are blocked
@@ -96,8 +97,13 @@
     sequence: u64,
     /// When asks cease to be fresh.
     fresh_ends: BTreeSet<(Moment, AttemptId)>,
+    floor: TierFloor,
 }
 
+/// How many asks wait of a tier that has less than it is owed: the next places
+/// are theirs, so a few are enough, and more would wait in vain.
+const OWED_WAITING: usize = 4;
+
 impl AskQueue {
     /// Get the number of asks.
     pub fn len(&self) -> usize {
@@ -225,11 +231,30 @@
         if all_blocked {
             return None;
         }
-        let mut heads = self.tiers.values().filter_map(|tier| tier.next(blocked));
+        let top = self.tiers.iter();
+        let top = top.filter(|(tier, _)| self.floor.is_top(**tier));
+        let owed = self.tiers.iter();
+        let owed = owed.filter(|(tier, _)| self.floor.is_owed(**tier));
+        let ahead = top.chain(owed).map(|(_, queue)| queue);
+        let mut heads = ahead
+            .chain(self.tiers.values())
+            .filter_map(|tier| tier.next(blocked));
         let attempt = heads.next()?;
         self.get(&attempt)
     }
 
+    /// Count an ask that got a place, or was refused.
+    pub(super) fn note_fate(&mut self, now: Moment, tier: Tier, served: bool) {
+        self.floor.note(now, tier, served);
+    }
+
+    /// Get whether a tier has less than it is owed, and may have one more ask
+    /// wait.
+    pub(super) fn is_owed(&self, tier: Tier) -> bool {
+        let waiting = self.tiers.get(&tier).map_or(0, TierQueue::asks);
+        waiting <= OWED_WAITING && self.floor.is_owed(tier)
+    }
+
     /// Get the ask that goes first under overload: of the lowest tier, the
     /// latest deadline of the account most over its share.
     pub fn worst(&self) -> Option<AttemptId> {
