Ask only after permits that a host did not name; look at each waiting tier once

- An owner that is told again what a host holds asked that host about all its permits, those that it had just named among them.
Now about the others alone.
- The order of tiers was looked up in two chains that met the first tiers again; each tier has one place (top, owed, by rank), found in one walk.
- Whether a host may act is judged by states, without a view built for it; a denial that is asked again counts as none in one place.
- The round of the key guard is begun by itself, without a moment that stands for none; the start of targets is noted when targets or routes change, not with each change of the host list; what cannot be read is an error of its reading.
- Tests share the runner of the program and the directory that goes with them.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -263,7 +263,7 @@
 
     fn take_denial(&mut self, now: Moment, host: HostName, shard: PoolShard) {
         let mut denials = self.denials.iter();
-        let place = denials.position(|denial| denial.host == host && denial.shard == shard);
+        let place = denials.position(|denial| denial.is_of(&host, &shard));
         let earlier = place.map(|place| self.denials.swap_remove(place));
         let denial = Denial::new(now, host, shard, earlier.as_ref(), &self.opts);
         self.denials.push(denial);
--- a/bergamotswitch-core/src/membership/review.rs
+++ b/bergamotswitch-core/src/membership/review.rs
@@ -108,12 +108,10 @@
     /// shard, each without the other's keys.
     fn asked_state(&self, now: Moment, shard: &PoolShard, host: &HostName) -> CandidateState {
         let mut denials = self.denials.iter();
-        let denial = denials.find(|denial| denial.host == *host && denial.shard == *shard);
-        let denial = denial.filter(|denial| !denial.is_asked_again());
-        match (denial, self.state_of(now, shard, host)) {
-            (Some(denial), CandidateState::Fresh | CandidateState::Steady) => {
-                denial.state(now, &self.opts)
-            }
+        let denial = denials.find(|denial| denial.is_of(host, shard));
+        let denied = denial.and_then(|denial| denial.state(now, &self.opts));
+        match (denied, self.state_of(now, shard, host)) {
+            (Some(denied), CandidateState::Fresh | CandidateState::Steady) => denied,
             (Some(_), _) => CandidateState::Out,
             (None, state) => state,
         }
@@ -148,14 +146,9 @@
             Some(place) => place,
             None => return false,
         };
-        let earlier: Vec<Candidate<'_>> = hosts[..place]
-            .iter()
-            .map(|host| Candidate {
-                host,
-                state: self.state_of(now, shard, host),
-            })
-            .collect();
-        shard_view::may_act(&earlier, acting)
+        let earlier = hosts[..place].iter();
+        let earlier = earlier.map(|host| self.state_of(now, shard, host));
+        shard_view::may_act(earlier, acting)
     }
 
     fn review_owners(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
@@ -172,7 +165,7 @@
         self.owners = owners;
         for denial in &mut self.denials {
             let owner = self.owners.get(&denial.shard).and_then(OwnerView::host);
-            let is_retry = denial.state(now, &self.opts) == CandidateState::Retry;
+            let is_retry = denial.state(now, &self.opts) == Some(CandidateState::Retry);
             if is_retry && owner == Some(&denial.host) {
                 denial.ask_again();
             }
--- a/bergamotswitch-core/src/membership/shard_view.rs
+++ b/bergamotswitch-core/src/membership/shard_view.rs
@@ -71,10 +71,10 @@
 /// out, and it goes on until one of them was reachable for long. With one
 /// bound for both, a flapping link would move the owner at its own pace, and
 /// each move makes all users ask anew.
-pub(super) fn may_act(earlier: &[Candidate<'_>], acting: bool) -> bool {
+pub(super) fn may_act(mut earlier: impl Iterator<Item = CandidateState>, acting: bool) -> bool {
     match acting {
-        true => earlier.iter().all(|c| c.state != CandidateState::Steady),
-        false => earlier.iter().all(|c| c.state == CandidateState::Out),
+        true => earlier.all(|state| state != CandidateState::Steady),
+        false => earlier.all(|state| state == CandidateState::Out),
     }
 }
 
@@ -161,17 +161,18 @@
         }
     }
 
+    /// Get whether it is this host's word on this shard.
+    pub(super) fn is_of(&self, host: &HostName, shard: &crate::pool::PoolShard) -> bool {
+        self.host == *host && self.shard == *shard
+    }
+
     /// Note that the peer is asked again.
     pub(super) fn ask_again(&mut self) {
         self.asked_again = true;
     }
 
-    /// Get whether the peer is asked again and has not denied since.
-    pub(super) fn is_asked_again(&self) -> bool {
-        self.asked_again
-    }
-
-    /// Get what the peer counts as.
+    /// Get what the peer counts as; `None` where it is asked again and has not
+    /// denied since.
     ///
     /// Hosts notice an owner's death, or each other's start, some hundred
     /// milliseconds apart. Whoever notices first asks the next candidate, which
@@ -179,13 +180,16 @@
     /// again with each heartbeat for one suspicion time. Taken for out at once,
     /// it would leave that host on its own for two of them: its requests would
     /// wait, or run by its own fraction, while the shard has an owner.
-    pub(super) fn state(&self, now: Moment, opts: &MembershipOptions) -> CandidateState {
+    pub(super) fn state(&self, now: Moment, opts: &MembershipOptions) -> Option<CandidateState> {
+        if self.asked_again {
+            return None;
+        }
         let waits = now < self.since.plus(opts.suspect_after);
-        match (waits, now < self.retry_at(opts)) {
+        Some(match (waits, now < self.retry_at(opts)) {
             (true, true) => CandidateState::Denied,
             (true, false) => CandidateState::Retry,
             (false, _) => CandidateState::Out,
-        }
+        })
     }
 
     fn retry_at(&self, opts: &MembershipOptions) -> Moment {
--- a/bergamotswitch-core/src/node/key_guard.rs
+++ b/bergamotswitch-core/src/node/key_guard.rs
@@ -46,9 +46,9 @@
 #[derive(Debug)]
 pub(super) struct KeyGuard {
     began: Moment,
-    /// The number of the question that is out, and when it was sent.
+    /// The number of the last question, and when this owner asked it.
     round: u64,
-    asked_at: Moment,
+    round_began: Option<Moment>,
     /// The hosts that follow, by the time of the question that they answered.
     followers: BTreeMap<HostName, Moment>,
     /// The hosts that have told their keys since this owner began.
@@ -63,7 +63,7 @@
         KeyGuard {
             began: now,
             round: 0,
-            asked_at: Moment::START,
+            round_began: None,
             followers: BTreeMap::new(),
             told: BTreeSet::new(),
             whole_since: None,
@@ -83,11 +83,24 @@
 
     /// Take note that a host follows, as it answered to a question.
     fn note_follower(&mut self, host: &HostName, round: u64) {
-        if round == self.round {
-            self.followers.insert(host.clone(), self.asked_at);
+        if let Some(began) = self.round_began
+            && round == self.round
+        {
+            self.followers.insert(host.clone(), began);
         }
     }
 
+    /// Begin the next question, where it is due; get its number.
+    fn next_round(&mut self, now: Moment, beat: Duration) -> Option<u64> {
+        let is_due = self.round_began.is_none_or(|began| now >= began.plus(beat));
+        if !is_due {
+            return None;
+        }
+        self.round += 1;
+        self.round_began = Some(now);
+        Some(self.round)
+    }
+
     /// Look at who follows now.
     fn review(&mut self, now: Moment, beat: Duration, me: &HostName, witnesses: &KeyWitnesses) {
         let valid = beat * VALID_BEATS;
@@ -255,10 +268,7 @@
                 continue;
             };
             guard.review(now, beat, &self.me.host, &witnesses);
-            if guard.asked_at == Moment::START || now >= guard.asked_at.plus(beat) {
-                guard.round += 1;
-                guard.asked_at = now;
-                let round = guard.round;
+            if let Some(round) = guard.next_round(now, beat) {
                 self.ask_followers(now, &shard, round, witnesses);
             }
             self.release_held(now, &shard, beat);
@@ -274,7 +284,7 @@
     ) {
         let me = self.me.host.clone();
         let asked = witnesses.candidates.into_iter().filter(|host| *host != me);
-        for host in asked.collect::<Vec<_>>() {
+        for host in asked {
             let shard = shard.clone();
             self.send_reply(now, host, OwnerReply::WhoFollows { shard, round });
         }
--- a/bergamotswitch-core/src/pool_owner/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/permit_table.rs
@@ -138,10 +138,10 @@
         Some(permit)
     }
 
-    /// Make the audit of a host's permits due.
-    pub fn audit_now(&mut self, now: Moment, host: &HostName) {
+    /// Make the audit of a host's permits due, but for those that it has named.
+    pub fn audit_others(&mut self, now: Moment, host: &HostName, named: &BTreeSet<PermitId>) {
         for permit in self.permits.values_mut() {
-            if permit.host != *host {
+            if permit.host != *host || named.contains(&permit.id) {
                 continue;
             }
             self.audits.remove(&(permit.audit_at, permit.id));
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/queue.rs
@@ -13,7 +13,7 @@
 use crate::target::TargetName;
 
 use super::fair_queue::{QueueRank, TierEntry, TierQueue};
-use super::tier_floor::TierFloor;
+use super::tier_floor::{TierFloor, TierPlace};
 use super::wait_plan::WaitPlan;
 
 /// A `Placement` says where an ask may go. Asks of one placement are blocked
@@ -231,14 +231,11 @@
         if all_blocked {
             return None;
         }
-        let top = self.tiers.iter();
-        let top = top.filter(|(tier, _)| self.floor.is_top(**tier));
-        let owed = self.tiers.iter();
-        let owed = owed.filter(|(tier, _)| self.floor.is_owed(**tier));
-        let ahead = top.chain(owed).map(|(_, queue)| queue);
-        let mut heads = ahead
-            .chain(self.tiers.values())
-            .filter_map(|tier| tier.next(blocked));
+        let tiers = TierPlace::ORDER.iter().flat_map(|place| {
+            let tiers = self.tiers.iter();
+            tiers.filter(|(tier, _)| self.floor.place(**tier) == *place)
+        });
+        let mut heads = tiers.filter_map(|(_, queue)| queue.next(blocked));
         let attempt = heads.next()?;
         self.get(&attempt)
     }
@@ -252,7 +249,7 @@
     /// wait.
     pub(super) fn is_owed(&self, tier: Tier) -> bool {
         let waiting = self.tiers.get(&tier).map_or(0, TierQueue::asks);
-        waiting <= OWED_WAITING && self.floor.is_owed(tier)
+        waiting <= OWED_WAITING && self.floor.place(tier) == TierPlace::Owed
     }
 
     /// Get the ask that goes first under overload: of the lowest tier, the
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -1,5 +1,7 @@
 //! Provides the ways in which permits come back or are taken over.
 
+use std::collections::BTreeSet;
+
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::incident::Incident;
@@ -61,13 +63,14 @@
         for claim in claims {
             self.keys.hold(now, claim);
         }
-        for work in held {
-            self.take_over(now, host.clone(), work);
-        }
         // A host that tells again what it holds has followed another owner
         // meanwhile, and what it gave back in that time may not have arrived.
         // Left to their turn, places would stand taken for half a minute.
-        self.permits.audit_now(now, &host);
+        let named: BTreeSet<PermitId> = held.iter().map(|work| work.permit).collect();
+        self.permits.audit_others(now, &host, &named);
+        for work in held {
+            self.take_over(now, host.clone(), work);
+        }
     }
 
     fn take_over(&mut self, now: Moment, host: HostName, work: HeldWork) {
--- a/bergamotswitch-core/src/pool_owner/tier_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/tier_floor.rs
@@ -29,9 +29,26 @@
 /// before the top one too, which rules do not allow.
 const FLOOR_PERCENT: f64 = 40.0;
 
-/// The least asks that a share is judged by.
+/// The least asks that a share is judged by: of fewer, one more or less served
+/// moves it by more than an eighth.
 const MIN_ASKS: f64 = 8.0;
 
+/// A `TierPlace` is where a tier stands, in the order in which places are given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TierPlace {
+    /// No tier above asked for much lately.
+    Top,
+    /// It has less than it is owed.
+    Owed,
+    /// Its turn comes by rank.
+    InOrder,
+}
+
+impl TierPlace {
+    /// The order in which places are given; inside each, tiers go by rank.
+    pub(super) const ORDER: [TierPlace; 3] = [TierPlace::Top, TierPlace::Owed, TierPlace::InOrder];
+}
+
 /// A `TierShare` is how much of what a tier asked for was served lately.
 #[derive(Clone, Copy, Debug, Default)]
 struct TierShare {
@@ -61,22 +78,21 @@
         share.served += f64::from(u8::from(served));
     }
 
-    /// Get whether no tier above asked for much lately.
-    pub(super) fn is_top(&self, tier: Tier) -> bool {
-        let above = self.tiers.range(..tier);
-        above.filter(|(_, share)| share.asked >= MIN_ASKS).count() == 0
-    }
-
-    /// Get whether a tier has less than it is owed.
-    pub(super) fn is_owed(&self, tier: Tier) -> bool {
+    /// Get where a tier stands among those that wait.
+    pub(super) fn place(&self, tier: Tier) -> TierPlace {
         let above = self.tiers.range(..tier).rev();
         let mut above = above.filter(|(_, share)| share.asked >= MIN_ASKS);
-        let Some((next, next_share)) = above.next() else {
-            return false;
+        let Some((_, next)) = above.next() else {
+            return TierPlace::Top;
         };
         // The top tier is owed all: nothing is taken from it.
+        let next_is_top = above.next().is_none();
         let own = self.tiers.get(&tier).copied().unwrap_or_default();
-        !self.is_top(*next) && own.served_part() * 100.0 < next_share.served_part() * FLOOR_PERCENT
+        let has_less = own.served_part() * 100.0 < next.served_part() * FLOOR_PERCENT;
+        match !next_is_top && has_less {
+            true => TierPlace::Owed,
+            false => TierPlace::InOrder,
+        }
     }
 
     fn age(&mut self, now: Moment) {
--- a/bergamotswitch-core/tests/key_guard.rs
+++ b/bergamotswitch-core/tests/key_guard.rs
@@ -12,10 +12,10 @@
 const SETTLE: Duration = Duration::from_secs(4);
 
 /// Get the hosts in the order in which they may own the shard.
-fn candidates() -> Vec<usize> {
+fn candidates() -> [usize; 3] {
     let names: Vec<HostName> = HOSTS.iter().map(|host| name(host)).collect();
     let ranked = rendezvous::rank(&shard(), names.iter());
-    ranked.iter().map(index).collect()
+    std::array::from_fn(|place| index(&ranked[place]))
 }
 
 fn cut(net: &mut NodeNet, a: usize, b: usize) {
@@ -30,9 +30,7 @@
 #[test]
 fn two_owners() {
     let mut net = NodeNet::start_with("plain");
-    let [first, second, third] = candidates()[..] else {
-        panic!("three hosts");
-    };
+    let [first, second, third] = candidates();
     cut(&mut net, first, second);
     net.pass(Duration::from_secs(3));
     assert_eq!(net.owners().len(), 2, "both order the shard");
@@ -87,9 +85,7 @@
 #[test]
 fn bounded_wait() {
     let mut net = NodeNet::start_with("plain");
-    let [first, second, third] = candidates()[..] else {
-        panic!("three hosts");
-    };
+    let [first, second, third] = candidates();
     net.nodes[third].submit(alert("calm"));
     net.pass(Duration::from_millis(50));
     assert_eq!(net.started.len(), 1, "at once");
@@ -111,9 +107,7 @@
 #[test]
 fn woken_owner() {
     let mut net = NodeNet::start_with("plain");
-    let [first, second, _] = candidates()[..] else {
-        panic!("three hosts");
-    };
+    let [first, second, _] = candidates();
     net.nodes[first].submit(alert("before"));
     net.pass(Duration::from_millis(50));
     net.freeze(first, Duration::from_secs(6));
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -387,7 +387,10 @@
             self.targets
                 .set_options(TargetClientOptions::default().with_limits(limits));
         }
-        self.targets.note_starts(&publication.pools);
+        // The host list changes often, and says nothing of targets.
+        if name.as_str() != HOSTS_VALUE {
+            self.targets.note_starts(&publication.pools);
+        }
         self.platform.set_limits(limits);
         self.open.set_max_answer_bytes(limits.max_answer_bytes);
         self.links
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -133,9 +133,8 @@
             let mut unreadable = Vec::new();
             for item in &items {
                 match unread.read(item) {
-                    Some(TargetChange::Set(entry)) => entries.push(entry),
-                    Some(TargetChange::Unreadable(name)) => unreadable.push(name),
-                    Some(TargetChange::Gone(_)) | None => {}
+                    Ok(entry) => entries.push(entry),
+                    Err(name) => unreadable.extend(name),
                 }
             }
             TargetNews::Whole {
@@ -156,7 +155,13 @@
 
 fn change_of(change: &StoreChange, unread: &mut UnreadEntries) -> Option<(u64, TargetChange)> {
     match change {
-        StoreChange::Set(item) => Some((item.revision, unread.read(item)?)),
+        StoreChange::Set(item) => {
+            let change = match unread.read(item) {
+                Ok(entry) => TargetChange::Set(entry),
+                Err(name) => TargetChange::Unreadable(name?),
+            };
+            Some((item.revision, change))
+        }
         StoreChange::Removed { key, revision } => {
             unread.forget(key);
             let name = registration::target_name(key)?;
--- a/bergamotswitch-net/src/store_source/unread_entries.rs
+++ b/bergamotswitch-net/src/store_source/unread_entries.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeSet;
 
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::target_list::TargetChange;
+use bergamotswitch_core::target::TargetName;
+use bergamotswitch_core::target_list::TargetEntry;
 use bergamotswitch_platform::registration;
 use bergamotswitch_platform::store::StoreItem;
 
@@ -24,12 +25,17 @@
 }
 
 impl UnreadEntries {
-    /// Get what an item says of its target; `None` where its key names none.
-    pub(super) fn read(&mut self, item: &StoreItem) -> Option<TargetChange> {
+    /// Try to read a target's entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the target in whose place something else lies, where the key
+    /// names one.
+    pub(super) fn read(&mut self, item: &StoreItem) -> Result<TargetEntry, Option<TargetName>> {
         match registration::read(&item.key, &item.value) {
             Ok(entry) => {
                 self.logged.remove(&item.key);
-                Some(TargetChange::Set(entry))
+                Ok(entry)
             }
             Err(fault) => {
                 if self.is_first(&item.key) {
@@ -38,7 +44,7 @@
                         &[("key", &item.key), ("cause", &fault)],
                     );
                 }
-                registration::target_name(&item.key).map(TargetChange::Unreadable)
+                Err(registration::target_name(&item.key))
             }
         }
     }
--- a/bergamotswitch/tests/command_line.rs
+++ b/bergamotswitch/tests/command_line.rs
@@ -1,68 +1,21 @@
 //! Tests the program's commands as an operator types them.
 
 mod fleet;
+mod program;
 
-use std::path::{Path, PathBuf};
 use std::process::Command;
 
 use bergamotswitch::command::demo::deployment_directory;
 use fleet::Fleet;
+use program::{Scratch, run};
 
 const DEPLOYMENTS: [&str; 2] = ["red-austral", "naapuriseina"];
 
-/// What one run of the program left.
-struct Run {
-    code: i32,
-    output: String,
-    errors: String,
-}
-
-fn run(args: &[&str]) -> Run {
-    let mut program = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
-    let output = program.args(args).output().expect("the program runs");
-    let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
-    Run {
-        code: output.status.code().expect("an exit code"),
-        output: text(output.stdout),
-        errors: text(output.stderr),
-    }
-}
-
 fn directory(deployment: &str) -> String {
     let path = deployment_directory(deployment);
     path.to_str().expect("UTF-8").to_owned()
 }
 
-/// A directory that goes with the test.
-struct Scratch(PathBuf);
-
-impl Scratch {
-    fn new(name: &str) -> Self {
-        let name = format!("bergamotswitch-{name}-{}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&path).expect("a directory");
-        Scratch(path)
-    }
-
-    fn write(&self, name: &str, text: &str) -> String {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).expect("written");
-        path.to_str().expect("UTF-8").to_owned()
-    }
-
-    fn copy(&self, from: &Path, names: &[&str]) {
-        for name in names {
-            std::fs::copy(from.join(name), self.0.join(name)).expect("copied");
-        }
-    }
-}
-
-impl Drop for Scratch {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 #[test]
 fn five_findings() {
     let scratch = Scratch::new("five");
--- a/bergamotswitch/tests/log_questions.rs
+++ b/bergamotswitch/tests/log_questions.rs
@@ -1,40 +1,14 @@
 //! What `logs` tells an engineer from hosts' logs alone.
 
-use std::path::PathBuf;
-use std::process::Command;
+mod program;
 
+use program::{Run, Scratch, run};
 use serde_json::{Value, json};
 
-/// A folder of logs that goes with the test.
-struct LogFolder(PathBuf);
-
-impl LogFolder {
-    fn new(name: &str) -> Self {
-        let name = format!("bergamotswitch-logs-{name}-{}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::create_dir_all(&path).expect("a directory");
-        LogFolder(path)
-    }
-
-    fn write(&self, name: &str, lines: &[String]) -> String {
-        let path = self.0.join(name);
-        std::fs::write(&path, lines.join("\n") + "\n").expect("written");
-        path.to_str().expect("UTF-8").to_owned()
-    }
-}
-
-impl Drop for LogFolder {
-    fn drop(&mut self) {
-        // A folder that stays in the system's own is no failure of the test.
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
-fn run(args: &[&str]) -> (i32, String) {
-    let mut program = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
-    let output = program.args(args).output().expect("the program runs");
-    let code = output.status.code().expect("an exit code");
-    (code, String::from_utf8(output.stdout).expect("UTF-8"))
+fn read_json(args: &[&str]) -> Value {
+    let run = run(args);
+    assert_eq!(run.code, 0, "{}", run.errors);
+    serde_json::from_str(&run.output).expect("JSON")
 }
 
 fn line(second: u32, text: &str, fields: Value) -> String {
@@ -72,7 +46,7 @@
     )
 }
 
-fn write_logs(folder: &LogFolder) -> [String; 2] {
+fn write_logs(folder: &Scratch) -> [String; 2] {
     let first = [
         started("front-1", "aa11"),
         "ready callers=127.0.0.1:7101".to_owned(),
@@ -138,18 +112,16 @@
         "{\"cut".to_owned(),
     ];
     [
-        folder.write("front-1.log", &first),
-        folder.write("front-2.log", &second),
+        folder.write("front-1.log", &(first.join("\n") + "\n")),
+        folder.write("front-2.log", &(second.join("\n") + "\n")),
     ]
 }
 
 #[test]
 fn outcome_tables() {
-    let folder = LogFolder::new("summary");
+    let folder = Scratch::new("logs-summary");
     let [first, second] = write_logs(&folder);
-    let (code, text) = run(&["logs", "summary", "--json", &first, &second]);
-    assert_eq!(code, 0);
-    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let found = read_json(&["logs", "summary", "--json", &first, &second]);
     let all = &found["requests"]["all"];
     assert_eq!(all["in time"], json!({"requests": 1, "place_ms": 1_000}));
     assert_eq!(all["late"], json!({"requests": 1, "place_ms": 2_000}));
@@ -163,7 +135,9 @@
         1
     );
     assert_eq!(found["unreadable"], 2);
-    let (code, text) = run(&["logs", "summary", &first, &second]);
+    let Run {
+        code, output: text, ..
+    } = run(&["logs", "summary", &first, &second]);
     assert_eq!(code, 0);
     assert!(text.contains("overloaded"), "{text}");
     assert!(text.contains("2 unreadable lines"), "{text}");
@@ -171,24 +145,23 @@
 
 #[test]
 fn one_request() {
-    let folder = LogFolder::new("trace");
+    let folder = Scratch::new("logs-trace");
     let [first, second] = write_logs(&folder);
-    let (code, text) = run(&["logs", "trace", "r-4", &second, &first]);
+    let Run {
+        code, output: text, ..
+    } = run(&["logs", "trace", "r-4", &second, &first]);
     assert_eq!(code, 0);
     let lines: Vec<&str> = text.lines().collect();
     assert_eq!(lines.len(), 3, "{text}");
     assert!(lines[0].contains("attempt=aa11-13-0"), "{text}");
     assert!(lines[1].contains("reason=target-failed"), "{text}");
     // The name of request 1 is the beginning of that of request 13.
-    let (code, text) = run(&["logs", "trace", "r-1", "--json", &first, &second]);
-    assert_eq!(code, 0);
-    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let found = read_json(&["logs", "trace", "r-1", "--json", &first, &second]);
     let lines = found["lines"].as_array().expect("lines");
     let attempts = lines.iter().map(|line| &line["fields"]["attempt"]);
     let attempts: Vec<&Value> = attempts.filter(|attempt| !attempt.is_null()).collect();
     assert_eq!(attempts, [&json!("aa11-1-0")]);
-    let (code, _) = run(&["logs", "trace", "unknown", &first, &second]);
-    assert_eq!(code, 1);
+    assert_eq!(run(&["logs", "trace", "unknown", &first, &second]).code, 1);
 }
 
 // Symptom: the command ends with all memory used, or stops at a bad line.
@@ -196,19 +169,15 @@
 // Cause: a line was read whole, and a bad one was an error.
 #[test]
 fn bad_lines() {
-    let folder = LogFolder::new("bad");
+    let folder = Scratch::new("logs-bad");
     let [first, _] = write_logs(&folder);
     let mut bytes = std::fs::read(&first).expect("log");
     bytes.extend_from_slice(b"\xff\xfe{\x00\n\n");
     bytes.extend(std::iter::repeat_n(b'{', 1 << 20));
     std::fs::write(&first, bytes).expect("written");
-    let (code, text) = run(&["logs", "summary", "--json", &first]);
-    assert_eq!(code, 0);
-    let found: Value = serde_json::from_str(&text).expect("JSON");
+    let found = read_json(&["logs", "summary", "--json", &first]);
     assert_eq!(found["read"], 5);
     assert_eq!(found["unreadable"], 3);
-    let (code, _) = run(&["logs", "summary", "no-such-file"]);
-    assert_eq!(code, 2);
-    let (code, _) = run(&["logs", "guess", &first]);
-    assert_eq!(code, 2);
+    assert_eq!(run(&["logs", "summary", "no-such-file"]).code, 2);
+    assert_eq!(run(&["logs", "guess", &first]).code, 2);
 }
