Tell in the log how far a planned stop is and what it still holds

A process that is killed at the end of its grace tells nothing of the requests that it held, so no log could tell whether they were taken too late, waited too long, or came before the signal. The line at the signal and one when the door is shut tell what waits and runs and how much of the grace is left; shortly before its end one line (109) and one for each open request (207) tell the rest, and a request's end (206) tells how long after the signal it was taken.

No decision changes.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -67,6 +67,10 @@
     SettingsRefused = 106, Error, "changed settings refused, the earlier ones stay";
     /// Log lines were left out.
     LinesDropped = 107, Warn, "log lines left out";
+    /// A stopping host takes no further callers.
+    DoorShut = 108, Info, "no further callers taken";
+    /// The time that a planned stop may last is nearly over.
+    GraceEnding = 109, Warn, "grace nearly over, requests still open";
     /// A request was refused.
     RequestRefused = 200, Info, "request refused";
     /// A request that must not run twice was lost.
@@ -81,6 +85,8 @@
     DegradedAdmission = 205, Warn, "no owner reachable, admitting by own fraction";
     /// A request of the gateway has ended.
     RequestEnded = 206, Info, "request ended";
+    /// A request was still open when the grace was nearly over.
+    RequestOpen = 207, Warn, "request still open, grace nearly over";
     /// This host now acts as owner.
     OwnershipTaken = 300, Warn, "acting as owner of shard";
     /// This host no longer acts as owner.
--- a/bergamotswitch-core/src/settings.rs
+++ b/bergamotswitch-core/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use serde::Serialize;
 
@@ -147,6 +148,13 @@
         read_text(SETTINGS_INPUT, text)
     }
 
+    /// Get how long a planned stop may last before the process is killed;
+    /// absent where nobody says so.
+    pub fn grace(&self) -> Option<Duration> {
+        let gateway = self.gateway.as_ref()?;
+        Some(Duration::from_secs_f64(gateway.grace_s))
+    }
+
     /// Get what the host list says otherwise than these settings. It lags, so
     /// a host starts all the same; callers and peers go by the list.
     pub fn check_listed(&self, hosts: &HostList) -> Findings {
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -22,7 +22,7 @@
 use super::open_request::{OpenRequest, OpenRequests};
 use super::request_label::RequestLabel;
 use super::seams::{CallerDoor, ValueSource};
-use super::stop::StopPhase;
+use super::stop::{StopPhase, StopTimes};
 use super::{NodeError, NodeSetup};
 use crate::answer::AnswerPart;
 use crate::boot_clock::BootClock;
@@ -139,7 +139,7 @@
                 () = tokio::time::sleep(pause) => self.handle(NodeEvent::Tick),
             }
             self.refresh_gauges();
-            self.end_lapse();
+            self.advance_stop();
         }
         self.close().await;
     }
@@ -171,7 +171,9 @@
                 call,
                 reply,
             } => {
-                let label = RequestLabel::of(self.now(), &submission, &call);
+                let times = self.stop.times();
+                let label = RequestLabel::of(self.now(), &submission, &call)
+                    .with_stop(times.map(|times| times.begun_at));
                 let (reception, actions) = self.core.submit(self.now(), *submission);
                 let received = self.receive(reception, *call, label);
                 self.carry_out(actions);
@@ -249,19 +251,28 @@
 
     fn on_stop(&mut self) {
         if self.stop == StopPhase::Serving {
-            self.note(Incident::StopBegun, "");
+            let grace = self.settings.grace();
+            let times = StopTimes::new(self.now(), self.stop_lifetime(), grace);
+            self.stop = self.stop.begin(times);
+            self.note_stop(Incident::StopBegun, &times);
         }
-        let lifetime = self.stop_lifetime();
         self.callers.lapse();
-        self.stop = self.stop.begin(self.now(), lifetime);
         self.handle(NodeEvent::Stop);
     }
 
-    /// Close the door once the handed-out addresses have lapsed.
-    fn end_lapse(&mut self) {
-        if let Some(phase) = self.stop.lapsed(self.now()) {
-            self.callers.shut();
-            self.stop = phase;
+    /// Go on with a planned stop, as far as time alone takes it.
+    fn advance_stop(&mut self) {
+        let Some(phase) = self.stop.advance(self.now()) else {
+            return;
+        };
+        self.stop = phase;
+        match phase {
+            StopPhase::Serving | StopPhase::Lapsing(_) => {}
+            StopPhase::Ending(times) => {
+                self.callers.shut();
+                self.note_stop(Incident::DoorShut, &times);
+            }
+            StopPhase::Overdue(times) => self.note_open(&times),
         }
     }
 
--- a/bergamotswitch-net/src/node/drive/reports.rs
+++ b/bergamotswitch-net/src/node/drive/reports.rs
@@ -1,7 +1,9 @@
 //! Provides what the loop reports of itself: log events, gauges and status.
 
+use std::fmt::Display;
 use std::time::Duration;
 
+use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::node::NodeEvent;
 use serde_json::json;
@@ -9,6 +11,7 @@
 use super::HostNode;
 use crate::journal;
 use crate::node::gauges;
+use crate::node::stop::StopTimes;
 
 /// How often gauges are brought up to date.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,6 +50,47 @@
         journal::write(incident, &[("host", &self.me.run.host), ("about", &text)]);
     }
 
+    /// Note how far a planned stop is and what is open.
+    pub(super) fn note_stop(&self, incident: Incident, times: &StopTimes) {
+        self.metrics.incident(incident);
+        let now = self.now();
+        let desk = self.core.view(now).desk;
+        let waiting: u32 = desk.waiting.iter().sum();
+        let running: u32 = desk.running.iter().sum();
+        let stopped = now.since(times.begun_at).as_millis();
+        let door = times.door_until.since(now).as_millis();
+        let grace = match times.killed_at {
+            Moment::NEVER => String::new(),
+            at => at.since(now).as_millis().to_string(),
+        };
+        let pairs: [(&str, &dyn Display); 6] = [
+            ("host", &self.me.run.host),
+            ("stopping_ms", &stopped),
+            ("door_ms", &door),
+            ("grace_ms", &grace),
+            ("waiting", &waiting),
+            ("running", &running),
+        ];
+        journal::write(incident, &pairs);
+    }
+
+    /// Note each request that is still open although the grace is nearly over.
+    ///
+    /// A process that is killed tells nothing of what it held: without these
+    /// lines a request that is lost with it has none in any log.
+    pub(super) fn note_open(&self, times: &StopTimes) {
+        if self.core.is_idle() {
+            return;
+        }
+        self.note_stop(Incident::GraceEnding, times);
+        let now = self.now();
+        for (id, request) in self.open.live() {
+            self.metrics.incident(Incident::RequestOpen);
+            let pieces = request.answer.pieces();
+            request.label.note_open(now, id, times, pieces);
+        }
+    }
+
     pub(super) fn status(&self) -> serde_json::Value {
         let view = serde_json::to_value(self.core.view(self.now()));
         // A view that cannot be written would otherwise look like an empty one.
--- a/bergamotswitch-net/src/node/open_request.rs
+++ b/bergamotswitch-net/src/node/open_request.rs
@@ -81,6 +81,13 @@
         self.requests.get(&id)
     }
 
+    /// Get the requests that have not ended, in no order.
+    pub fn live(&self) -> impl Iterator<Item = (RequestId, &OpenRequest)> {
+        let requests = self.requests.iter();
+        let live = requests.filter(|(_, request)| request.call.is_some());
+        live.map(|(id, request)| (*id, request))
+    }
+
     /// Drop what would be sent: the request is over.
     pub fn end(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -11,6 +11,7 @@
 use bergamotswitch_core::rules::{RuleName, Tier};
 use bergamotswitch_core::target::TargetName;
 
+use super::stop::StopTimes;
 use crate::input::OutgoingCall;
 use crate::journal;
 
@@ -32,6 +33,8 @@
     started_at: Option<Moment>,
     first_at: Option<Moment>,
     targets: Vec<TargetName>,
+    /// When the planned stop began under which it was received.
+    stop_at: Option<Moment>,
 }
 
 impl RequestLabel {
@@ -50,15 +53,20 @@
             started_at: None,
             first_at: None,
             targets: Vec::new(),
+            stop_at: None,
         }
     }
 
+    /// Set when the planned stop began under which it was received.
+    pub(super) fn with_stop(mut self, stop_at: Option<Moment>) -> Self {
+        self.stop_at = stop_at;
+        self
+    }
+
     /// Note a target to which it is sent.
     pub(super) fn note_target(&mut self, now: Moment, target: &TargetName) {
-        if self.caller_id.is_some() {
-            self.started_at.get_or_insert(now);
-            self.targets.push(target.clone());
-        }
+        self.started_at.get_or_insert(now);
+        self.targets.push(target.clone());
     }
 
     /// Note that its answer begins.
@@ -87,8 +95,7 @@
             ),
         };
         let id = id.map_or(String::new(), |id| id.sequence.to_string());
-        let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
-        let targets = names.join(",");
+        let targets = self.target_names();
         let waited = self
             .started_at
             .unwrap_or(now)
@@ -101,7 +108,11 @@
         let first = first.map_or(String::new(), |millis| millis.to_string());
         let aim = self.aim.map(|aim| aim.as_millis());
         let aim = aim.map_or(String::new(), |millis| millis.to_string());
-        let pairs: [(&str, &dyn Display); 16] = [
+        let stopping = self
+            .stop_at
+            .map(|at| self.received_at.since(at).as_millis());
+        let stopping = stopping.map_or(String::new(), |millis| millis.to_string());
+        let pairs: [(&str, &dyn Display); 17] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
@@ -118,7 +129,53 @@
             ("prompt", &self.prompt),
             ("output", &self.output),
             ("pieces", &pieces),
+            ("stopping_ms", &stopping),
         ];
         journal::write(Incident::RequestEnded, &pairs);
     }
+
+    /// Write the line about a request that is open although the grace is
+    /// nearly over.
+    pub(super) fn note_open(&self, now: Moment, id: RequestId, stop: &StopTimes, pieces: usize) {
+        let number = id.sequence;
+        let caller_id = self.caller_id.as_deref().unwrap_or_default();
+        let stage = match self.started_at {
+            Some(_) => "running",
+            None => "waiting",
+        };
+        let age = now.since(self.received_at).as_millis();
+        let ran = self.started_at.map_or(Duration::ZERO, |at| now.since(at));
+        let ran = ran.as_millis();
+        // Negative for a request from before the signal.
+        let stopping = match self.received_at < stop.begun_at {
+            true => format!("-{}", stop.begun_at.since(self.received_at).as_millis()),
+            false => self
+                .received_at
+                .since(stop.begun_at)
+                .as_millis()
+                .to_string(),
+        };
+        let targets = self.target_names();
+        let pairs: [(&str, &dyn Display); 13] = [
+            ("request", &caller_id),
+            ("number", &number),
+            ("route", &self.rule),
+            ("account", &self.account),
+            ("tier", &self.tier.0),
+            ("stage", &stage),
+            ("age_ms", &age),
+            ("ran_ms", &ran),
+            ("targets", &targets),
+            ("prompt", &self.prompt),
+            ("output", &self.output),
+            ("pieces", &pieces),
+            ("stopping_ms", &stopping),
+        ];
+        journal::write(Incident::RequestOpen, &pairs);
+    }
+
+    fn target_names(&self) -> String {
+        let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
+        names.join(",")
+    }
 }
