Read the grace of a planned stop for either interface

It stood among the gateway's settings and was used by nothing; a host of the project's own interface may be killed as well. No decision changes.

--- a/bergamotswitch-core/src/settings.rs
+++ b/bergamotswitch-core/src/settings.rs
@@ -93,6 +93,9 @@
     pub configuration_services: Vec<SocketAddr>,
     /// The instances of the host list.
     pub host_lists: Vec<SocketAddr>,
+    /// How long a planned stop may last before the process is killed, in
+    /// seconds; absent where nothing kills it.
+    pub grace_s: Option<f64>,
     /// Where it serves as a gateway, which reads no services of the above.
     pub gateway: Option<GatewaySettings>,
     /// What is logged.
@@ -127,8 +130,6 @@
     pub retry_ratio: f64,
     /// The retries that all hosts together may make beyond that.
     pub retry_slack: f64,
-    /// How long a planned stop may last, in seconds.
-    pub grace_s: f64,
     /// The window over which quotas are judged, in seconds.
     pub quota_window_s: f64,
     /// How much more than its quota an account may use in one window.
@@ -149,10 +150,9 @@
     }
 
     /// Get how long a planned stop may last before the process is killed;
-    /// absent where nobody says so.
+    /// absent where nothing kills it.
     pub fn grace(&self) -> Option<Duration> {
-        let gateway = self.gateway.as_ref()?;
-        Some(Duration::from_secs_f64(gateway.grace_s))
+        self.grace_s.map(Duration::from_secs_f64)
     }
 
     /// Get what the host list says otherwise than these settings. It lags, so
@@ -190,6 +190,7 @@
         let domain = object.required("domain");
         let caller_address = object.required("caller_address");
         let link_address = object.required("link_address");
+        let grace_s = object.fraction("grace_s", &GRACE_RANGE);
         let gateway = object.optional("gateway");
         let has_gateway = node.field("gateway").is_some();
         let (services, host_lists) = match has_gateway {
@@ -210,6 +211,7 @@
             link_address: link_address?,
             configuration_services: addresses(services?),
             host_lists: addresses(host_lists?),
+            grace_s: grace_s?,
             gateway: gateway?,
             log: log?,
         })
@@ -277,7 +279,6 @@
         let revoke_ms = object.number("revoke_ms", &REVOKE_RANGE);
         let retry_ratio = object.fraction("retry_ratio", &RATIO_RANGE);
         let retry_slack = object.fraction("retry_slack", &SLACK_RANGE);
-        let grace_s = object.fraction("grace_s", &GRACE_RANGE);
         let quota_window_s = object.fraction("quota_window_s", &WINDOW_RANGE);
         let quota_overage = object.fraction("quota_overage", &RATIO_RANGE);
         object.finish();
@@ -293,7 +294,6 @@
             revoke_ms: revoke_ms?,
             retry_ratio: retry_ratio?.unwrap_or(0.1),
             retry_slack: retry_slack?.unwrap_or(0.0),
-            grace_s: grace_s?.unwrap_or(30.0),
             quota_window_s: quota_window_s?.unwrap_or(8.0),
             quota_overage: quota_overage?.unwrap_or(0.0),
         })
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -240,8 +240,9 @@
             "readiness_address": readiness, "directory_address": directory,
             "metrics_address": metrics, "store_address": store, "seeds": [seed],
             "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
-            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50, "grace_s": 8,
+            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
         },
+        "grace_s": 8,
         "log": {"output": "stdout", "format": "json"},
     });
     let name = format!(
