Bring about answers that a planned stop cuts: taken late, started late

The stop of a host, as the platform does it, stands with the child process for both interfaces; sites take times of their own.

--- a/bergamotswitch/tests/fleet/mod.rs
+++ b/bergamotswitch/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod caller;
 #[path = "../host_child/mod.rs"]
-mod host_child;
+pub mod host_child;
 pub mod relay;
 
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
 use http::{HeaderMap, Method};
 use serde_json::{Value, json};
 
-use self::host_child::HostChild;
+use self::host_child::{HostChild, PlannedStop};
 
 /// The port of the control address, besides those of the deployments.
 const CONTROL_PORT: u16 = 7900;
@@ -70,6 +70,11 @@
         self.child.signal(name);
     }
 
+    /// Stop it as the platform does.
+    pub fn stop(self, grace: Duration) -> PlannedStop {
+        PlannedStop::begin(self.child, grace)
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child.end().is_some()
     }
@@ -254,6 +259,16 @@
     paths
 }
 
+/// Tell all hosts of a stage that they are killed so long after SIGTERM.
+pub fn set_grace(stage: &StagedDeployment, grace: Duration) {
+    for path in settings_paths(stage) {
+        let text = std::fs::read_to_string(&path).expect("settings file");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["grace_s"] = grace.as_secs_f64().into();
+        std::fs::write(&path, settings.to_string()).expect("settings file");
+    }
+}
+
 /// Put a text in the place of another one in a staged file.
 pub fn rewrite(path: &Path, from: &str, to: &str) {
     let text = std::fs::read_to_string(path).expect("staged file");
--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -5,6 +5,13 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// How often a stopping process is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A `HostChild` is a running host; its drop ends it.
 pub struct HostChild {
@@ -59,6 +66,60 @@
     }
 }
 
+/// A planned stop as the platform does it: SIGTERM, and SIGKILL where the
+/// process is still there at the end of the grace.
+pub struct PlannedStop {
+    begun: Instant,
+    task: JoinHandle<StopEnd>,
+}
+
+impl PlannedStop {
+    /// Stop a host.
+    pub fn begin(host: HostChild, grace: Duration) -> Self {
+        host.signal("TERM");
+        let begun = Instant::now();
+        let task = tokio::spawn(watch_end(host, begun + grace));
+        PlannedStop { begun, task }
+    }
+
+    /// Wait until so long after the signal.
+    pub async fn at(&self, after: Duration) {
+        tokio::time::sleep_until(self.begun + after).await;
+    }
+
+    /// Wait for its end.
+    pub async fn end(self) -> StopEnd {
+        self.task.await.expect("stop")
+    }
+}
+
+/// How a planned stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopEnd {
+    /// The process ended by itself.
+    Ended(ExitStatus),
+    /// It was killed at the end of its grace.
+    Killed,
+}
+
+impl StopEnd {
+    /// Get whether the process ended by itself, and well.
+    pub fn is_clean(self) -> bool {
+        matches!(self, StopEnd::Ended(status) if status.success())
+    }
+}
+
+async fn watch_end(mut host: HostChild, killed_at: Instant) -> StopEnd {
+    while Instant::now() < killed_at {
+        if let Some(status) = host.end() {
+            return StopEnd::Ended(status);
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    host.kill();
+    StopEnd::Killed
+}
+
 fn spawn(settings: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
     command.args(["serve", "--settings"]).arg(settings);
--- a/bergamotswitch/tests/planned_stop.rs
+++ b/bergamotswitch/tests/planned_stop.rs
@@ -2,10 +2,18 @@
 
 mod fleet;
 
+use std::time::{Duration, Instant};
+
 use fleet::caller::{Call, pause, send_all};
 use fleet::{ALL_HOSTS, ENGINES, Fleet, PATIENCE, assert_ran_once, wait_revision, wait_view};
 use serde_json::Value;
 
+/// By when a caller has been turned away that is turned away at once: it is
+/// told without waiting for anything, so this allows for a busy machine alone.
+const AT_ONCE: Duration = Duration::from_secs(1);
+/// The tokens of a report that an engine of Red Austral writes in some 6 s.
+const REPORT_TOKENS: u32 = 2_000;
+
 /// Stop a host with streams in flight and work that waits in it.
 async fn stop(fleet: &mut Fleet, stopping: usize) {
     fleet.publish_small_targets(600).await;
@@ -74,3 +82,35 @@
     let others = fleet.others(owner);
     assert_ne!(fleet.wait_owner(ENGINES, &others).await, owner);
 }
+
+// Symptom: a long report is cut and its caller cannot know whether it ran.
+// Sequence: a host gets SIGTERM, takes a report of 6 s when 4.5 s of its grace
+// are left, and is killed at the end of the grace. Cause: a stopping host took
+// all work for as long as its address had been handed out for.
+#[tokio::test]
+async fn report_moved() {
+    let grace = Duration::from_secs(8);
+    let (mut fleet, ()) =
+        Fleet::start_with("red-austral", |stage| fleet::set_grace(stage, grace)).await;
+    let owner = fleet.wait_owner(ENGINES, &ALL_HOSTS).await;
+    let others = fleet.others(owner);
+    let stopping = fleet.hosts[others[0]].address();
+    let other = fleet.hosts[others[1]].address();
+    let before = Call::report("before", REPORT_TOKENS);
+    assert!(before.send(stopping).await.is_whole());
+    let stop = fleet.hosts.remove(others[0]).stop(grace);
+    stop.at(Duration::from_millis(3_500)).await;
+
+    let asked_at = Instant::now();
+    let late = Call::report("late", REPORT_TOKENS);
+    let answer = late.send(stopping).await;
+    assert_eq!(answer.code(), "stopping", "{answer:?}");
+    assert_eq!(answer.ran(), "no", "{answer:?}");
+    assert!(asked_at.elapsed() < AT_ONCE, "{answer:?}");
+    let answer = late.again().send(other).await;
+    assert!(answer.is_whole(), "{answer:?}");
+    stop.end().await;
+    let runs = fleet.runs().await;
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    assert_ran_once(&runs);
+}
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -5,10 +5,11 @@
 #![allow(dead_code)]
 
 #[path = "../host_child/mod.rs"]
-mod host_child;
+pub mod host_child;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -40,13 +41,45 @@
 /// How long a revoked key may still work.
 pub const REVOKE_MS: u64 = 3_000;
 
+/// How a site is made.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// How many hosts it has.
+    pub hosts: usize,
+    /// How many events each stream has.
+    pub events: u32,
+    /// The pause before each event.
+    pub gap: Duration,
+    /// By when an answer should begin.
+    pub aim: Duration,
+    /// How long the operator lets a call wait for the end of its answer.
+    pub timeout: Duration,
+    /// How long after SIGTERM a host is killed.
+    pub grace: Duration,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        SiteOptions {
+            hosts: 1,
+            events: 8,
+            gap: Duration::from_millis(20),
+            aim: Duration::from_secs(1),
+            timeout: Duration::from_secs(5),
+            grace: Duration::from_secs(8),
+        }
+    }
+}
+
 /// One host of a site and its addresses.
 pub struct HostProcess {
     pub link: SocketAddr,
     pub callers: SocketAddr,
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
     pub child: HostChild,
+    settings: PathBuf,
 }
 
 impl HostProcess {
@@ -65,6 +98,26 @@
         is_ready(self.readiness).await
     }
 
+    /// Change the grace in the settings file and tell the host so.
+    pub fn reload_grace(&self, grace: Duration) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings file");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["grace_s"] = grace.as_secs_f64().into();
+        write_settings(&self.settings, &settings);
+        self.child.signal("HUP");
+    }
+
+    /// Wait until the host has written a numbered line of the log.
+    pub async fn noted(&self, number: u32) {
+        let series = format!("{{number=\"{number}\"}} ");
+        let counts = |line: &str| line.contains(&series) && !line.ends_with(" 0");
+        until(&format!("log line {number}"), async || {
+            let page = Call::get("/metrics").send(self.metrics).await;
+            page.is_ok_and(|page| page.text().lines().any(counts))
+        })
+        .await;
+    }
+
     /// Get the addresses that the host names.
     pub async fn named(&self) -> Vec<String> {
         let path = format!("/resolve?name={HOST}&region=r&zone=hall-1");
@@ -87,6 +140,7 @@
     pub engines: Vec<UsersTarget>,
     pub desks: Vec<UsersTarget>,
     pub hosts: Vec<HostProcess>,
+    options: SiteOptions,
     version: u64,
 }
 
@@ -94,12 +148,21 @@
     /// Start a site of so many hosts, two engines and two desks, and wait
     /// until all hosts are ready.
     pub async fn start(hosts: usize) -> Self {
+        Site::start_with(SiteOptions {
+            hosts,
+            ..SiteOptions::default()
+        })
+        .await
+    }
+
+    /// Start a site made otherwise.
+    pub async fn start_with(options: SiteOptions) -> Self {
         let store = UsersStore::start().await.expect("store");
-        let gap = Duration::from_millis(20);
+        let SiteOptions { events, gap, .. } = options;
         let mut engines = Vec::new();
         let mut desks = Vec::new();
         for number in 1..=2 {
-            let engine = UsersTarget::start(&format!("engine-{number}"), 8, gap).await;
+            let engine = UsersTarget::start(&format!("engine-{number}"), events, gap).await;
             engines.push(engine.expect("engine"));
             let desk = UsersTarget::start(&format!("desk-{number}"), 0, gap).await;
             desks.push(desk.expect("desk"));
@@ -109,6 +172,7 @@
             engines,
             desks,
             hosts: Vec::new(),
+            options,
             version: 0,
         };
         site.publish(&[KEY], &[]);
@@ -118,7 +182,7 @@
         for desk in &site.desks {
             site.register("desk", desk, "ready");
         }
-        site.start_hosts(hosts);
+        site.start_hosts();
         site.all_ready().await;
         site
     }
@@ -126,7 +190,7 @@
     /// Publish the routes with these keys, and further ones to the desk.
     pub fn publish(&mut self, keys: &[&str], more: &[&str]) {
         self.version += 3;
-        publish(&self.store, self.version, keys, more);
+        publish_with(&self.store, self.version, keys, more, &self.options);
     }
 
     /// Register a target as it does itself.
@@ -134,11 +198,13 @@
         register(&self.store, service, target, target.address(), state);
     }
 
-    fn start_hosts(&mut self, count: usize) {
-        for number in 0..count {
+    fn start_hosts(&mut self) {
+        let SiteOptions { hosts, grace, .. } = self.options;
+        for number in 0..hosts {
             let seed = self.hosts.first().map(|host| host.link);
             let store = self.store.address();
-            self.hosts.push(start_host(number, seed, store));
+            let host = start_host_with(number, seed, store, grace);
+            self.hosts.push(host);
         }
     }
 
@@ -168,10 +234,23 @@
 /// Publish a version of the routes with these keys, and further routes to the
 /// desk.
 pub fn publish(store: &UsersStore, version: u64, keys: &[&str], more: &[&str]) {
+    publish_with(store, version, keys, more, &SiteOptions::default());
+}
+
+/// Publish a version of the routes with the times of a site.
+fn publish_with(
+    store: &UsersStore,
+    version: u64,
+    keys: &[&str],
+    more: &[&str],
+    options: &SiteOptions,
+) {
+    let timeout = options.timeout.as_millis() as u64;
+    let aim = options.aim.as_millis() as u64;
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 0,
+            "timeoutMs": timeout, "targetLatencyMs": aim, "priority": 0,
             "service": service, "maxAttempts": 2, "public": false,
             "resumable": name == "draft", "gapAimMs": 300,
         })
@@ -219,7 +298,17 @@
 /// Start a host. A port that was free a moment ago may be taken by another test
 /// by now; then others are tried.
 pub fn start_host(number: usize, seed: Option<SocketAddr>, store: SocketAddr) -> HostProcess {
-    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store));
+    start_host_with(number, seed, store, SiteOptions::default().grace)
+}
+
+/// Start a host with this grace.
+fn start_host_with(
+    number: usize,
+    seed: Option<SocketAddr>,
+    store: SocketAddr,
+    grace: Duration,
+) -> HostProcess {
+    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store, grace));
     let host = tries.find_map(|host| host);
     host.expect("a host that finds its ports free")
 }
@@ -230,6 +319,7 @@
     number: usize,
     seed: Option<SocketAddr>,
     store: SocketAddr,
+    grace: Duration,
 ) -> Option<HostProcess> {
     let [link, callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
     let seed = seed.unwrap_or(link);
@@ -242,7 +332,7 @@
             "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
             "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
         },
-        "grace_s": 8,
+        "grace_s": grace.as_secs_f64(),
         "log": {"output": "stdout", "format": "json"},
     });
     let name = format!(
@@ -251,13 +341,15 @@
         callers.port()
     );
     let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, settings.to_string()).expect("settings file");
+    write_settings(&path, &settings);
     let mut host = HostProcess {
         link,
         callers,
         directory,
         readiness,
-        child: HostChild::start(path),
+        metrics,
+        child: HostChild::start(path.clone()),
+        settings: path,
     };
     let until = Instant::now() + PATIENCE;
     while std::net::TcpStream::connect(metrics).is_err() {
@@ -270,6 +362,13 @@
     Some(host)
 }
 
+/// Write a settings file, whole at any moment for a host that watches it.
+fn write_settings(path: &Path, settings: &Value) {
+    let draft = path.with_extension("draft");
+    std::fs::write(&draft, settings.to_string()).expect("settings file");
+    std::fs::rename(&draft, path).expect("settings file");
+}
+
 /// Get an address that is free now, below the ports that the system picks for
 /// outgoing connections: a host that is down for a moment would find its port
 /// taken by one of these when it starts again.
