--- /dev/null
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -0,0 +1,561 @@
+//! A fleet of whole hosts in virtual time that find each other by their roster
+//! and keep the quotas of client accounts.
+
+use std::collections::{BTreeMap, BTreeSet};
+pub use std::time::Duration;
+
+pub use bergamotswitch_core::clock::Moment;
+use bergamotswitch_core::entry::{
+    AttemptEvent, CallTerms, Conclusion, EntryOptions, Reception, Submission,
+};
+use bergamotswitch_core::host::{EntryHost, HostIncarnation, HostName, Incarnation, Standing};
+use bergamotswitch_core::link::{LinkEvent, LinkMessage};
+use bergamotswitch_core::membership::MembershipOptions;
+use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent, NodeOptions, RosterSetup};
+use bergamotswitch_core::permit::Usage;
+use bergamotswitch_core::pool::{PoolKind, PoolShard};
+use bergamotswitch_core::pool_owner::{OwnerOptions, QuotaTolerance};
+use bergamotswitch_core::publication::FleetLimits;
+use bergamotswitch_core::refusal::RefusalReason;
+use bergamotswitch_core::request::{AttemptId, RequestId, TokenCost};
+use bergamotswitch_core::revision::{
+    PublishedValue, ROUTES_VALUE, Revision, RevisionOptions, TARGETS_VALUE, ValueName,
+};
+use bergamotswitch_core::roster::{RosterMessage, RosterOptions};
+use bergamotswitch_core::route::{
+    AccountQuota, CallerLimits, EngineFacts, KeyedAccount, PoolFacts, PoolSplit, QuotaUnit, Route,
+    RouteBook, RouteWork,
+};
+use bergamotswitch_core::rules::{Tier, Verdict};
+use bergamotswitch_core::target_list::{TargetEntry, TargetList};
+
+/// The hosts of the fleet.
+pub const HOSTS: usize = 8;
+
+/// The units a second of each account, and those at once.
+pub const RATE: u64 = 100_000;
+pub const BURST: u64 = 100_000;
+
+/// The window of quotas, how much more may be used in it, and the part of that
+/// which an owner gives to bursts.
+pub const WINDOW: Duration = Duration::from_secs(8);
+pub const OVERAGE: f64 = 0.25;
+const BURST_PART: f64 = 0.75;
+
+/// The units of one call.
+pub const UNITS: u32 = 1_000;
+
+const STEP: Duration = Duration::from_millis(5);
+const DIAL: Duration = Duration::from_millis(10);
+const STORE: Duration = Duration::from_millis(20);
+const TARGETS: usize = 4;
+
+/// One run in so many fails, and its call is sent once more.
+const FAILS_EVERY: u64 = 7;
+const RUN_SPAN: Duration = Duration::from_millis(150);
+
+/// A `CallRecord` is what became of one call.
+#[derive(Debug)]
+pub struct CallRecord {
+    pub account: &'static str,
+    pub sent_at: Moment,
+    /// When it first reached a target.
+    pub ran_at: Option<Moment>,
+    pub refusal: Option<RefusalReason>,
+}
+
+/// A `FleetHost` is one host, with the process that runs on it now.
+struct FleetHost {
+    core: Option<NodeCore>,
+    run: HostIncarnation,
+    started_at: Moment,
+    wanted: BTreeSet<usize>,
+}
+
+enum Parcel {
+    Letter(usize, usize, LinkMessage),
+    Gossip(usize, Box<RosterMessage>),
+    Value(usize, PublishedValue),
+    Attempt(usize, AttemptId, AttemptEvent),
+}
+
+/// A `QuotaFleet` is the fleet, its network and what its callers have seen.
+pub struct QuotaFleet {
+    pub now: Moment,
+    pub calls: BTreeMap<RequestId, CallRecord>,
+    /// When hosts began and ceased to order the shard.
+    pub turns: Vec<(Moment, usize, bool)>,
+    hosts: Vec<FleetHost>,
+    links: BTreeSet<(usize, usize)>,
+    parcels: BTreeMap<(Moment, u64), (Incarnation, Parcel)>,
+    count: u64,
+    latency: Duration,
+    /// How much later than that a host's processor takes things in.
+    lags: [Duration; HOSTS],
+    next_host: usize,
+}
+
+pub fn name<T: TryFrom<String>>(text: &str) -> T {
+    T::try_from(text.to_owned()).ok().expect("a name")
+}
+
+pub fn shard() -> PoolShard {
+    PoolShard {
+        pool: name("llm"),
+        domain: None,
+    }
+}
+
+fn host_entry(index: usize) -> EntryHost {
+    EntryHost {
+        name: name(&format!("host-{index}")),
+        domain: name(&format!("domain-{}", index % 3)),
+        caller_address: ([10, 0, 0, index as u8], 80).into(),
+        link_address: ([10, 0, 0, index as u8], 81).into(),
+        capacity: 1_000,
+        standing: Standing::Live,
+    }
+}
+
+fn index_of(host: &HostName) -> usize {
+    let number = host.as_str().trim_start_matches("host-");
+    number.parse().expect("a host of the fleet")
+}
+
+fn options(index: usize, now: Moment) -> NodeOptions {
+    let limits = FleetLimits::default();
+    let membership = MembershipOptions::default()
+        .with_heartbeat(Duration::from_millis(200))
+        .with_suspect_after(Duration::from_millis(700))
+        .with_yield_after(Duration::from_secs(2))
+        .with_gone_after(Duration::from_millis(1_500))
+        .with_handover(Duration::from_millis(400));
+    let values = [ROUTES_VALUE, TARGETS_VALUE].map(name::<ValueName>);
+    NodeOptions {
+        entry: EntryOptions::default().with_re_ask_interval(Duration::from_millis(500)),
+        owner: OwnerOptions::default().with_quota_tolerance(QuotaTolerance {
+            window: WINDOW,
+            part: OVERAGE * BURST_PART,
+        }),
+        revision: RevisionOptions::default()
+            .with_values(values.to_vec())
+            .with_read_fallback(Duration::from_millis(250)),
+        roster: Some(RosterSetup {
+            host: host_entry(index),
+            seeds: (0..HOSTS).map(|at| host_entry(at).link_address).collect(),
+            started_at_ms: 1_000_000 + now.as_micros() / 1_000,
+            options: RosterOptions::default(),
+        }),
+        limits: Some(limits),
+        ..NodeOptions::default()
+    }
+    .with_membership(membership)
+}
+
+fn account(text: &str) -> KeyedAccount {
+    KeyedAccount {
+        name: name(text),
+        key_hashes: Vec::new(),
+        tier: None,
+        quota: AccountQuota {
+            unit: QuotaUnit::Tokens,
+            rate: RATE,
+            burst: BURST,
+            plain_tokens: 200,
+        },
+    }
+}
+
+fn routes() -> RouteBook {
+    RouteBook {
+        version: 1,
+        routes: vec![Route {
+            name: name("draft"),
+            host: "a.example".to_owned(),
+            path_prefix: "/".to_owned(),
+            work: RouteWork::Idempotent,
+            timeout_ms: 10_000,
+            first_answer_ms: 800,
+            max_runs: 2,
+            tier: Tier(1),
+            public: false,
+            splits: vec![PoolSplit {
+                pool: name("llm"),
+                weight: 1,
+            }],
+        }],
+        accounts: vec![account("busy"), account("calm")],
+        pools: vec![PoolFacts {
+            name: name("llm"),
+            connection_limit: 1_000,
+            engine: Some(EngineFacts {
+                slots: 500,
+                cache_tokens: 1_000_000_000,
+            }),
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+fn target_entry(index: usize) -> TargetEntry {
+    TargetEntry {
+        name: name(&format!("t{index}")),
+        pool: name("llm"),
+        domain: name("domain-0"),
+        address: ([10, 1, 0, index as u8], 80).into(),
+        slots: 500,
+        standing: Standing::Live,
+        warming_ms: 0,
+        started_at_ms: None,
+    }
+}
+
+fn published(value: &ValueName) -> PublishedValue {
+    let body = match value.as_str() {
+        ROUTES_VALUE => serde_json::to_string(&routes()),
+        _ => serde_json::to_string(&TargetList {
+            targets: (0..TARGETS).map(target_entry).collect(),
+        }),
+    };
+    PublishedValue {
+        name: value.clone(),
+        revision: Revision(2),
+        body: body.expect("json"),
+    }
+}
+
+fn submission(account: &str) -> Submission {
+    Submission {
+        account: name(account),
+        pool: name("llm"),
+        kind: PoolKind::Engine,
+        verdict: Verdict {
+            rule: name("draft"),
+            tier: Tier(1),
+            share: 1,
+            domains: Vec::new(),
+            dispatch_once: false,
+            idempotent: true,
+            preemptible: false,
+            deadline: Duration::from_secs(10),
+        },
+        key: None,
+        holder: None,
+        resubmission: false,
+        fingerprint: 0,
+        cost: TokenCost {
+            prefill: UNITS,
+            decode: 1,
+        },
+        prefixes: Vec::new(),
+        deadline_in: Duration::from_secs(10),
+        streaming: false,
+        terms: CallTerms {
+            max_runs: Some(2),
+            patience: Some(Duration::from_millis(800)),
+            ends_at_deadline: true,
+            quota_units: UNITS,
+            keyed: true,
+            ..CallTerms::default()
+        },
+    }
+}
+
+fn usage() -> Usage {
+    let run = RUN_SPAN.as_millis() as u32;
+    Usage {
+        prefill: UNITS,
+        decode: 1,
+        first_token_ms: run / 2,
+        elapsed_ms: run,
+        ..Usage::default()
+    }
+}
+
+impl QuotaFleet {
+    /// Start a fleet whose messages take this long, and let it settle.
+    pub fn start(latency: Duration) -> Self {
+        let mut fleet = QuotaFleet {
+            now: Moment::START,
+            calls: BTreeMap::new(),
+            turns: Vec::new(),
+            hosts: Vec::new(),
+            links: BTreeSet::new(),
+            parcels: BTreeMap::new(),
+            count: 0,
+            latency,
+            lags: [Duration::ZERO; HOSTS],
+            next_host: 0,
+        };
+        for index in 0..HOSTS {
+            let host = fleet.process(index);
+            fleet.hosts.push(host);
+        }
+        fleet.pass(Duration::from_secs(12), |_| {});
+        fleet
+    }
+
+    fn process(&mut self, index: usize) -> FleetHost {
+        self.count += 1;
+        let entry = host_entry(index);
+        let run = HostIncarnation {
+            host: entry.name,
+            incarnation: Incarnation(u128::from(self.count)),
+        };
+        // A process's clock begins with the process.
+        let core = NodeCore::new(
+            run.clone(),
+            entry.domain,
+            options(index, self.now),
+            Moment::START,
+        );
+        FleetHost {
+            core: Some(core),
+            run,
+            started_at: self.now,
+            wanted: BTreeSet::new(),
+        }
+    }
+
+    /// Let time pass; `each` happens at every step.
+    pub fn pass(&mut self, span: Duration, mut each: impl FnMut(&mut Self)) {
+        let end = self.now.plus(span);
+        while self.now < end {
+            self.now = self.now.plus(STEP);
+            self.dial();
+            self.deliver();
+            for index in 0..HOSTS {
+                let own = self.own_time(index);
+                let core = self.hosts[index].core.as_ref();
+                if core.is_some_and(|core| core.next_wake() <= own) {
+                    self.tell(index, NodeEvent::Tick);
+                }
+            }
+            each(self);
+        }
+    }
+
+    /// Get the host that orders the shard, as most see it: the last to begin.
+    pub fn owner(&self) -> usize {
+        let owns = |index: &usize| {
+            let core = self.hosts[*index].core.as_ref();
+            core.is_some_and(|core| core.view(self.own_time(*index)).owns.contains(&shard()))
+        };
+        let owners: Vec<usize> = (0..HOSTS).filter(owns).collect();
+        let begun = self.turns.iter().rev().filter(|turn| turn.2);
+        let mut begun = begun.map(|turn| turn.1);
+        begun
+            .find(|index| owners.contains(index))
+            .expect("an owner")
+    }
+
+    /// Let a host's processor take everything in this much later.
+    pub fn slow(&mut self, index: usize, lag: Duration) {
+        self.lags[index] = lag;
+    }
+
+    /// Begin a planned stop.
+    pub fn stop(&mut self, index: usize) {
+        self.tell(index, NodeEvent::Stop);
+    }
+
+    /// End a host's process.
+    pub fn end(&mut self, index: usize) {
+        self.hosts[index].core = None;
+        self.hosts[index].wanted.clear();
+        let links: Vec<_> = self.links.iter().copied().collect();
+        for (a, b) in links {
+            if a == index || b == index {
+                self.links.remove(&(a, b));
+                let other = if a == index { b } else { a };
+                let run = self.hosts[index].run.clone();
+                self.tell(other, NodeEvent::Link(LinkEvent::Down(run)));
+            }
+        }
+    }
+
+    /// Start a host's next process.
+    pub fn restart(&mut self, index: usize) {
+        self.hosts[index] = self.process(index);
+    }
+
+    /// Send calls of an account, each at the next host that takes callers.
+    pub fn send(&mut self, account: &'static str, calls: usize) {
+        for _ in 0..calls {
+            self.send_one(account);
+        }
+    }
+
+    fn send_one(&mut self, account: &'static str) {
+        for _ in 0..HOSTS {
+            self.next_host = (self.next_host + 1) % HOSTS;
+            let index = self.next_host;
+            let own = self.own_time(index);
+            let Some(core) = self.hosts[index].core.as_mut() else {
+                continue;
+            };
+            if !core.is_ready(own) {
+                continue;
+            }
+            let (reception, actions) = core.submit(own, submission(account));
+            if let Reception::Accepted(id) = reception {
+                let record = CallRecord {
+                    account,
+                    sent_at: self.now,
+                    ran_at: None,
+                    refusal: None,
+                };
+                self.calls.insert(id, record);
+                self.carry_out(index, actions);
+                return;
+            }
+            self.carry_out(index, actions);
+        }
+    }
+
+    /// Get the most units of an account that were both sent and run in one
+    /// window, over all hosts, and where it began.
+    pub fn most_in_window(&self, account: &str) -> (u64, Moment) {
+        let calls = self.calls.values().filter(|call| call.account == account);
+        let ran = calls.filter_map(|call| Some((call.sent_at, call.ran_at?)));
+        let mut ran: Vec<(Moment, Moment)> = ran.collect();
+        ran.sort();
+        let sums = ran.iter().enumerate().map(|(first, (begin, _))| {
+            let end = begin.plus(WINDOW);
+            let later = ran[first..].iter().take_while(|(sent, _)| *sent <= end);
+            let inside = later.filter(|(_, at)| *at <= end).count();
+            (inside as u64 * u64::from(UNITS), *begin)
+        });
+        sums.max_by_key(|(sum, _)| *sum)
+            .unwrap_or((0, Moment::START))
+    }
+
+    /// Get how many calls of an account were refused for this reason.
+    pub fn refused(&self, account: &str, reason: RefusalReason) -> usize {
+        let calls = self.calls.values().filter(|call| call.account == account);
+        calls.filter(|call| call.refusal == Some(reason)).count()
+    }
+
+    fn own_time(&self, index: usize) -> Moment {
+        Moment::START.plus(self.now.since(self.hosts[index].started_at))
+    }
+
+    fn post(&mut self, to: usize, span: Duration, parcel: Parcel) {
+        self.count += 1;
+        let run = self.hosts[to].run.incarnation;
+        let at = self.now.plus(span).plus(self.lags[to]);
+        self.parcels.insert((at, self.count), (run, parcel));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.parcels.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (run, parcel) = entry.remove();
+            self.hand_over(run, parcel);
+        }
+    }
+
+    fn hand_over(&mut self, run: Incarnation, parcel: Parcel) {
+        let (to, event) = match parcel {
+            Parcel::Letter(from, to, message) => {
+                if !self.links.contains(&(from.min(to), from.max(to))) {
+                    return;
+                }
+                let from = self.hosts[from].run.clone();
+                (to, NodeEvent::Link(LinkEvent::Message(from, message)))
+            }
+            Parcel::Gossip(to, message) => (to, NodeEvent::Gossip(message)),
+            Parcel::Value(to, value) => (to, NodeEvent::Read(value)),
+            Parcel::Attempt(to, attempt, event) => (to, NodeEvent::Attempt(attempt, event)),
+        };
+        if self.hosts[to].run.incarnation == run {
+            self.tell(to, event);
+        }
+    }
+
+    fn tell(&mut self, index: usize, event: NodeEvent) {
+        let own = self.own_time(index);
+        let Some(core) = self.hosts[index].core.as_mut() else {
+            return;
+        };
+        let actions = core.handle(own, event);
+        self.carry_out(index, actions);
+    }
+
+    fn dial(&mut self) {
+        for a in 0..HOSTS {
+            for b in a + 1..HOSTS {
+                let wanted = self.hosts[a].wanted.contains(&b) || self.hosts[b].wanted.contains(&a);
+                let runs = |at: usize| {
+                    let age = self.now.since(self.hosts[at].started_at);
+                    self.hosts[at].core.is_some() && age >= DIAL
+                };
+                if wanted && runs(a) && runs(b) && self.links.insert((a, b)) {
+                    for (end, peer) in [(a, b), (b, a)] {
+                        let run = self.hosts[peer].run.clone();
+                        self.tell(end, NodeEvent::Link(LinkEvent::Up(run)));
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<NodeAction>) {
+        for action in actions {
+            match action {
+                NodeAction::Send(to, message) => {
+                    let to = index_of(&to);
+                    let letter = Parcel::Letter(index, to, message);
+                    self.post(to, self.latency, letter);
+                }
+                NodeAction::Gossip(action) => self.gossip(action.to, action.message),
+                NodeAction::Connect(host) => {
+                    self.hosts[index].wanted.insert(index_of(&host.name));
+                }
+                NodeAction::Disconnect(host) => {
+                    self.hosts[index].wanted.remove(&index_of(&host));
+                }
+                NodeAction::Read(value) => {
+                    let value = published(&value);
+                    self.post(index, STORE, Parcel::Value(index, value));
+                }
+                NodeAction::Start { attempt, .. } => self.run(index, attempt),
+                NodeAction::Conclude(id, Conclusion::Refused(refusal)) => {
+                    if let Some(call) = self.calls.get_mut(&id) {
+                        call.refusal = Some(refusal.reason());
+                    }
+                }
+                NodeAction::Note(incident, text) => self.note(index, incident.number(), &text),
+                _ => {}
+            }
+        }
+    }
+
+    fn gossip(&mut self, to: std::net::SocketAddr, message: RosterMessage) {
+        let mut hosts = 0..HOSTS;
+        let to = hosts.find(|index| host_entry(*index).link_address == to);
+        let to = to.expect("a host of the fleet");
+        self.post(to, self.latency, Parcel::Gossip(to, Box::new(message)));
+    }
+
+    fn run(&mut self, index: usize, attempt: AttemptId) {
+        if let Some(call) = self.calls.get_mut(&attempt.request) {
+            call.ran_at.get_or_insert(self.now);
+        }
+        let fails = attempt.request.sequence.is_multiple_of(FAILS_EVERY) && attempt.attempt == 0;
+        let event = match fails {
+            true => AttemptEvent::Failed,
+            false => AttemptEvent::Finished(usage()),
+        };
+        let end = Parcel::Attempt(index, attempt, event);
+        self.post(index, RUN_SPAN, end);
+    }
+
+    fn note(&mut self, index: usize, number: u16, text: &str) {
+        if text == format!("shard={}", shard()) && (number == 300 || number == 301) {
+            self.turns.push((self.now, index, number == 300));
+        }
+    }
+}
