--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -140,6 +140,11 @@
         self.opts.heartbeat
     }
 
+    /// Get whether a host has said that it stops.
+    pub fn is_stopping(&self, host: &HostName) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.stopping)
+    }
+
     /// Get the hosts whose word an owner of the shard needs before it runs what
     /// must not run twice.
     pub fn key_witnesses(&self, shard: &PoolShard) -> KeyWitnesses {
--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -160,6 +160,10 @@
         };
         asking.extend(self.guard_acting(now, &shard, act));
         self.shards.set_acting(now, &shard, act, &self.publication);
+        if act && self.was_handed_over(&shard) {
+            let actions = self.shards.on_shard(now, &shard, OwnerEvent::HandedOver);
+            self.queue_owner(actions);
+        }
         for host in asking {
             let shard = shard.clone();
             self.send_reply(now, host, OwnerReply::NotOwner { shard });
@@ -167,6 +171,12 @@
         self.watch_targets();
     }
 
+    /// Get whether the owner that this host followed has said that it stops.
+    fn was_handed_over(&self, shard: &PoolShard) -> bool {
+        let former = self.exposure.last_owner(shard);
+        former.is_some_and(|host| self.membership.is_stopping(host))
+    }
+
     pub(super) fn watch_targets(&mut self) {
         if let Some(targets) = self.shards.changed_watch(&self.publication) {
             self.actions.push(NodeAction::WatchTargets(targets));
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -257,6 +257,8 @@
         }
         self.stopping = true;
         self.tell_membership(now, MembershipEvent::Stop);
+        let actions = self.shards.on_all(now, |_| OwnerEvent::Stopping);
+        self.queue_owner(actions);
         self.tell_desk(now, EntryEvent::Stop);
     }
 
--- a/bergamotswitch-core/src/node/exposure.rs
+++ b/bergamotswitch-core/src/node/exposure.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Get the last owner of a shard in this host's view.
+    pub(super) fn last_owner(&self, shard: &PoolShard) -> Option<&HostName> {
+        self.shards.get(shard).map(|seen| &seen.owner)
+    }
+
     /// Take note that a host runs anew; get the shards that it owns.
     pub(super) fn restarted(&mut self, now: Moment, host: &HostName) -> Vec<PoolShard> {
         let mut owned = Vec::new();
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -2,7 +2,7 @@
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
-use crate::host::{HostIncarnation, HostName};
+use crate::host::{HostIncarnation, HostName, Standing};
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
     OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
@@ -150,6 +150,10 @@
         owner.handle(now, OwnerEvent::Targets(targets));
         let rates = quota_rates(degraded, publication, &self.opts.quota_tolerance);
         owner.handle(now, OwnerEvent::Quotas(rates));
+        // A degraded owner has its host's fraction of the quotas already.
+        if !degraded {
+            owner.handle(now, OwnerEvent::Hosts(live_hosts(publication)));
+        }
         self.owned.push(OwnedShard {
             shard: shard.clone(),
             owner,
@@ -165,6 +169,10 @@
             actions.extend(owned.owner.handle(now, OwnerEvent::Targets(targets)));
             let rates = quota_rates(owned.degraded, publication, &self.opts.quota_tolerance);
             actions.extend(owned.owner.handle(now, OwnerEvent::Quotas(rates)));
+            if !owned.degraded {
+                let hosts = OwnerEvent::Hosts(live_hosts(publication));
+                actions.extend(owned.owner.handle(now, hosts));
+            }
         }
         actions
     }
@@ -194,6 +202,12 @@
     }
 }
 
+fn live_hosts(publication: &Publication) -> Vec<HostName> {
+    let hosts = publication.hosts.hosts.iter();
+    let live = hosts.filter(|host| host.standing == Standing::Live);
+    live.map(|host| host.name.clone()).collect()
+}
+
 /// Get the quotas that an owner keeps: whole, or this host's fraction of them
 /// where it orders for itself alone.
 fn quota_rates(
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -5,6 +5,7 @@
 mod cost_sample;
 mod dispatch;
 mod fair_queue;
+mod followers;
 pub mod key_table;
 mod load_history;
 mod options;
@@ -51,6 +52,8 @@
     Targets(Vec<PoolTarget>),
     /// The quotas that this owner keeps, after a change.
     Quotas(Vec<(AccountName, QuotaRate)>),
+    /// The hosts of the fleet that do not stop, after a change.
+    Hosts(Vec<HostName>),
     /// A target's load report came, old on arrival.
     Load(TargetName, LoadReport),
     /// A target says that it holds (or no longer holds) a prefix; late, with
@@ -58,6 +61,10 @@
     Prefix(TargetName, PrefixHash, bool),
     /// This run of an entry host is known to be gone.
     HostGone(HostName, Incarnation),
+    /// The owner before this one stops, and this one takes over.
+    HandedOver,
+    /// This host stops, and another one takes over.
+    Stopping,
     /// Time has passed.
     Tick,
 }
--- a/bergamotswitch-core/src/pool_owner/options.rs
+++ b/bergamotswitch-core/src/pool_owner/options.rs
@@ -6,6 +6,13 @@
 
 use super::quota::QuotaTolerance;
 
+/// Twice as long as an earlier candidate has to answer before a later one gives
+/// way to it.
+const SETTLE_AFTER: Duration = Duration::from_secs(10);
+
+/// The same in suspicion times, where those are long.
+const SETTLE_SUSPICIONS: u32 = 5;
+
 /// An `OwnerOptions` is what may be set of a shard's owner.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OwnerOptions {
@@ -21,6 +28,7 @@
     pub(super) probe_base: Duration,
     pub(super) probe_max: Duration,
     pub(crate) quota_tolerance: QuotaTolerance,
+    pub(super) settle_after: Duration,
 }
 
 impl Default for OwnerOptions {
@@ -43,6 +51,7 @@
             probe_base: Duration::from_millis(500),
             probe_max: Duration::from_secs(30),
             quota_tolerance: QuotaTolerance::default(),
+            settle_after: SETTLE_AFTER,
         }
     }
 }
@@ -103,6 +112,13 @@
         self
     }
 
+    /// Set how long after it began, or after a host came up, an owner counts
+    /// on another one beside it.
+    pub fn with_settle_after(mut self, span: Duration) -> Self {
+        self.settle_after = span;
+        self
+    }
+
     /// Set what the published limits bound.
     pub fn with_limits(self, limits: &FleetLimits) -> Self {
         self.with_max_wait(Duration::from_millis(limits.queue_limit_ms))
@@ -110,6 +126,10 @@
             .with_key_retention(Duration::from_millis(limits.key_retention_ms))
             .with_max_keys(limits.kept_keys as usize)
             .with_permit_lifetime(Duration::from_millis(limits.permit_lifetime_ms))
+            .with_settle_after(
+                SETTLE_AFTER
+                    .max(Duration::from_millis(limits.suspect_after_ms) * SETTLE_SUSPICIONS),
+            )
     }
 
     /// Set how much more than their quotas accounts may use in one window.
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -13,6 +13,7 @@
 use crate::rules::Tier;
 
 use super::cost_sample::CostSample;
+use super::followers::OwnerFollowers;
 use super::key_table::{KeyTable, KeyVerdict};
 use super::options::OwnerOptions;
 use super::permit_table::PermitTable;
@@ -59,6 +60,7 @@
     pub(super) prefixes: PrefixTable,
     pub(super) costs: CostSample,
     pub(super) quotas: QuotaBook,
+    followers: OwnerFollowers,
     pub(super) pace: ReleasePace,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
@@ -80,6 +82,7 @@
             prefixes: PrefixTable::new(opts.max_prefixes, opts.prefix_lifetime),
             costs: CostSample::default(),
             quotas: QuotaBook::default(),
+            followers: OwnerFollowers::default(),
             pace: ReleasePace::default(),
             sequence: 0,
             preempt_check_at: now,
@@ -99,6 +102,7 @@
     pub fn handle(&mut self, now: Moment, event: OwnerEvent) -> Vec<OwnerAction> {
         let mut actions = Vec::new();
         self.now = now;
+        self.quotas.set_part(now, self.followers.part(now));
         self.keys.expire(now);
         self.expire_asks(now, &mut actions);
         self.queue.demote(now);
@@ -109,7 +113,10 @@
         // An ask that is sent again has kept its place for a while already.
         let waited = asked.is_some_and(|(attempt, _)| self.queue.get(&attempt).is_some());
         match event {
-            OwnerEvent::Message(host, message) => self.on_message(now, host, message, &mut actions),
+            OwnerEvent::Message(host, message) => {
+                self.note_follower(&host, &message);
+                self.on_message(now, host, message, &mut actions);
+            }
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
             OwnerEvent::Quotas(rates) => self.quotas.set_rates(now, rates),
             OwnerEvent::Load(name, report) => {
@@ -124,7 +131,16 @@
                     self.prefixes.forget(&name, prefix);
                 }
             }
-            OwnerEvent::HostGone(_, run) => self.drop_run(now, run),
+            OwnerEvent::Hosts(hosts) => {
+                let settle = self.opts.settle_after;
+                self.followers.set_hosts(now, &self.me.host, hosts, settle);
+            }
+            OwnerEvent::HostGone(host, run) => {
+                self.followers.lose(now, &host, self.opts.settle_after);
+                self.drop_run(now, run);
+            }
+            OwnerEvent::HandedOver => self.followers.take_over(),
+            OwnerEvent::Stopping => self.followers.stop(),
             OwnerEvent::Tick => {}
         }
         self.dispatch(now, &mut actions);
@@ -152,6 +168,14 @@
         wake
     }
 
+    /// Take note of a host that asks or tells what it holds: it follows this
+    /// owner. A release may come long after it has turned to another one.
+    fn note_follower(&mut self, host: &HostName, message: &OwnerMessage) {
+        if matches!(message, OwnerMessage::Ask(_) | OwnerMessage::Retell { .. }) {
+            self.followers.note(host);
+        }
+    }
+
     fn on_message(
         &mut self,
         now: Moment,
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -70,10 +70,33 @@
 /// count over the window itself, an account that was over its rate used it
 /// again after all hosts had been killed: 2.72 of 2.57 million tokens allowed
 /// in eight seconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaBook {
     rates: HashMap<AccountName, QuotaRate>,
     buckets: HashMap<AccountName, QuotaBucket>,
+    /// The part of each rate that is given out now.
+    part: f64,
+}
+
+impl Default for QuotaBook {
+    fn default() -> Self {
+        QuotaBook {
+            rates: HashMap::new(),
+            buckets: HashMap::new(),
+            part: 1.0,
+        }
+    }
+}
+
+impl QuotaBucket {
+    /// Let in what has come since the last time. What lies in it stays, also
+    /// where less than that may come in now.
+    fn fill(&mut self, now: Moment, rate: &QuotaRate, part: f64) {
+        let span = now.since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        let filled = (self.level + span * rate.rate * part).min(rate.burst * part);
+        self.level = self.level.min(rate.burst).max(filled);
+    }
 }
 
 impl QuotaBook {
@@ -92,6 +115,19 @@
         }
     }
 
+    /// Give out this part of each rate from now on.
+    pub fn set_part(&mut self, now: Moment, part: f64) {
+        if part == self.part {
+            return;
+        }
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = self.rates.get(account) {
+                bucket.fill(now, rate, self.part);
+            }
+        }
+        self.part = part;
+    }
+
     /// Try to take units for a call. It is let in while the bucket is not
     /// empty, and may take it below zero: calls differ a hundredfold in units,
     /// and a bound on single calls would shut out long ones.
@@ -109,14 +145,12 @@
         else {
             return Ok(());
         };
-        let span = now.since(bucket.filled_at).as_secs_f64();
-        bucket.filled_at = now;
-        bucket.level = (bucket.level + span * rate.rate).min(rate.burst);
+        bucket.fill(now, rate, self.part);
         if bucket.level >= 0.0 {
             bucket.level -= f64::from(units);
             return Ok(());
         }
-        let missing = (f64::from(units) - bucket.level) / rate.rate.max(1.0);
+        let missing = (f64::from(units) - bucket.level) / (rate.rate * self.part).max(1.0);
         let wait = Duration::from_secs_f64(missing.min(RETRY_MAX.as_secs_f64()));
         Err(wait.max(RETRY_MIN))
     }
