Hand over what lies in a quota's bucket with a shard's order

Change: an owner that stops sends half of what its buckets hold to the next one and keeps half for calls that still come to it; when it ceases, and when it gives way to an earlier candidate, it sends the rest. What is handed over is taken out, so the sum over all owners stays. The message stands at the end of its list. A host from before it drops a link on which it comes.

--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -9,7 +9,7 @@
 use crate::incident::Incident;
 use crate::link::LinkMessage;
 use crate::membership::MembershipAction;
-use crate::permit::{OwnerReply, Permit};
+use crate::permit::{OwnerMessage, OwnerReply, Permit};
 use crate::pool::PoolShard;
 use crate::pool_owner::{OwnerAction, OwnerEvent};
 use crate::request::AttemptId;
@@ -159,6 +159,9 @@
             false => self.shards.asking_hosts(&shard),
         };
         asking.extend(self.guard_acting(now, &shard, act));
+        if !act {
+            self.hand_over_quotas(now, &shard, 1.0);
+        }
         self.shards.set_acting(now, &shard, act, &self.publication);
         if act && self.was_handed_over(&shard) {
             let actions = self.shards.on_shard(now, &shard, OwnerEvent::HandedOver);
@@ -171,6 +174,26 @@
         self.watch_targets();
     }
 
+    /// Hand this part of what lies in the buckets of a shard's quotas over to
+    /// its next owner. Its buckets begin empty, and the first calls of accounts
+    /// within their quota would be told that they are over it.
+    pub(super) fn hand_over_quotas(&mut self, now: Moment, shard: &PoolShard, part: f64) {
+        let next = self.membership.owner_of(shard).cloned();
+        let Some(next) = next.filter(|next| *next != self.me.host) else {
+            return;
+        };
+        let levels = self.shards.hand_over_quotas(now, shard, part);
+        if levels.is_empty() {
+            return;
+        }
+        let message = OwnerMessage::QuotaLevels {
+            shard: shard.clone(),
+            levels,
+        };
+        let message = LinkMessage::ToOwner(message);
+        self.actions.push(NodeAction::Send(next, message));
+    }
+
     /// Get whether the owner that this host followed has said that it stops.
     fn was_handed_over(&self, shard: &PoolShard) -> bool {
         let former = self.exposure.last_owner(shard);
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -33,6 +33,10 @@
 /// scheduling delay any more.
 pub const PAUSE_BOUND: Duration = Duration::from_secs(2);
 
+/// The part of the quotas' buckets that a stopping owner hands over at once. It
+/// keeps the rest for calls that are asked for until all have heard of its stop.
+const STOP_HAND_OVER: f64 = 0.5;
+
 /// A `NodeOptions` holds the options of a host's machines.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeOptions {
@@ -259,6 +263,12 @@
         self.tell_membership(now, MembershipEvent::Stop);
         let actions = self.shards.on_all(now, |_| OwnerEvent::Stopping);
         self.queue_owner(actions);
+        // Peers hear of the stop before this: the heartbeats that tell it wait
+        // in front of it.
+        self.run_steps(now);
+        for shard in self.membership.acts_for() {
+            self.hand_over_quotas(now, &shard, STOP_HAND_OVER);
+        }
         self.tell_desk(now, EntryEvent::Stop);
     }
 
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -3,6 +3,7 @@
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName, Standing};
+use crate::permit::QuotaLevel;
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
     OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
@@ -104,6 +105,19 @@
         found.is_some_and(|owned| owned.degraded)
     }
 
+    /// Take this part of what lies in the buckets of the shard's quotas out of
+    /// them; nothing where its order serves this host alone.
+    pub(super) fn hand_over_quotas(
+        &mut self,
+        now: Moment,
+        shard: &PoolShard,
+        part: f64,
+    ) -> Vec<QuotaLevel> {
+        let mut owned = self.owned.iter_mut().filter(|owned| !owned.degraded);
+        let found = owned.find(|owned| owned.shard == *shard);
+        found.map_or_else(Vec::new, |owned| owned.owner.hand_over_quotas(now, part))
+    }
+
     /// Get the hosts with asks that wait for the shard.
     pub(super) fn asking_hosts(&self, shard: &PoolShard) -> Vec<HostName> {
         let found = self.owned.iter().find(|owned| owned.shard == *shard);
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -152,6 +152,15 @@
     pub preemptible: bool,
 }
 
+/// A `QuotaLevel` is what an account may use at once of its quota.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaLevel {
+    /// The client account.
+    pub account: AccountName,
+    /// The units.
+    pub units: u64,
+}
+
 /// An `OwnerMessage` goes from an entry host to a shard's owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OwnerMessage {
@@ -194,6 +203,14 @@
         /// The number of the question.
         round: u64,
     },
+    /// What the sender, a former owner, had left in its quotas' buckets. It
+    /// keeps none of it.
+    QuotaLevels {
+        /// The shard.
+        shard: PoolShard,
+        /// What is handed over.
+        levels: Vec<QuotaLevel>,
+    },
 }
 
 /// An `OwnerReply` goes from a shard's owner to an entry host.
@@ -260,6 +277,7 @@
             | OwnerMessage::Release { shard, .. }
             | OwnerMessage::Retell { shard, .. }
             | OwnerMessage::Following { shard, .. }
+            | OwnerMessage::QuotaLevels { shard, .. }
             | OwnerMessage::NotHeld { shard, .. } => shard,
         }
     }
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
-use crate::permit::{Ask, OwnerMessage, OwnerReply};
+use crate::permit::{Ask, OwnerMessage, OwnerReply, QuotaLevel};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
 use crate::request::{AttemptId, TokenCost};
@@ -156,6 +156,12 @@
         actions
     }
 
+    /// Take this part of what lies in the quotas' buckets out of them, for the
+    /// next owner.
+    pub fn hand_over_quotas(&mut self, now: Moment, part: f64) -> Vec<QuotaLevel> {
+        self.quotas.take_out(now, part)
+    }
+
     /// Get when the owner wants its next tick.
     pub fn next_wake(&self) -> Moment {
         let mut wake = self.permits.next_audit().unwrap_or(Moment::NEVER);
@@ -200,6 +206,7 @@
             OwnerMessage::NotHeld { permits, .. } => {
                 self.on_not_held(now, &host, &permits, actions);
             }
+            OwnerMessage::QuotaLevels { levels, .. } => self.quotas.take_in(now, &levels),
             // Taken by the guard of the keys.
             OwnerMessage::Following { .. } => {}
         }
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -5,6 +5,7 @@
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
+use crate::permit::QuotaLevel;
 use crate::route::AccountQuota;
 
 /// The shortest and longest pauses that a refused caller is told: at a shorter
@@ -65,7 +66,7 @@
 /// A `QuotaBook` is a token bucket for each account with a quota.
 ///
 /// A bucket begins empty. A new owner does not know what the former one let
-/// pass; with an empty bucket, the use in any window around the change stays
+/// pass, unless that one hands its buckets over; with an empty bucket, the use in any window around the change stays
 /// within one burst and the rate over the window, whatever came before. With a
 /// count over the window itself, an account that was over its rate used it
 /// again after all hosts had been killed: 2.72 of 2.57 million tokens allowed
@@ -155,6 +156,38 @@
         Err(wait.max(RETRY_MIN))
     }
 
+    /// Take this part of what lies in the buckets out of them.
+    pub fn take_out(&mut self, now: Moment, part: f64) -> Vec<QuotaLevel> {
+        let mut levels = Vec::new();
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = self.rates.get(account) {
+                bucket.fill(now, rate, self.part);
+            }
+            let units = (bucket.level.max(0.0) * part).floor();
+            bucket.level -= units;
+            if units > 0.0 {
+                levels.push(QuotaLevel {
+                    account: account.clone(),
+                    units: units as u64,
+                });
+            }
+        }
+        levels
+    }
+
+    /// Put in what a former owner took out of its buckets, up to a full one.
+    pub fn take_in(&mut self, now: Moment, levels: &[QuotaLevel]) {
+        for QuotaLevel { account, units } in levels {
+            let Some(rate) = self.rates.get(account) else {
+                continue;
+            };
+            if let Some(bucket) = self.buckets.get_mut(account) {
+                bucket.fill(now, rate, self.part);
+                bucket.level = (bucket.level + *units as f64).min(rate.burst);
+            }
+        }
+    }
+
     /// Give back what a call took that was not run.
     pub fn give_back(&mut self, account: &AccountName, units: u32) {
         if let Some(bucket) = self.buckets.get_mut(account) {
--- a/bergamotswitch-core/tests/entry_world/owners.rs
+++ b/bergamotswitch-core/tests/entry_world/owners.rs
@@ -16,7 +16,8 @@
             }
             OwnerMessage::Retell { .. }
             | OwnerMessage::NotHeld { .. }
-            | OwnerMessage::Following { .. } => {}
+            | OwnerMessage::Following { .. }
+            | OwnerMessage::QuotaLevels { .. } => {}
         }
     }
 
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -184,7 +184,7 @@
                 weight: 1,
             }],
         }],
-        accounts: vec![account("busy"), account("calm")],
+        accounts: vec![account("busy"), account("calm"), account("late")],
         pools: vec![PoolFacts {
             name: name("llm"),
             connection_limit: 1_000,
--- a/bergamotswitch-core/tests/quota_handover.rs
+++ b/bergamotswitch-core/tests/quota_handover.rs
@@ -112,3 +112,29 @@
         assert_owed(&fleet, &case);
     }
 }
+
+// Symptom: an account that had been silent is told that it is over its quota
+// at its first calls. Sequence: it may send a burst; the order of its pool
+// passes on, by a stop or back to a host that is up again; it sends the burst.
+// Cause: the next owner's buckets begin empty, or nearly so, and what had come
+// together at the former one was lost.
+#[test]
+fn burst_kept() {
+    const BURST_CALLS: usize = 80;
+    for wait_ms in [100, 1_000, 3_600] {
+        let mut fleet = QuotaFleet::start(Duration::from_millis(5));
+        fleet.pass(Duration::from_secs(3), traffic);
+        let owner = fleet.owner();
+        fleet.stop(owner);
+        fleet.pass(Duration::from_millis(wait_ms.min(800)), traffic);
+        fleet.end(owner);
+        fleet.restart(owner);
+        fleet.pass(Duration::from_millis(wait_ms - wait_ms.min(800)), traffic);
+        fleet.send("late", BURST_CALLS);
+        fleet.pass(Duration::from_secs(1), traffic);
+        let refused = fleet.refused("late", RefusalReason::OverQuota);
+        assert_eq!(refused, 0, "{wait_ms} ms after the stop, {:?}", fleet.turns);
+        let (most, _) = fleet.most_in_window("busy");
+        assert!(most as f64 <= ALLOWED, "{most}");
+    }
+}
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -50,6 +50,8 @@
     NotHeld = "not-held", LinkMessage::ToOwner(OwnerMessage::NotHeld { .. }),
     /// A host's word that it follows an owner.
     Following = "following", LinkMessage::ToOwner(OwnerMessage::Following { .. }),
+    /// What a former owner had left in its quotas' buckets.
+    QuotaLevels = "quota-levels", LinkMessage::ToOwner(OwnerMessage::QuotaLevels { .. }),
     /// A permit.
     Granted = "granted", LinkMessage::FromOwner(OwnerReply::Granted { .. }),
     /// A refused wish.
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -3,7 +3,8 @@
 use bergamotswitch_core::host::{HostIncarnation, Incarnation};
 use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN};
 use bergamotswitch_core::permit::{
-    Ask, KeyClaim, OwnerMessage, OwnerReply, Permit, PermitId, Release, ReleaseOutcome, Usage,
+    Ask, KeyClaim, OwnerMessage, OwnerReply, Permit, PermitId, QuotaLevel, Release, ReleaseOutcome,
+    Usage,
 };
 use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::request::{AttemptId, PrefixHash, RequestId, TokenCost};
@@ -121,9 +122,28 @@
     LinkMessage::Revision(RevisionMessage::Marks(names.map(mark).to_vec()))
 }
 
+fn quota_levels() -> LinkMessage {
+    let level = QuotaLevel {
+        account: "equipo-recuperacion".try_into().unwrap(),
+        units: 272_162,
+    };
+    LinkMessage::ToOwner(OwnerMessage::QuotaLevels {
+        shard: shard(),
+        levels: vec![level],
+    })
+}
+
 #[test]
 fn frame_round_trip() {
-    for message in [heartbeat(9), ask(16, true), granted(), release(), marks()] {
+    let messages = [
+        heartbeat(9),
+        ask(16, true),
+        granted(),
+        release(),
+        marks(),
+        quota_levels(),
+    ];
+    for message in messages {
         let frame = codec::encode(&message).unwrap();
         assert_eq!(frame.len(), codec::encoded_len(&message));
         let mut reader = FrameReader::default();
