Show two faults of quotas that need no second owner

sent_again: a call whose run failed and that is sent once more is refused as over the quota, though its ask takes no units.

--- a/bergamotswitch-core/tests/account_quotas.rs
+++ b/bergamotswitch-core/tests/account_quotas.rs
@@ -121,3 +121,69 @@
         OwnerAction::Reply(_, OwnerReply::Granted { .. })
     ));
 }
+
+// Symptom: a call is told that its account is over the quota, after it has run.
+// Sequence: its run fails, and it is sent once more; its account has used up
+// its quota meanwhile. Cause: its ask takes no units, as they were taken with
+// its first one, but was refused all the same.
+#[test]
+fn sent_again() {
+    let mut owner = owner(Moment::START);
+    drive(&mut owner, 10_000, 11_000, &mut 0);
+    let mut call = ask(10_001, 0, "busy");
+    call.quota_units = 0;
+    let message = OwnerMessage::Ask(Box::new(call));
+    let event = OwnerEvent::Message(named("entry"), message);
+    let reply = owner.handle(Moment::from_millis(11_000), event).remove(0);
+    let granted = matches!(reply, OwnerAction::Reply(_, OwnerReply::Granted { .. }));
+    assert!(granted, "{reply:?}");
+}
+
+/// Get an owner whose one target has no place left.
+fn full_owner(now: Moment) -> (ShardOwner, Permit) {
+    let mut owner = owner(now);
+    let place = target("t", "d", 100);
+    owner.handle(now, OwnerEvent::Targets(vec![place]));
+    let message = OwnerMessage::Ask(Box::new(ask(1_000_000, 0, "other")));
+    let event = OwnerEvent::Message(named("entry"), message);
+    let permit = owner
+        .handle(now, event)
+        .into_iter()
+        .find_map(|action| match action {
+            OwnerAction::Reply(_, OwnerReply::Granted { permit, .. }) => Some(permit),
+            _ => None,
+        });
+    (owner, permit.expect("a permit"))
+}
+
+// Symptom: an account uses more than its quota in a window. Sequence: its calls
+// wait for two seconds, since all targets are busy, and take their units; their
+// callers leave one after the other while it goes on far over its quota; then
+// targets are free again. Cause: the units came back although the bucket had
+// filled again meanwhile.
+#[test]
+fn callers_left() {
+    let (mut owner, permit) = full_owner(Moment::START);
+    let mut sequence = 0;
+    drive(&mut owner, 18_000, 20_000, &mut sequence);
+    for waiting in 1..=sequence {
+        let ms = 20_000 + waiting / 10;
+        let message = withdrawal(attempt_of(ENTRY_RUN, waiting));
+        let event = OwnerEvent::Message(named("entry"), message);
+        owner.handle(Moment::from_millis(ms), event);
+        drive(&mut owner, ms, ms + 1, &mut sequence);
+    }
+    let now = Moment::from_millis(20_200);
+    let message = released(&permit, ReleaseOutcome::Unused);
+    owner.handle(now, OwnerEvent::Message(named("entry"), message));
+    let place = target("t", "d", 1_000_000_000);
+    let actions = owner.handle(now, OwnerEvent::Targets(vec![place]));
+    let begun = actions
+        .iter()
+        .filter(|action| matches!(action, OwnerAction::Reply(_, OwnerReply::Granted { .. })));
+    let mut granted = vec![(20_200, UNITS); begun.count()];
+    granted.extend(drive(&mut owner, 20_200, 32_000, &mut sequence));
+    let most = most_in_window(&granted);
+    assert!(most <= 9 * RATE * 125 / 100, "{most}");
+    assert!(most >= 8 * RATE, "{most}");
+}
