Give back no units of a quota that came in again meanwhile

Cause: a call that waits has taken its units; the bucket filled in their place up to a full one, and when the caller left they came back on top. Change: the bucket knows what calls took that wait, and of what lies in it and may come back no more than a full bucket is kept. An account within its quota loses nothing: its bucket is full already.

--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -124,6 +124,8 @@
         let Some(queued) = self.queue.remove(attempt) else {
             return;
         };
+        self.quotas
+            .keep(&queued.ask.account, queued.ask.quota_units);
         let claim = queued.ask.claim.as_ref();
         if let Some(KeyVerdict::HeldBy(holder)) = claim.map(|claim| self.keys.check(now, claim)) {
             self.counts.keys_known += 1;
@@ -178,6 +180,8 @@
         let Some(queued) = self.queue.serve(attempt) else {
             return;
         };
+        self.quotas
+            .keep(&queued.ask.account, queued.ask.quota_units);
         let Some(load) = self.targets.get_mut(&route.target) else {
             return;
         };
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -370,6 +370,7 @@
         if let Some(claim) = &ask.claim {
             self.keys.settle_unused(claim);
         }
-        self.quotas.give_back(&ask.account, ask.quota_units);
+        let units = ask.quota_units;
+        self.quotas.give_back(self.now, &ask.account, units);
     }
 }
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -60,6 +60,8 @@
 #[derive(Debug)]
 struct QuotaBucket {
     level: f64,
+    /// What calls took that wait: it may come back.
+    waiting: f64,
     filled_at: Moment,
 }
 
@@ -90,6 +92,13 @@
 }
 
 impl QuotaBucket {
+    /// Count units of a call as waiting no longer; get how many of them did.
+    fn stop_waiting(&mut self, units: u32) -> f64 {
+        let waited = f64::from(units).min(self.waiting);
+        self.waiting -= waited;
+        waited
+    }
+
     /// Let in what has come since the last time. What lies in it stays, also
     /// where less than that may come in now.
     fn fill(&mut self, now: Moment, rate: &QuotaRate, part: f64) {
@@ -110,6 +119,7 @@
         for account in rates.keys() {
             let bucket = QuotaBucket {
                 level: 0.0,
+                waiting: 0.0,
                 filled_at: now,
             };
             self.buckets.entry(account.clone()).or_insert(bucket);
@@ -149,6 +159,7 @@
         bucket.fill(now, rate, self.part);
         if bucket.level >= 0.0 {
             bucket.level -= f64::from(units);
+            bucket.waiting += f64::from(units);
             return Ok(());
         }
         let missing = (f64::from(units) - bucket.level) / (rate.rate * self.part).max(1.0);
@@ -188,10 +199,27 @@
         }
     }
 
-    /// Give back what a call took that was not run.
-    pub fn give_back(&mut self, account: &AccountName, units: u32) {
+    /// Keep what a call took that waits no longer: it runs, or may have run.
+    pub fn keep(&mut self, account: &AccountName, units: u32) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level += f64::from(units);
+            bucket.stop_waiting(units);
         }
     }
+
+    /// Give back what a call took that was not run.
+    ///
+    /// While it waited, the bucket may have filled in its place. Then what lies
+    /// in it and what may still come back are more than a full bucket, and that
+    /// much is not given back: an account whose calls wait while targets are
+    /// busy, and whose callers leave, would have more than one burst.
+    pub fn give_back(&mut self, now: Moment, account: &AccountName, units: u32) {
+        let (Some(rate), Some(bucket)) = (self.rates.get(account), self.buckets.get_mut(account))
+        else {
+            return;
+        };
+        bucket.fill(now, rate, self.part);
+        let filled = (bucket.level + bucket.waiting - rate.burst).max(0.0);
+        let waited = bucket.stop_waiting(units);
+        bucket.level += (waited - filled).max(0.0);
+    }
 }
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -6,6 +6,7 @@
 use crate::host::{HostName, Incarnation};
 use crate::incident::Incident;
 use crate::permit::{HeldWork, KeyClaim, OwnerReply, PermitId, Release, ReleaseOutcome, Usage};
+use crate::request::AttemptId;
 use crate::target::TargetName;
 
 use super::OwnerAction;
@@ -77,7 +78,7 @@
         if self.permits.get(&work.permit).is_some() {
             return;
         }
-        self.queue.remove(&work.attempt);
+        self.drop_queued(&work.attempt);
         let long = self.costs.is_long(work.cost.total());
         if let Some(load) = self.targets.get_mut(&work.target) {
             load.occupy(now, work.cost.total(), long);
@@ -132,7 +133,7 @@
     /// gone for good. Its keys stay: what became of them is not known.
     pub(super) fn drop_run(&mut self, now: Moment, run: Incarnation) {
         for attempt in self.queue.of_run(run) {
-            self.queue.remove(&attempt);
+            self.drop_queued(&attempt);
         }
         for id in self.permits.of_run(run) {
             if let Some(permit) = self.free(now, &id) {
@@ -142,6 +143,14 @@
         }
     }
 
+    /// Drop an ask of which it is not known that it did not run elsewhere.
+    fn drop_queued(&mut self, attempt: &AttemptId) {
+        if let Some(queued) = self.queue.remove(attempt) {
+            let ask = queued.ask;
+            self.quotas.keep(&ask.account, ask.quota_units);
+        }
+    }
+
     /// Ask the holders of old permits whether they still hold them. A slot is
     /// never free because a timer ran: the work may well go on.
     pub(super) fn audit(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
