Refuse no call as over the quota whose units are taken already

Cause: a call that is sent once more asks for no units, but was refused while its account's bucket was below zero, though it may have run. Change: an ask for no units is always let in. sent_again passes.

--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -157,7 +157,9 @@
             return Ok(());
         };
         bucket.fill(now, rate, self.part);
-        if bucket.level >= 0.0 {
+        // A call that is sent once more has taken its units before. Refused, it
+        // would be told that it is over the quota after it has run.
+        if bucket.level >= 0.0 || units == 0 {
             bucket.level -= f64::from(units);
             bucket.waiting += f64::from(units);
             return Ok(());
