Count all hosts at once also after an owner that fell silent

Cause: after a kill the next owner counted its followers one by one, with empty buckets, and accounts within their quota were told that they were over it. Change: a host that has followed the former owner until it stops or is silent counts all at once; a host that has just started still counts them one by one, for it may find an owner beside it.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -140,9 +140,10 @@
         self.opts.heartbeat
     }
 
-    /// Get whether a host has said that it stops.
-    pub fn is_stopping(&self, host: &HostName) -> bool {
-        self.peers.get(host).is_some_and(|peer| peer.stopping)
+    /// Get whether a host has said that it stops, or is silent.
+    pub fn is_out(&self, host: &HostName) -> bool {
+        let peer = self.peers.get(host);
+        peer.is_some_and(|peer| peer.stopping || peer.reachable == Some(false))
     }
 
     /// Get the hosts whose word an owner of the shard needs before it runs what
--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -194,10 +194,12 @@
         self.actions.push(NodeAction::Send(next, message));
     }
 
-    /// Get whether the owner that this host followed has said that it stops.
+    /// Get whether this host has followed another owner to its end: that one
+    /// stops or is silent. A host that has just started knows of no owner, and
+    /// may find one beside it.
     fn was_handed_over(&self, shard: &PoolShard) -> bool {
         let former = self.exposure.last_owner(shard);
-        former.is_some_and(|host| self.membership.is_stopping(host))
+        former.is_some_and(|host| self.membership.is_out(host))
     }
 
     pub(super) fn watch_targets(&mut self) {
--- a/bergamotswitch-core/src/pool_owner/followers.rs
+++ b/bergamotswitch-core/src/pool_owner/followers.rs
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Count on all hosts at once: the owner before said that it stops, so it
-    /// gives out nothing more.
+    /// Count on all hosts at once: the owner before stops or is silent, so all
+    /// turn to this one.
     pub(super) fn take_over(&mut self) {
         self.absent.clear();
         self.find_first();
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -61,7 +61,7 @@
     Prefix(TargetName, PrefixHash, bool),
     /// This run of an entry host is known to be gone.
     HostGone(HostName, Incarnation),
-    /// The owner before this one stops, and this one takes over.
+    /// The owner before this one stops or is silent, and this one takes over.
     HandedOver,
     /// This host stops, and another one takes over.
     Stopping,
