--- a/bergamotswitch-core/tests/account_quotas.rs
+++ b/bergamotswitch-core/tests/account_quotas.rs
@@ -166,7 +166,8 @@
     let (mut owner, permit) = full_owner(Moment::START);
     let mut sequence = 0;
     drive(&mut owner, 18_000, 20_000, &mut sequence);
-    for waiting in 1..=sequence {
+    let waiting_calls = sequence;
+    for waiting in 1..=waiting_calls {
         let ms = 20_000 + waiting / 10;
         let message = withdrawal(attempt_of(ENTRY_RUN, waiting));
         let event = OwnerEvent::Message(named("entry"), message);
