--- a/bergamotswitch-core/src/entry/desk/asking.rs
+++ b/bergamotswitch-core/src/entry/desk/asking.rs
@@ -175,6 +175,9 @@
         if record.dispatches >= self.options.attempts_per_request {
             return Err(RefusalReason::RetriesExhausted);
         }
+        if !self.may_begin(now, &record.submission, record.deadline) {
+            return Err(RefusalReason::Stopping);
+        }
         match self.budget(now, record).try_spend(now) {
             true => Ok(()),
             false => Err(RefusalReason::RetriesExhausted),
--- a/bergamotswitch-core/src/entry/desk/ending.rs
+++ b/bergamotswitch-core/src/entry/desk/ending.rs
@@ -22,12 +22,14 @@
         outcome: ReleaseOutcome,
         actions: &mut Vec<EntryAction>,
     ) {
-        if let ReleaseOutcome::Finished(_)
-        | ReleaseOutcome::Failed(_)
-        | ReleaseOutcome::Stopped(_) = outcome
-        {
-            let rule = &record.submission.verdict.rule;
-            self.lengths.note(rule, now.since(running.started_at));
+        let rule = &record.submission.verdict.rule;
+        let span = now.since(running.started_at);
+        match outcome {
+            ReleaseOutcome::Finished(_) => self.lengths.note(rule, span),
+            ReleaseOutcome::Failed(_) | ReleaseOutcome::Stopped(_) => {
+                self.lengths.note_broken(rule, span);
+            }
+            ReleaseOutcome::Unused | ReleaseOutcome::Unreachable | ReleaseOutcome::Refused => {}
         }
         let owner = self.owners.get(&record.shard);
         let host = owner.unwrap_or(&running.granted_by).clone();
--- a/bergamotswitch-core/src/entry/desk/reception.rs
+++ b/bergamotswitch-core/src/entry/desk/reception.rs
@@ -2,7 +2,6 @@
 //! or one that belongs elsewhere.
 
 use super::EntryDesk;
-use super::stopping::elsewhere;
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::entry::attempt::WaitingLife;
@@ -36,7 +35,10 @@
         if let Some(holder) = &submission.holder
             && *holder != self.me
         {
-            return self.receive_foreign(holder, actions);
+            return match self.may_forward(now, &submission) {
+                true => self.receive_foreign(holder, actions),
+                false => refused(Refusal::may_have_run(RefusalReason::Stopping)),
+            };
         }
         // Then what this run knows of the key.
         if let Some(key) = &key
@@ -119,8 +121,8 @@
             return refused(submission.refuse(RefusalReason::DeadlinePassed));
         }
         let deadline = now.plus(submission.deadline_in);
-        if !self.may_begin(now, &submission, deadline) {
-            return refused(elsewhere(submission.refuse(RefusalReason::Stopping)));
+        if self.bound.is_shut || !self.may_begin(now, &submission, deadline) {
+            return refused(submission.turn_away());
         }
         let sequence = self.counts.accepted + 1;
         let wish = ShardWish {
--- a/bergamotswitch-core/src/entry/desk/replies.rs
+++ b/bergamotswitch-core/src/entry/desk/replies.rs
@@ -204,6 +204,11 @@
                 let refusal = waiting.life.refuse(RefusalReason::Lost);
                 self.refuse(now, entry.record, refusal, actions);
             }
+            AttemptStage::Waiting(waiting) if !self.may_forward(now, &entry.record.submission) => {
+                actions.push(EntryAction::Note(Incident::RequestLost, entry.record.id));
+                let refusal = waiting.life.refuse(RefusalReason::OutcomeUnknown);
+                self.refuse(now, entry.record, refusal, actions);
+            }
             AttemptStage::Waiting(_) => {
                 if let Some(key) = &entry.record.key {
                     self.keys.remove(key);
--- a/bergamotswitch-core/src/entry/desk/stopping.rs
+++ b/bergamotswitch-core/src/entry/desk/stopping.rs
@@ -16,18 +16,19 @@
 use crate::entry::ledger::LiveEntry;
 use crate::entry::{EntryAction, Submission};
 use crate::refusal::{Refusal, RefusalReason, WasteCause};
+use crate::rules::RuleName;
 
 /// How many times the longest of recent runs is taken for a bound. Lengths vary
-/// hundredfold: of 57,000 runs of three fleets one in 35 took longer than the
-/// longest of the 64 before it, one in 330 twice as long, one in 6,300 four times
-/// as long.
+/// hundredfold: of the 57,000 runs in the logs of nine days of three fleets one in
+/// 35 took longer than the longest of the 64 before it at its host and rule, one
+/// in 330 twice as long, one in 6,300 four times as long.
 const BOUND_FACTOR: u32 = 4;
 
 /// The part of the grace, from its beginning, in which a host that few others
 /// can stand in for takes what nine in ten recent runs would fit; later, hosts
 /// that stopped before it are back. Where all hosts of three fleets were stopped
-/// within five seconds and half of their targets were slow, it raised what
-/// callers got by 0.017 to 0.054 (nine plays each).
+/// within five seconds and half of their targets were slow, it raised the credit
+/// that callers gave by 0.017 to 0.054 of all that they could (three runs each).
 const STAND_IN_PARTS: u32 = 3;
 
 /// When a caller comes back that a stopping host turns away. Another host
@@ -44,6 +45,8 @@
     pub(super) few_others: bool,
     /// How long such a host stands in for the others.
     stand_in_until: Moment,
+    /// Whether no new request is taken.
+    pub(super) is_shut: bool,
 }
 
 impl Default for StopBound {
@@ -52,6 +55,7 @@
             whole_by: Moment::NEVER,
             few_others: false,
             stand_in_until: Moment::NEVER,
+            is_shut: false,
         }
     }
 }
@@ -90,12 +94,31 @@
         }
         let rule = &submission.verdict.rule;
         let span = match self.bound.stands_in(now) {
-            true => self.lengths.most(rule),
-            false => self.lengths.longest(rule).map(|span| span * BOUND_FACTOR),
+            true => self.lengths.ninth_decile(rule),
+            false => self.longest_run(now, rule).map(|span| span * BOUND_FACTOR),
         };
         span.is_some_and(|span| now.plus(span) <= self.bound.whole_by)
     }
 
+    /// Get whether the answer of another host's request may still be passed on
+    /// through this one: how long it takes is that host's to know.
+    pub(super) fn may_forward(&self, now: Moment, submission: &Submission) -> bool {
+        self.may_begin(now, submission, Moment::NEVER)
+    }
+
+    /// Get the longest of the recent runs of a rule and of those under way:
+    /// targets that have just become slow end none.
+    fn longest_run(&self, now: Moment, rule: &RuleName) -> Option<Duration> {
+        let longest = self.lengths.longest(rule)?;
+        let same_rule = |entry: &&LiveEntry| entry.record.submission.verdict.rule == *rule;
+        let running = self.ledger.iter().filter(same_rule);
+        let ages = running.filter_map(|entry| match &entry.stage {
+            AttemptStage::Running(running) => Some(now.since(running.started_at)),
+            AttemptStage::Waiting(_) => None,
+        });
+        Some(ages.fold(longest, Duration::max))
+    }
+
     /// Refuse what waits and would not end in time: there is still time for it
     /// elsewhere.
     pub(super) fn turn_away(&mut self, now: Moment, actions: &mut Vec<EntryAction>) {
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -77,6 +77,12 @@
         self.resubmission && (self.holder.is_none() || self.may_rerun())
     }
 
+    /// Get the refusal of a submission that a stopping host turns away.
+    pub fn turn_away(&self) -> Refusal {
+        self.refuse(RefusalReason::Stopping)
+            .with_retry_after(ELSEWHERE_RETRY)
+    }
+
     /// Get the refusal of a submission that this run does not accept. A caller
     /// that asks for all copies must not be told "not run" for one of them: it
     /// would send the request anew, and it would run twice.
@@ -157,6 +163,9 @@
     Stop,
     /// In a planned stop that may not last, answers have to be whole by then.
     WholeBy(Moment),
+    /// The addresses under which callers come have lapsed: no new request is
+    /// taken.
+    DoorShut,
     /// Whether few other hosts take callers.
     FewOthers(bool),
     /// The planned stop may not last any longer: everything ends now.
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -213,6 +213,7 @@
             }
             NodeEvent::Stop => self.on_stop(now),
             NodeEvent::WholeBy(at) => self.tell_desk(now, EntryEvent::WholeBy(at)),
+            NodeEvent::DoorShut => self.tell_desk(now, EntryEvent::DoorShut),
             NodeEvent::CutOff => self.tell_desk(now, EntryEvent::CutOff),
             NodeEvent::Tick => self.on_tick(now),
         }
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -69,6 +69,9 @@
     Stop,
     /// In a planned stop that may not last, answers have to be whole by then.
     WholeBy(Moment),
+    /// The addresses under which callers come have lapsed: no new request is
+    /// taken.
+    DoorShut,
     /// The planned stop may not last any longer: everything ends now.
     CutOff,
     /// Time has passed.
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -44,6 +44,10 @@
     }
 }
 
+fn is_begun(desk: &mut TestDesk) -> bool {
+    matches!(desk.submit(submission()).0, Reception::Accepted(_))
+}
+
 /// Get the claim of a submission that is turned away, and when it comes back.
 fn turned_away(desk: &mut TestDesk, submission: Submission) -> (RunClaim, Duration) {
     match desk.submit(submission).0 {
@@ -194,6 +198,84 @@
     turned_away(&mut desk, submission());
 }
 
+// Symptom: answers are cut at the end of a grace although recent runs fit it.
+// Sequence: whole runs take three seconds; a target fails 64 times at once, or
+// as many callers leave; a stop begins with two seconds left. Cause: runs that
+// were broken off were taken for short ones and pushed the whole ones out.
+#[test]
+fn broken_runs() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    learn(&mut desk, Duration::from_secs(3));
+    for _ in 0..64 {
+        let id = desk.accept(submission());
+        desk.start(first_attempt(id), "t0");
+        desk.pass(Duration::from_millis(1));
+        desk.event(EntryEvent::CallerLeft(id));
+    }
+    for _ in 0..64 {
+        let id = desk.accept(submission());
+        desk.start(first_attempt(id), "t0");
+        desk.attempt(first_attempt(id), AttemptEvent::Failed);
+        desk.event(EntryEvent::CallerLeft(id));
+    }
+    stop(&mut desk, Duration::from_secs(2));
+    assert!(!is_begun(&mut desk));
+}
+
+// Symptom: as above. Sequence: all targets become slow just before the stop;
+// runs of a tenth of a second last for ten. Cause: only runs that had ended told
+// of their lengths.
+#[test]
+fn runs_under_way() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    learn(&mut desk, Duration::from_millis(100));
+    desk.begin(submission(), "t0");
+    desk.pass(Duration::from_secs(10));
+    stop(&mut desk, Duration::from_secs(2));
+    assert!(!is_begun(&mut desk));
+}
+
+// Symptom: a caller gets "may have run" in place of its target's own error.
+// Sequence: the error comes at a stopping host with too little left for another
+// attempt. Cause: the error was dropped for an attempt that could not begin.
+#[test]
+fn error_kept() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    let attempt = desk.begin(submission(), "t0");
+    stop(&mut desk, LEFT);
+    let actions = desk.attempt(attempt, AttemptEvent::Failed);
+    assert_eq!(conclusions(&actions), vec![Conclusion::TargetError]);
+}
+
+// Symptom: an answer that is passed on from another host is cut at the end of
+// the grace. Sequence: a copy for that host comes to one that stops. Cause: it
+// was handed over whatever its answer may take. Whether it runs there is not
+// known here.
+#[test]
+fn copies_elsewhere() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    stop(&mut desk, LEFT);
+    let mut copy = alert("key");
+    copy.holder = Some(run_of("entry-2", 2));
+    match desk.submit(copy).0 {
+        Reception::Refused(refusal) => assert_eq!(refusal.claim(), RunClaim::Unknown),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+// Symptom: a stop under load never ends. Sequence: callers go on sending short
+// calls beyond the time for which they may keep the address. Cause: they were
+// taken until nothing ran.
+#[test]
+fn door_shut() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    desk.event(EntryEvent::Stop);
+    let waits = first_attempt(desk.accept(submission()));
+    desk.event(EntryEvent::DoorShut);
+    turned_away(&mut desk, submission());
+    desk.start(waits, "t0");
+}
+
 // Symptom: a stop that nothing bounds turns callers away, or cuts them. Cause:
 // a bound taken for granted.
 #[test]
--- a/bergamotswitch-net/src/caller/desk.rs
+++ b/bergamotswitch-net/src/caller/desk.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bergamotswitch_core::client_account::AccountName;
+use bergamotswitch_core::entry::ELSEWHERE_RETRY;
 use bergamotswitch_core::publication::Publication;
 use bergamotswitch_core::refusal::{Refusal, RefusalReason};
 use bergamotswitch_core::rules::Tier;
@@ -116,7 +117,8 @@
 
 /// Get the refusal where the loop is gone before it heard of a request.
 pub(super) fn loop_gone() -> RefusalPage {
-    RefusalPage::new(Refusal::before_acceptance(RefusalReason::Stopping))
+    let refusal = Refusal::before_acceptance(RefusalReason::Stopping);
+    RefusalPage::new(refusal.with_retry_after(ELSEWHERE_RETRY))
 }
 
 /// Get the refusal where the loop dropped a request that it had.
--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -8,11 +8,9 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bergamotswitch_core::publication::Publication;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
 
 use crate::input::NodeSender;
 use crate::metrics::NodeMetrics;
@@ -43,9 +41,6 @@
     Closing,
 }
 
-/// How long the last answers' bytes may take to leave.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// A `GatewayDesk` is what every handler needs.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayDesk {
@@ -116,7 +111,8 @@
         self.listeners.clear();
     }
 
-    /// Take no further callers, and wait until the open answers have left.
+    /// Take no further callers, and wait until the open answers have left,
+    /// however long their callers take to read them.
     ///
     /// A run that ends frees the loop before the last bytes of its answer were
     /// written. A process that ended then would cut the answer off; one would
@@ -128,6 +124,6 @@
             mut connections, ..
         } = self;
         // Nothing is ever sent: the end of the last sender is waited for.
-        let _ = timeout(CLOSE_TIMEOUT, connections.recv()).await;
+        let _ = connections.recv().await;
     }
 }
--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -147,23 +147,33 @@
     /// Close the door and let the answers that are still being read end, as
     /// far as the grace allows.
     async fn close(self) {
+        let now = self.now();
         let times = self.stop.times();
-        let exit_at = times.map_or(Moment::NEVER, |times| times.exit_at());
-        let left = exit_at.since(self.now());
+        let left = times.map_or(Duration::MAX, |times| times.last_span(now));
         let HostNode {
-            callers, mut inbox, ..
+            me,
+            callers,
+            mut inbox,
+            clock,
+            metrics,
+            ..
         } = self;
+        let stop_at = times.map(|times| times.begun_at);
         let mut over = Box::pin(tokio::time::sleep(left));
         let mut closing = Box::pin(callers.close());
         loop {
             tokio::select! {
                 _ = &mut closing => break,
-                () = &mut over => break,
-                // A dropped reply tells the caller that the host has stopped.
-                input = inbox.recv() => drop(input),
+                () = &mut over => {
+                    metrics.incident(Incident::GraceEnding);
+                    let about = "answers that are still being read";
+                    journal::write(Incident::GraceEnding, &[("host", &me.run.host), ("about", &about)]);
+                    break;
+                }
+                input = inbox.recv() => turn_away(input, clock.now(), stop_at, &metrics),
             }
         }
-        journal::write(Incident::HostStopped, &[("run", &self.me.run)]);
+        journal::write(Incident::HostStopped, &[("run", &me.run)]);
     }
 
     fn now(&self) -> Moment {
@@ -279,6 +289,12 @@
             StopPhase::Serving | StopPhase::Lapsing(_) => {}
             StopPhase::Ending(times) => {
                 self.callers.shut();
+                // The project's own interface goes on to answer questions; were
+                // requests taken there until the host is idle, it would never
+                // be idle under load.
+                if let CallerDoor::Api(_) = self.callers {
+                    self.handle(NodeEvent::DoorShut);
+                }
                 self.note_stop(Incident::DoorShut, &times);
             }
             StopPhase::Over(times) => {
@@ -450,3 +466,30 @@
         self.note(Incident::SettingsReloaded, "seeds, grace");
     }
 }
+
+/// Turn away what comes when the loop has ended, such as a request whose body
+/// was still being read. A dropped reply would leave open whether it ran.
+fn turn_away(
+    input: Option<NodeInput>,
+    now: Moment,
+    stop_at: Option<Moment>,
+    metrics: &NodeMetrics,
+) {
+    let Some(NodeInput::Submit {
+        submission,
+        call,
+        reply,
+    }) = input
+    else {
+        return;
+    };
+    let refusal = submission.turn_away();
+    let label = RequestLabel::of(now, &submission, &call).with_stop(stop_at);
+    metrics.refused(refusal.reason(), Some(label.tier));
+    label.note_end(now, None, &Conclusion::Refused(refusal.clone()), 0);
+    // A caller that is gone needs no answer.
+    let _ = reply.send(Received {
+        reception: Reception::Refused(refusal),
+        answer: None,
+    });
+}
--- a/bergamotswitch-net/src/node/stop.rs
+++ b/bergamotswitch-net/src/node/stop.rs
@@ -16,9 +16,13 @@
 /// How long before the end of the grace the process ends at the latest.
 const EXIT_MARGIN: Duration = Duration::from_millis(80);
 
-/// The most of a grace that a margin takes: four tenths of one second
-/// would leave too little for work.
-const MARGIN_PARTS: u32 = 8;
+/// The least time that the last answers get to leave.
+const LAST_BYTES: Duration = Duration::from_millis(50);
+
+/// The grace from which on the margins are as long as they should be. Of a
+/// shorter one they take the same parts: four tenths of one second would leave
+/// too little for work.
+const LONG_GRACE: Duration = Duration::from_millis(3_200);
 
 /// A `StopTimes` is by when a planned stop gets how far.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,10 +76,16 @@
     }
 
     /// Get when the process ends at the latest.
-    pub fn exit_at(&self) -> Moment {
+    fn exit_at(&self) -> Moment {
         self.before_end(EXIT_MARGIN)
     }
 
+    /// Get how long the last answers may take to leave, from now on. One that
+    /// comes to its end late still has a moment for them.
+    pub fn last_span(&self, now: Moment) -> Duration {
+        self.exit_at().since(now).max(LAST_BYTES)
+    }
+
     /// Get when the process is killed.
     pub fn killed_at(&self) -> Moment {
         self.before_end(Duration::ZERO)
@@ -85,7 +95,8 @@
         let Some(grace) = self.grace else {
             return Moment::NEVER;
         };
-        let margin = margin.min(grace / MARGIN_PARTS);
+        let part = grace.as_secs_f64() / LONG_GRACE.as_secs_f64();
+        let margin = margin.mul_f64(part.min(1.0));
         self.begun_at.plus(grace.saturating_sub(margin))
     }
 }
