Watch calls that a planned stop must not harm: short ones, kept connections, other hosts

All pass on the code as it is. A stand-in target may close a connection after a while; a caller of the tests may keep its connection for further calls.

--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -37,6 +37,8 @@
     Crossed,
     /// It closes the connection without an answer.
     Closing,
+    /// It closes the connection after so long, without an answer.
+    CloseAfter(Duration),
     /// It never answers.
     Mute,
     /// Its stream breaks off in the middle of the event after so many.
@@ -215,6 +217,10 @@
             return Ok(response);
         }
         TargetMood::Closing => return Err(io::ErrorKind::ConnectionReset.into()),
+        TargetMood::CloseAfter(wait) => {
+            sleep(wait).await;
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         TargetMood::Mute => sleep(Duration::from_secs(3_600)).await,
         TargetMood::BreakAfter(_) => {}
     }
--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -5,6 +5,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
@@ -69,6 +70,7 @@
 /// A planned stop as the platform does it: SIGTERM, and SIGKILL where the
 /// process is still there at the end of the grace.
 pub struct PlannedStop {
+    host: Arc<Mutex<HostChild>>,
     begun: Instant,
     task: JoinHandle<StopEnd>,
 }
@@ -78,8 +80,14 @@
     pub fn begin(host: HostChild, grace: Duration) -> Self {
         host.signal("TERM");
         let begun = Instant::now();
-        let task = tokio::spawn(watch_end(host, begun + grace));
-        PlannedStop { begun, task }
+        let host = Arc::new(Mutex::new(host));
+        let task = tokio::spawn(watch_end(Arc::clone(&host), begun + grace));
+        PlannedStop { host, begun, task }
+    }
+
+    /// Signal the host, which still runs.
+    pub fn signal(&self, name: &str) {
+        lock(&self.host).signal(name);
     }
 
     /// Wait until so long after the signal.
@@ -109,14 +117,18 @@
     }
 }
 
-async fn watch_end(mut host: HostChild, killed_at: Instant) -> StopEnd {
+fn lock(host: &Mutex<HostChild>) -> MutexGuard<'_, HostChild> {
+    host.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn watch_end(host: Arc<Mutex<HostChild>>, killed_at: Instant) -> StopEnd {
     while Instant::now() < killed_at {
-        if let Some(status) = host.end() {
+        if let Some(status) = lock(&host).end() {
             return StopEnd::Ended(status);
         }
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
-    host.kill();
+    lock(&host).kill();
     StopEnd::Killed
 }
 
--- a/bergamotswitch/tests/planned_stop.rs
+++ b/bergamotswitch/tests/planned_stop.rs
@@ -114,3 +114,36 @@
     assert_eq!(runs.len(), 2, "{runs:?}");
     assert_ran_once(&runs);
 }
+
+// Symptom: requests at other hosts wait or fail while one host is stopped.
+// Sequence: the owner of the shard gets SIGTERM and stays until the end of its
+// grace with a report that is longer; the other hosts are asked all the while.
+// Cause: candidacy or permits kept by a host that grants nothing.
+#[tokio::test]
+async fn owner_overdue() {
+    let grace = Duration::from_secs(4);
+    let (mut fleet, ()) =
+        Fleet::start_with("red-austral", |stage| fleet::set_grace(stage, grace)).await;
+    let owner = fleet.wait_owner(ENGINES, &ALL_HOSTS).await;
+    let stopping = fleet.hosts[owner].address();
+    let long = Call::report("long", REPORT_TOKENS);
+    let mut open = long.begin(stopping).await.expect("head");
+    open.read_output().await;
+    let stop = fleet.hosts.remove(owner).stop(grace);
+    let cut = tokio::spawn(open.finish());
+    let mut count = 0;
+    while !cut.is_finished() {
+        for host in &fleet.hosts {
+            count += 1;
+            let call = Call::report(&format!("other-{count}"), 50);
+            let answer = call.send(host.address()).await;
+            assert!(answer.is_whole(), "{answer:?}");
+        }
+    }
+    assert!(count > 1);
+    assert!(!cut.await.expect("call").is_whole());
+    stop.end().await;
+    let runs = fleet.runs().await;
+    assert_eq!(runs.len(), count + 1);
+    assert_ran_once(&runs);
+}
--- a/bergamotswitch/tests/stop_grace.rs
+++ b/bergamotswitch/tests/stop_grace.rs
@@ -7,12 +7,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotswitch_standin::users_target::event_text;
+use bergamotswitch_standin::users_target::{TargetMood, event_text};
 use http::StatusCode;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use users::host_child::PlannedStop;
-use users::{Answer, Call, Site, SiteOptions};
+use users::{Answer, Call, KeptConnection, Site, SiteOptions, pause, until};
 
 /// The pause before each event of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(100);
@@ -44,6 +44,18 @@
 }
 
 impl Asked {
+    fn text(&self) -> &str {
+        self.answer.as_ref().map_or("", Answer::text)
+    }
+
+    /// Check that the caller was served, or turned away truly.
+    fn assert_true(&self, site: &Site) {
+        if !self.is_served() {
+            assert!(self.is_turned_away(), "{self:?}");
+            self.assert_refusal(site);
+        }
+    }
+
     fn has_status(&self, status: StatusCode) -> bool {
         let answer = self.answer.as_ref();
         answer.is_ok_and(|answer| answer.status == status && answer.whole)
@@ -69,12 +81,9 @@
 
     /// Check that the caller has the whole stream, or was turned away truly.
     fn assert_kept(&self, site: &Site, events: u32) {
-        if !self.is_served() {
-            assert!(self.is_turned_away(), "{self:?}");
-            return self.assert_refusal(site);
-        }
-        let answer = self.answer.as_ref().expect("answer");
-        assert_eq!(answer.text(), whole_stream(events), "{self:?}");
+        self.assert_true(site);
+        let refused = self.is_turned_away();
+        assert!(refused || self.text() == whole_stream(events), "{self:?}");
     }
 }
 
@@ -168,6 +177,23 @@
     ask_late(seconds(8.0), seconds(3.5), 60).await;
 }
 
+// Symptom: callers are turned away whom a stopping host could have served.
+// Sequence: SIGTERM; short calls come late in the stop, each with a deadline
+// within what is left of the grace. Cause: the door shut to all alike.
+#[tokio::test]
+async fn short_calls() {
+    for (grace, asked_after) in [(8.0, 3.5), (3.0, 1.0)] {
+        let mut site = site_of(8, seconds(grace)).await;
+        let door = site.door();
+        let stop = PlannedStop::begin(site.hosts.remove(0).child, seconds(grace));
+        stop.at(seconds(asked_after)).await;
+        let asked = ask(door, receipt_call(seconds(1.0)), "short").await;
+        assert!(asked.is_served(), "{asked:?}");
+        assert_eq!(runs_of(&site, "short"), 1);
+        stop.end().await;
+    }
+}
+
 // Symptom: answers are cut although they were asked for long before the signal
 // or right after it. Sequence: all targets are full, calls wait in the host;
 // SIGTERM; a place gets free when less is left of the grace than a run takes;
@@ -194,3 +220,123 @@
     assert!(served >= 8, "{served} served");
     assert!(end.is_clean());
 }
+
+/// Get a plain call that must run once, whose caller waits so long.
+fn receipt_call(deadline: Duration) -> Call {
+    let millis = deadline.as_millis().to_string();
+    Call::new("POST", "/receipt/1", "").with("deadline-ms", &millis)
+}
+
+/// Send a call and wait until a target has it.
+async fn ask_and_reach(site: &Site, call: Call, id: &'static str) -> JoinHandle<Asked> {
+    let door = site.door();
+    let asked = tokio::spawn(async move { ask(door, call, id).await });
+    until("a target has the call", async || runs_of(site, id) > 0).await;
+    asked
+}
+
+// Symptom: callers of other hosts wait or fail while one host is stopped.
+// Sequence: hosts that own shards get SIGTERM one after the other and stay until
+// the end of their grace with a call that does not end; the others are asked all
+// the while. Cause: candidacy or permits kept by a host that grants nothing.
+#[tokio::test]
+async fn others_served() {
+    let grace = seconds(3.0);
+    let options = SiteOptions {
+        hosts: 3,
+        grace,
+        ..SiteOptions::default()
+    };
+    let mut site = Site::start_with(options).await;
+    for held in ["held-1", "held-2"] {
+        for desk in &site.desks {
+            desk.expect_only(&[TargetMood::Mute]);
+        }
+        let asked = ask_and_reach(&site, receipt_call(seconds(12.0)), held).await;
+        for desk in &site.desks {
+            desk.expect_only(&[]);
+        }
+        let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+        ask_others(&site, held, &asked).await;
+        stop.end().await;
+    }
+}
+
+/// Ask all hosts of a site in turn until a call at another host has ended.
+async fn ask_others(site: &Site, name: &str, held: &JoinHandle<Asked>) {
+    let mut count = 0;
+    while !held.is_finished() {
+        for host in &site.hosts {
+            count += 1;
+            let calls = [
+                receipt_call(seconds(2.0)),
+                stream_call("/once/1", seconds(2.0)),
+            ];
+            for (number, call) in calls.into_iter().enumerate() {
+                let id = format!("{name}-{count}-{number}");
+                let asked = ask(host.callers, call, &id).await;
+                assert!(asked.is_served(), "{asked:?}");
+                assert_eq!(runs_of(site, &id), 1);
+            }
+        }
+        pause().await;
+    }
+    assert!(count > 0);
+}
+
+/// Use connections, each as long as it lasts, until the host takes no more.
+async fn use_kept(door: SocketAddr, caller: usize) -> Vec<Asked> {
+    let mut all = Vec::new();
+    while let Ok(mut connection) = KeptConnection::open(door).await {
+        loop {
+            let id = format!("kept-{caller}-{}", all.len());
+            let call = match all.len() % 2 {
+                0 => receipt_call(seconds(12.0)),
+                _ => stream_call("/once/1", seconds(12.0)),
+            };
+            let begun = Instant::now();
+            let answer = connection.send(call.with("request-id", &id)).await;
+            let is_last = answer
+                .as_ref()
+                .is_ok_and(|answer| answer.field("connection").eq_ignore_ascii_case("close"));
+            let took = begun.elapsed();
+            let broke = answer.is_err();
+            all.push(Asked { id, answer, took });
+            pause().await;
+            if is_last || broke {
+                break;
+            }
+        }
+    }
+    all
+}
+
+// Symptom: a caller that keeps its connection loses an answer in a planned stop.
+// Sequence: callers use their connections through the whole stop, and open new
+// ones while the door is open. Cause: a connection closed, or the process ended,
+// with a call on it that a target already ran.
+#[tokio::test]
+async fn kept_connections() {
+    let grace = seconds(8.0);
+    let mut site = site_of(8, grace).await;
+    run_before(&site).await;
+    let door = site.door();
+    let callers = (0..6).map(|caller| tokio::spawn(use_kept(door, caller)));
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(seconds(1.0)).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let mut all = Vec::new();
+    for caller in callers {
+        all.extend(caller.await.expect("caller"));
+    }
+    assert!(stop.end().await.is_clean());
+    for asked in &all {
+        match asked.answer {
+            Ok(_) => asked.assert_true(&site),
+            // The call crossed the close of its connection.
+            Err(_) => assert_eq!(runs_of(&site, &asked.id), 0, "{asked:?}"),
+        }
+    }
+    let served = all.iter().filter(|asked| asked.is_served()).count();
+    assert!(served > 12, "{served} served");
+}
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -79,7 +79,7 @@
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
     pub child: HostChild,
-    settings: PathBuf,
+    pub settings: PathBuf,
 }
 
 impl HostProcess {
@@ -98,26 +98,6 @@
         is_ready(self.readiness).await
     }
 
-    /// Change the grace in the settings file and tell the host so.
-    pub fn reload_grace(&self, grace: Duration) {
-        let text = std::fs::read_to_string(&self.settings).expect("settings file");
-        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
-        settings["grace_s"] = grace.as_secs_f64().into();
-        write_settings(&self.settings, &settings);
-        self.child.signal("HUP");
-    }
-
-    /// Wait until the host has written a numbered line of the log.
-    pub async fn noted(&self, number: u32) {
-        let series = format!("{{number=\"{number}\"}} ");
-        let counts = |line: &str| line.contains(&series) && !line.ends_with(" 0");
-        until(&format!("log line {number}"), async || {
-            let page = Call::get("/metrics").send(self.metrics).await;
-            page.is_ok_and(|page| page.text().lines().any(counts))
-        })
-        .await;
-    }
-
     /// Get the addresses that the host names.
     pub async fn named(&self) -> Vec<String> {
         let path = format!("/resolve?name={HOST}&region=r&zone=hall-1");
@@ -362,6 +342,25 @@
     Some(host)
 }
 
+/// Change the grace in a settings file.
+pub fn write_grace(path: &Path, grace: Duration) {
+    let text = std::fs::read_to_string(path).expect("settings file");
+    let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+    settings["grace_s"] = grace.as_secs_f64().into();
+    write_settings(path, &settings);
+}
+
+/// Wait until the host with these metrics has written a numbered line.
+pub async fn noted(metrics: SocketAddr, number: u32) {
+    let series = format!("{{number=\"{number}\"}} ");
+    let counts = |line: &str| line.contains(&series) && !line.ends_with(" 0");
+    until(&format!("log line {number}"), async || {
+        let page = Call::get("/metrics").send(metrics).await;
+        page.is_ok_and(|page| page.text().lines().any(counts))
+    })
+    .await;
+}
+
 /// Write a settings file, whole at any moment for a host that watches it.
 fn write_settings(path: &Path, settings: &Value) {
     let draft = path.with_extension("draft");
@@ -481,7 +480,39 @@
     }
 
     pub async fn send(self, address: SocketAddr) -> io::Result<Answer> {
-        let (head, mut body) = self.open(address).await?.into_parts();
+        KeptConnection::open(address).await?.send(self).await
+    }
+
+    /// Send the call and get the answer's head; the body follows.
+    pub async fn open(self, address: SocketAddr) -> io::Result<http::Response<Incoming>> {
+        KeptConnection::open(address).await?.begin(self).await
+    }
+
+    fn request(self) -> io::Result<Request<Full<Bytes>>> {
+        let mut builder = Request::builder().method(self.method).uri(&self.path);
+        for (name, value) in &self.fields {
+            builder = builder.header(*name, value);
+        }
+        let request = builder.body(Full::new(self.body));
+        request.map_err(io::Error::other)
+    }
+}
+
+/// A caller's connection, for one call after the other.
+pub struct KeptConnection(http1::SendRequest<Full<Bytes>>);
+
+impl KeptConnection {
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        tokio::spawn(connection);
+        Ok(KeptConnection(sender))
+    }
+
+    /// Send a call and read its answer.
+    pub async fn send(&mut self, call: Call) -> io::Result<Answer> {
+        let (head, mut body) = self.begin(call).await?.into_parts();
         let mut bytes = Vec::new();
         let whole = loop {
             match body.frame().await {
@@ -500,18 +531,10 @@
         })
     }
 
-    /// Send the call and get the answer's head; the body follows.
-    pub async fn open(self, address: SocketAddr) -> io::Result<http::Response<Incoming>> {
-        let stream = TcpStream::connect(address).await?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = handshake.map_err(io::Error::other)?;
-        tokio::spawn(connection);
-        let mut builder = Request::builder().method(self.method).uri(&self.path);
-        for (name, value) in &self.fields {
-            builder = builder.header(*name, value);
-        }
-        let request = builder.body(Full::new(self.body));
-        let request = request.map_err(io::Error::other)?;
-        sender.send_request(request).await.map_err(io::Error::other)
+    async fn begin(&mut self, call: Call) -> io::Result<http::Response<Incoming>> {
+        let request = call.request()?;
+        self.0.ready().await.map_err(io::Error::other)?;
+        let response = self.0.send_request(request).await;
+        response.map_err(io::Error::other)
     }
 }
