--- a/bergamotswitch/tests/stop_grace.rs
+++ b/bergamotswitch/tests/stop_grace.rs
@@ -21,6 +21,12 @@
 const AT_ONCE: Duration = Duration::from_secs(1);
 /// The longest wait that a caller may be asked for: another host serves it.
 const MAX_RETRY_AFTER_S: f64 = 1.0;
+/// Enough runs for a host to tell from how long such work takes; they fit into
+/// the engines of a site at once.
+const TELLING_RUNS: usize = 20;
+/// The number of the log line about reloaded settings.
+const SETTINGS_RELOADED: u32 = 105;
+
 fn seconds(count: f64) -> Duration {
     Duration::from_secs_f64(count)
 }
@@ -48,6 +54,12 @@
         self.answer.as_ref().map_or("", Answer::text)
     }
 
+    /// Get whether the caller got an answer to its end that is no success.
+    fn is_failure(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_ok_and(|answer| answer.whole && answer.status.is_server_error())
+    }
+
     /// Check that the caller was served, or turned away truly.
     fn assert_true(&self, site: &Site) {
         if !self.is_served() {
@@ -85,6 +97,14 @@
         let refused = self.is_turned_away();
         assert!(refused || self.text() == whole_stream(events), "{self:?}");
     }
+
+    /// Check that a stream that was cut is so in what it has, and not seen as
+    /// whole.
+    fn assert_cut(&self, events: u32) {
+        let answer = self.answer.as_ref().expect("answer");
+        assert!(!answer.whole, "{self:?}");
+        assert!(whole_stream(events).starts_with(self.text()), "{self:?}");
+    }
 }
 
 fn whole_stream(events: u32) -> String {
@@ -104,6 +124,7 @@
 async fn site_of(events: u32, grace: Duration) -> Site {
     let options = SiteOptions {
         hosts: 2,
+        slots: 16,
         events,
         gap: EVENT_GAP,
         aim: seconds(5.0),
@@ -113,6 +134,20 @@
     Site::start_with(options).await
 }
 
+/// A site as above whose engines run eight streams at once, all told.
+async fn small_site(events: u32, grace: Duration) -> Site {
+    let options = SiteOptions {
+        hosts: 2,
+        events,
+        gap: EVENT_GAP,
+        aim: seconds(5.0),
+        timeout: seconds(30.0),
+        grace,
+        ..SiteOptions::default()
+    };
+    Site::start_with(options).await
+}
+
 /// Get a stream's call whose caller waits so long.
 fn stream_call(path: &str, deadline: Duration) -> Call {
     let millis = deadline.as_millis().to_string();
@@ -136,10 +171,10 @@
     all
 }
 
-/// Run streams before a stop, so that their length is known.
-async fn run_before(site: &Site) {
-    let call = stream_call("/draft/1", seconds(25.0));
-    for asked in wait_all(ask_many(site.door(), &call, "before", 3)).await {
+/// Run streams of a route before a stop, so that their length is known.
+async fn run_before(site: &Site, path: &str, count: usize) {
+    let call = stream_call(path, seconds(25.0));
+    for asked in wait_all(ask_many(site.door(), &call, "before", count)).await {
         assert!(asked.is_served(), "{asked:?}");
     }
 }
@@ -148,7 +183,7 @@
 /// grace by then, and check what became of it.
 async fn ask_late(grace: Duration, asked_after: Duration, events: u32) {
     let mut site = site_of(events, grace).await;
-    run_before(&site).await;
+    run_before(&site, "/once/1", TELLING_RUNS).await;
     let door = site.door();
     let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
     stop.at(asked_after).await;
@@ -177,6 +212,20 @@
     ask_late(seconds(8.0), seconds(3.5), 60).await;
 }
 
+// Symptom, sequence and cause: as above, where the grace is shorter than the
+// time for which the door stays open.
+#[tokio::test]
+async fn short_grace() {
+    ask_late(seconds(3.0), seconds(1.0), 40).await;
+}
+
+// Symptom, sequence and cause: as above, where the grace is long and the
+// stream longer.
+#[tokio::test]
+async fn long_grace() {
+    ask_late(seconds(12.0), seconds(3.5), 95).await;
+}
+
 // Symptom: callers are turned away whom a stopping host could have served.
 // Sequence: SIGTERM; short calls come late in the stop, each with a deadline
 // within what is left of the grace. Cause: the door shut to all alike.
@@ -194,6 +243,35 @@
     }
 }
 
+// Symptom: callers are turned away whom a stopping host could have served.
+// Sequence: streams of a route take 0.8 s; SIGTERM with a grace of 8 s; 1 s later
+// a caller that would wait much longer asks for one. Cause: only the deadline was
+// held against what is left, not how long such work takes.
+#[tokio::test]
+async fn fitting_stream() {
+    let grace = seconds(8.0);
+    let mut site = site_of(8, grace).await;
+    run_before(&site, "/once/1", TELLING_RUNS).await;
+    let door = site.door();
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    stop.at(seconds(1.0)).await;
+    let asked = ask(door, stream_call("/once/1", seconds(20.0)), "short").await;
+    assert!(asked.is_served(), "{asked:?}");
+    asked.assert_kept(&site, 8);
+    assert!(stop.end().await.is_clean());
+}
+
+// Symptom: a host is killed although it holds nothing. Sequence: an idle host
+// gets SIGTERM with a grace that is shorter than the time for which it takes
+// callers. Cause: it waited for its door to shut, whatever the grace.
+#[tokio::test]
+async fn idle_end() {
+    let grace = seconds(3.0);
+    let mut site = site_of(8, grace).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    assert!(stop.end().await.is_clean());
+}
+
 // Symptom: answers are cut although they were asked for long before the signal
 // or right after it. Sequence: all targets are full, calls wait in the host;
 // SIGTERM; a place gets free when less is left of the grace than a run takes;
@@ -203,8 +281,8 @@
 async fn waiting_refused() {
     let grace = seconds(8.0);
     let events = 50;
-    let mut site = site_of(events, grace).await;
-    run_before(&site).await;
+    let mut site = small_site(events, grace).await;
+    run_before(&site, "/draft/1", 3).await;
     let door = site.door();
     // Eight run at once, so that the others would run from 5 s to 10 s.
     let asks = ask_many(door, &stream_call("/once/1", seconds(12.0)), "waiting", 14);
@@ -221,6 +299,36 @@
     assert!(end.is_clean());
 }
 
+// Symptom: as above. Sequence: streams take 0.5 s, a host that knows so has far
+// more of them than fit in its grace; SIGTERM; what waits is started as long as
+// it ends in time. Cause: as above, or calls told too late to go elsewhere.
+#[tokio::test]
+async fn waiting_expires() {
+    let grace = seconds(6.0);
+    let events = 5;
+    let mut site = small_site(events, grace).await;
+    run_before(&site, "/once/1", 16).await;
+    let asks = ask_many(
+        site.door(),
+        &stream_call("/once/1", seconds(12.0)),
+        "waiting",
+        120,
+    );
+    tokio::time::sleep(seconds(0.2)).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let all = wait_all(asks).await;
+    assert!(stop.end().await.is_clean());
+    for asked in &all {
+        asked.assert_kept(&site, events);
+        assert!(
+            asked.is_served() || asked.took < grace - seconds(1.0),
+            "{asked:?}"
+        );
+    }
+    let served = all.iter().filter(|asked| asked.is_served()).count();
+    assert!((16..all.len()).contains(&served), "{served} served");
+}
+
 /// Get a plain call that must run once, whose caller waits so long.
 fn receipt_call(deadline: Duration) -> Call {
     let millis = deadline.as_millis().to_string();
@@ -235,6 +343,72 @@
     asked
 }
 
+// Symptom: a caller hangs until the host is killed, and gets no answer.
+// Sequence: SIGTERM with a call under way; 1 s before the end of the grace its
+// target closes the connection; the call goes to a second target, which does
+// not answer in time. Cause: what was sent once more was not held against what
+// is left of the grace.
+#[tokio::test]
+async fn sent_again() {
+    let grace = seconds(3.0);
+    let mut site = site_of(8, grace).await;
+    for desk in &site.desks {
+        desk.expect(&[TargetMood::CloseAfter(seconds(2.0)), TargetMood::Mute]);
+    }
+    let call = Call::new("GET", "/status/1", "").with("deadline-ms", "12000");
+    let asked = ask_and_reach(&site, call, "again").await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let asked = asked.await.expect("call");
+    assert!(asked.is_failure(), "{asked:?}");
+    assert!(stop.end().await.is_clean());
+    assert_eq!(runs_of(&site, "again"), 1);
+}
+
+// Symptom: a stream hangs until the host is killed. Sequence: SIGTERM with a
+// stream under way; 1 s before the end of the grace its target breaks off, and
+// another one is to make the 2 s that are missing. Cause: as above.
+#[tokio::test]
+async fn not_resumed() {
+    let grace = seconds(3.0);
+    let events = 40;
+    let mut site = site_of(events, grace).await;
+    run_before(&site, "/draft/1", TELLING_RUNS).await;
+    for engine in &site.engines {
+        engine.expect(&[TargetMood::BreakAfter(20)]);
+    }
+    let call = stream_call("/draft/1", seconds(12.0));
+    let asked = ask_and_reach(&site, call, "broken").await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let asked = asked.await.expect("call");
+    asked.assert_cut(events);
+    assert!(stop.end().await.is_clean());
+    assert_eq!(runs_of(&site, "broken"), 1);
+}
+
+// Symptom: callers whose calls came before the signal get no answer at all when
+// the grace is over. Sequence: SIGTERM with a stream of 6 s and a call that its
+// target does not answer under way; the grace is 3 s. Cause: the process was
+// killed with both; nothing ended them while it could still tell the callers.
+#[tokio::test]
+async fn overdue_told() {
+    let grace = seconds(3.0);
+    let events = 60;
+    let mut site = site_of(events, grace).await;
+    for desk in &site.desks {
+        desk.expect(&[TargetMood::Mute]);
+    }
+    let stream = stream_call("/once/1", seconds(12.0));
+    let stream = ask_and_reach(&site, stream, "stream").await;
+    let call = ask_and_reach(&site, receipt_call(seconds(12.0)), "mute").await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let (stream, call) = (stream.await.expect("call"), call.await.expect("call"));
+    stream.assert_cut(events);
+    // It may have run, which 503 would deny.
+    assert!(call.has_status(StatusCode::BAD_GATEWAY), "{call:?}");
+    assert!(stop.end().await.is_clean());
+    assert_eq!(runs_of(&site, "mute"), 1);
+}
+
 // Symptom: callers of other hosts wait or fail while one host is stopped.
 // Sequence: hosts that own shards get SIGTERM one after the other and stay until
 // the end of their grace with a call that does not end; the others are asked all
@@ -284,6 +458,121 @@
     assert!(count > 0);
 }
 
+/// A host whose settings file is changed before or during its stop.
+struct Reload {
+    started_with: Duration,
+    reloaded_to: Duration,
+    /// Whether the signal to stop comes first.
+    during: bool,
+    /// When it is killed.
+    killed_after: Duration,
+}
+
+/// Ask for a stream that is longer than what is left of the grace in force.
+async fn ask_reloaded(reload: Reload) {
+    let events = 40;
+    let mut site = site_of(events, reload.started_with).await;
+    run_before(&site, "/once/1", TELLING_RUNS).await;
+    let host = site.hosts.remove(0);
+    let (door, metrics) = (host.callers, host.metrics);
+    users::write_grace(&host.settings, reload.reloaded_to);
+    if !reload.during {
+        host.child.signal("HUP");
+        users::noted(metrics, SETTINGS_RELOADED).await;
+    }
+    let stop = PlannedStop::begin(host.child, reload.killed_after);
+    if reload.during {
+        stop.signal("HUP");
+        users::noted(metrics, SETTINGS_RELOADED).await;
+    }
+    stop.at(seconds(1.0)).await;
+    let asked = ask(door, stream_call("/once/1", seconds(12.0)), "late").await;
+    stop.end().await;
+    asked.assert_kept(&site, events);
+    assert!(asked.is_served() || asked.took < AT_ONCE, "{asked:?}");
+}
+
+// Symptom: a stream is cut by a planned stop that is shorter than the host
+// thinks. Sequence: the settings file names a shorter grace; SIGHUP, SIGTERM; a
+// stream that fits in the old grace is taken. Cause: only the settings of the
+// start were looked at.
+#[tokio::test]
+async fn reload_before() {
+    ask_reloaded(Reload {
+        started_with: seconds(8.0),
+        reloaded_to: seconds(3.0),
+        during: false,
+        killed_after: seconds(3.0),
+    })
+    .await;
+}
+
+// Symptom, sequence and cause: as above, where SIGTERM comes first.
+#[tokio::test]
+async fn reload_during() {
+    ask_reloaded(Reload {
+        started_with: seconds(8.0),
+        reloaded_to: seconds(3.0),
+        during: true,
+        killed_after: seconds(3.0),
+    })
+    .await;
+}
+
+// Symptom: a stream is cut that was taken after the grace had been made longer.
+// Sequence: SIGTERM; the settings file names a longer grace, for the next start;
+// the kill comes when it was due at the signal. Cause: a stop that was under way
+// took the longer grace for its own.
+#[tokio::test]
+async fn reload_later() {
+    ask_reloaded(Reload {
+        started_with: seconds(3.0),
+        reloaded_to: seconds(20.0),
+        during: true,
+        killed_after: seconds(3.0),
+    })
+    .await;
+}
+
+// Symptom: a stream is cut on a host that was started a moment before.
+// Sequence: a host that has seen no run yet gets SIGTERM and takes a stream of
+// 9 s when 7.5 s are left. Cause: work whose length nobody knows was taken for
+// short.
+#[tokio::test]
+async fn unknown_length() {
+    let grace = seconds(8.0);
+    let mut site = site_of(90, grace).await;
+    let door = site.door();
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    stop.at(seconds(0.5)).await;
+    let asked = ask(door, stream_call("/once/1", seconds(12.0)), "first").await;
+    stop.end().await;
+    assert!(asked.is_turned_away(), "{asked:?}");
+    assert!(asked.took < AT_ONCE, "{asked:?}");
+    asked.assert_refusal(&site);
+}
+
+// Symptom: callers of a stopping host wait out their deadline for nothing.
+// Sequence: the only host of a site gets SIGTERM; calls come while its door is
+// still open. Cause: it has left the candidacy for its shards and nobody else
+// can own them, so that what it takes waits for a permit that nobody grants.
+#[tokio::test]
+async fn sole_host() {
+    let grace = seconds(3.0);
+    let options = SiteOptions {
+        grace,
+        ..SiteOptions::default()
+    };
+    let mut site = Site::start_with(options).await;
+    let door = site.door();
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    stop.at(seconds(1.0)).await;
+    let asked = ask(door, receipt_call(seconds(1.5)), "short").await;
+    stop.end().await;
+    assert!(asked.took < AT_ONCE, "{asked:?}");
+    asked.assert_true(&site);
+}
+
 /// Use connections, each as long as it lasts, until the host takes no more.
 async fn use_kept(door: SocketAddr, caller: usize) -> Vec<Asked> {
     let mut all = Vec::new();
@@ -319,7 +608,7 @@
 async fn kept_connections() {
     let grace = seconds(8.0);
     let mut site = site_of(8, grace).await;
-    run_before(&site).await;
+    run_before(&site, "/once/1", TELLING_RUNS).await;
     let door = site.door();
     let callers = (0..6).map(|caller| tokio::spawn(use_kept(door, caller)));
     let callers: Vec<_> = callers.collect();
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -50,6 +50,8 @@
     pub events: u32,
     /// The pause before each event.
     pub gap: Duration,
+    /// How many streams an engine runs at once.
+    pub slots: u32,
     /// By when an answer should begin.
     pub aim: Duration,
     /// How long the operator lets a call wait for the end of its answer.
@@ -64,6 +66,7 @@
             hosts: 1,
             events: 8,
             gap: Duration::from_millis(20),
+            slots: 4,
             aim: Duration::from_secs(1),
             timeout: Duration::from_secs(5),
             grace: Duration::from_secs(8),
@@ -175,7 +178,9 @@
 
     /// Register a target as it does itself.
     pub fn register(&self, service: &str, target: &UsersTarget, state: &str) {
-        register(&self.store, service, target, target.address(), state);
+        let mut entry = target.registration(service, target.address(), state);
+        entry["slots"] = self.options.slots.into();
+        put_entry(&self.store, target, &entry);
     }
 
     fn start_hosts(&mut self) {
@@ -252,7 +257,7 @@
         "routes": routes,
         "services": [
             {"name": "drafting", "healthPath": "/healthz", "maxConnections": 100,
-             "engine": {"slots": 4, "kvCapacityTokens": 100_000}},
+             "engine": {"slots": options.slots, "kvCapacityTokens": 100_000}},
             {"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
         ],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
@@ -272,7 +277,11 @@
     state: &str,
 ) {
     let entry = target.registration(service, address, state);
-    store.put(&format!("servers/{}", target.name()), &entry);
+    put_entry(store, target, &entry);
+}
+
+fn put_entry(store: &UsersStore, target: &UsersTarget, entry: &Value) {
+    store.put(&format!("servers/{}", target.name()), entry);
 }
 
 /// Start a host. A port that was free a moment ago may be taken by another test
