--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -140,6 +140,12 @@
         self.opts.heartbeat
     }
 
+    /// Get whether a host has said that it stops, or is silent.
+    pub fn is_out(&self, host: &HostName) -> bool {
+        let peer = self.peers.get(host);
+        peer.is_some_and(|peer| peer.stopping || peer.reachable == Some(false))
+    }
+
     /// Get the hosts whose word an owner of the shard needs before it runs what
     /// must not run twice.
     pub fn key_witnesses(&self, shard: &PoolShard) -> KeyWitnesses {
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -5,6 +5,7 @@
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
+use crate::permit::QuotaLevel;
 use crate::route::AccountQuota;
 
 /// The shortest and longest pauses that a refused caller is told: at a shorter
@@ -59,21 +60,53 @@
 #[derive(Debug)]
 struct QuotaBucket {
     level: f64,
+    /// What calls took that wait: it may come back.
+    waiting: f64,
     filled_at: Moment,
 }
 
 /// A `QuotaBook` is a token bucket for each account with a quota.
 ///
 /// A bucket begins empty. A new owner does not know what the former one let
-/// pass; with an empty bucket, the use in any window around the change stays
+/// pass, unless that one hands its buckets over; with an empty bucket, the use in any window around the change stays
 /// within one burst and the rate over the window, whatever came before. With a
 /// count over the window itself, an account that was over its rate used it
 /// again after all hosts had been killed: 2.72 of 2.57 million tokens allowed
 /// in eight seconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaBook {
     rates: HashMap<AccountName, QuotaRate>,
     buckets: HashMap<AccountName, QuotaBucket>,
+    /// The part of each rate that is given out now.
+    part: f64,
+}
+
+impl Default for QuotaBook {
+    fn default() -> Self {
+        QuotaBook {
+            rates: HashMap::new(),
+            buckets: HashMap::new(),
+            part: 1.0,
+        }
+    }
+}
+
+impl QuotaBucket {
+    /// Count units of a call as waiting no longer; get how many of them did.
+    fn stop_waiting(&mut self, units: u32) -> f64 {
+        let waited = f64::from(units).min(self.waiting);
+        self.waiting -= waited;
+        waited
+    }
+
+    /// Let in what has come since the last time. What lies in it stays, also
+    /// where less than that may come in now.
+    fn fill(&mut self, now: Moment, rate: &QuotaRate, part: f64) {
+        let span = now.since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        let filled = (self.level + span * rate.rate * part).min(rate.burst * part);
+        self.level = self.level.min(rate.burst).max(filled);
+    }
 }
 
 impl QuotaBook {
@@ -86,12 +119,26 @@
         for account in rates.keys() {
             let bucket = QuotaBucket {
                 level: 0.0,
+                waiting: 0.0,
                 filled_at: now,
             };
             self.buckets.entry(account.clone()).or_insert(bucket);
         }
     }
 
+    /// Give out this part of each rate from now on.
+    pub fn set_part(&mut self, now: Moment, part: f64) {
+        if part == self.part {
+            return;
+        }
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = self.rates.get(account) {
+                bucket.fill(now, rate, self.part);
+            }
+        }
+        self.part = part;
+    }
+
     /// Try to take units for a call. It is let in while the bucket is not
     /// empty, and may take it below zero: calls differ a hundredfold in units,
     /// and a bound on single calls would shut out long ones.
@@ -109,22 +156,72 @@
         else {
             return Ok(());
         };
-        let span = now.since(bucket.filled_at).as_secs_f64();
-        bucket.filled_at = now;
-        bucket.level = (bucket.level + span * rate.rate).min(rate.burst);
-        if bucket.level >= 0.0 {
+        bucket.fill(now, rate, self.part);
+        // A call that is sent once more has taken its units before. Refused, it
+        // would be told that it is over the quota after it has run.
+        if bucket.level >= 0.0 || units == 0 {
             bucket.level -= f64::from(units);
+            bucket.waiting += f64::from(units);
             return Ok(());
         }
-        let missing = (f64::from(units) - bucket.level) / rate.rate.max(1.0);
+        let missing = (f64::from(units) - bucket.level) / (rate.rate * self.part).max(1.0);
         let wait = Duration::from_secs_f64(missing.min(RETRY_MAX.as_secs_f64()));
         Err(wait.max(RETRY_MIN))
     }
 
-    /// Give back what a call took that was not run.
-    pub fn give_back(&mut self, account: &AccountName, units: u32) {
+    /// Take this part of what lies in the buckets out of them.
+    pub fn take_out(&mut self, now: Moment, part: f64) -> Vec<QuotaLevel> {
+        let mut levels = Vec::new();
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = self.rates.get(account) {
+                bucket.fill(now, rate, self.part);
+            }
+            let units = (bucket.level.max(0.0) * part).floor();
+            bucket.level -= units;
+            if units > 0.0 {
+                levels.push(QuotaLevel {
+                    account: account.clone(),
+                    units: units as u64,
+                });
+            }
+        }
+        levels
+    }
+
+    /// Put in what a former owner took out of its buckets, up to a full one.
+    pub fn take_in(&mut self, now: Moment, levels: &[QuotaLevel]) {
+        for QuotaLevel { account, units } in levels {
+            let Some(rate) = self.rates.get(account) else {
+                continue;
+            };
+            if let Some(bucket) = self.buckets.get_mut(account) {
+                bucket.fill(now, rate, self.part);
+                bucket.level = (bucket.level + *units as f64).min(rate.burst);
+            }
+        }
+    }
+
+    /// Keep what a call took that waits no longer: it runs, or may have run.
+    pub fn keep(&mut self, account: &AccountName, units: u32) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.level += f64::from(units);
+            bucket.stop_waiting(units);
         }
     }
+
+    /// Give back what a call took that was not run.
+    ///
+    /// While it waited, the bucket may have filled in its place. Then what lies
+    /// in it and what may still come back are more than a full bucket, and that
+    /// much is not given back: an account whose calls wait while targets are
+    /// busy, and whose callers leave, would have more than one burst.
+    pub fn give_back(&mut self, now: Moment, account: &AccountName, units: u32) {
+        let (Some(rate), Some(bucket)) = (self.rates.get(account), self.buckets.get_mut(account))
+        else {
+            return;
+        };
+        bucket.fill(now, rate, self.part);
+        let filled = (bucket.level + bucket.waiting - rate.burst).max(0.0);
+        let waited = bucket.stop_waiting(units);
+        bucket.level += (waited - filled).max(0.0);
+    }
 }
