Let the soak ask for long work and kill stopping hosts at the end of their grace

The judge tells calls that were sent after the signal, reached a target and were cut.

Built and linted; not played yet.

--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -259,7 +259,7 @@
 /// Get the stream of a call, from behind the last event that it names.
 fn events(shared: &TargetShared, call: &SeenCall, mood: &TargetMood) -> Response<AnswerBytes> {
     let first: u32 = call.field("last-event-id").parse().unwrap_or(0) + 1;
-    let last = shared.events;
+    let last = asked_events(&call.line).unwrap_or(shared.events);
     let gap = shared.gap;
     let broken_at = match mood {
         TargetMood::BreakAfter(count) => Some(first + count),
@@ -279,6 +279,12 @@
     response
 }
 
+/// Get how many events a call's query asks for, where it does.
+fn asked_events(line: &str) -> Option<u32> {
+    let (_, count) = line.split_once("?events=")?;
+    count.parse().ok()
+}
+
 /// Get one event's bytes.
 pub fn event_text(id: u32) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
--- a/bergamotswitch/tests/soak_world/callers.rs
+++ b/bergamotswitch/tests/soak_world/callers.rs
@@ -16,9 +16,10 @@
 use tokio::time::{sleep, timeout};
 
 use super::SoakWorld;
+use super::work::CallWork;
 use crate::users::{HOST, KEY};
 
-/// How long a caller waits for an answer.
+/// How long a caller waits for an answer that takes no time.
 pub const DEADLINE: Duration = Duration::from_millis(2_500);
 /// How much longer an answer may be under way.
 pub const LATE: Duration = Duration::from_millis(1_500);
@@ -84,6 +85,7 @@
     pub kind: CallKind,
     pub path: String,
     pub host: usize,
+    pub work: CallWork,
     pub second_key: bool,
     pub sent: Instant,
     pub ended: Instant,
@@ -103,7 +105,7 @@
     while !world.callers_end.get() {
         count += 1;
         let id = format!("c{number}-{count}");
-        let again = send_one(&world, &mut rng, &mut open, id).await;
+        let again = send_one(&world, &mut rng, &mut open, number, id).await;
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         sleep(pause.max(again)).await;
     }
@@ -114,6 +116,7 @@
     world: &Rc<SoakWorld>,
     rng: &mut StdRng,
     open: &mut Option<OpenDoor>,
+    number: u64,
     id: String,
 ) -> Duration {
     let kinds = [
@@ -125,9 +128,14 @@
     ];
     let kind = kinds[rng.random_range(0..kinds.len())];
     let second_key = rng.random_bool(0.4);
-    let Some(path) = path_of(world, rng, kind, &id) else {
+    let Some(prefix) = prefix_of(world, rng, kind) else {
         return Duration::ZERO;
     };
+    let work = match world.has_long_work.get() && kind.is_stream() {
+        true => CallWork::draw(rng, number),
+        false => CallWork::SHORT,
+    };
+    let path = format!("{prefix}{id}{}", work.query());
     let door = match open.take() {
         Some(door) => Some(door),
         None => connect(world, rng).await,
@@ -135,9 +143,9 @@
     let Some(mut door) = door else {
         return Duration::ZERO;
     };
-    let request = request(kind, &path, &id, second_key);
+    let request = request(kind, &path, &id, work, second_key);
     let sent = Instant::now();
-    let answered = timeout(DEADLINE + LATE, exchange(&mut door.sender, request)).await;
+    let answered = timeout(work.deadline + LATE, exchange(&mut door.sender, request)).await;
     let end = answered.unwrap_or(CallEnd::Overdue);
     let mut again = Duration::ZERO;
     let host = door.host;
@@ -154,6 +162,7 @@
         kind,
         path,
         host,
+        work,
         second_key,
         sent,
         ended: Instant::now(),
@@ -162,8 +171,8 @@
     again
 }
 
-fn path_of(world: &SoakWorld, rng: &mut StdRng, kind: CallKind, id: &str) -> Option<String> {
-    let prefix = match kind {
+fn prefix_of(world: &SoakWorld, rng: &mut StdRng, kind: CallKind) -> Option<String> {
+    Some(match kind {
         CallKind::Draft => "/draft/".to_owned(),
         CallKind::Once => "/once/".to_owned(),
         CallKind::Status => "/status/".to_owned(),
@@ -173,8 +182,7 @@
             let index = rng.random_range(0..routes.len().max(1));
             routes.get(index)?.prefix.clone()
         }
-    };
-    Some(format!("{prefix}{id}"))
+    })
 }
 
 async fn connect(world: &SoakWorld, rng: &mut StdRng) -> Option<OpenDoor> {
@@ -192,14 +200,20 @@
     format!("prompt of {id}")
 }
 
-fn request(kind: CallKind, path: &str, id: &str, second_key: bool) -> Request<Full<Bytes>> {
+fn request(
+    kind: CallKind,
+    path: &str,
+    id: &str,
+    work: CallWork,
+    second_key: bool,
+) -> Request<Full<Bytes>> {
     let key = if second_key { SECOND_KEY } else { KEY };
     let mut builder = Request::builder()
         .method("POST")
         .uri(path)
         .header("host", HOST)
         .header("request-id", id)
-        .header("deadline-ms", DEADLINE.as_millis().to_string())
+        .header("deadline-ms", work.deadline.as_millis().to_string())
         .header("authorization", format!("Bearer {key}"))
         // Fields that only the system may set.
         .header("tenant", "forged")
@@ -207,8 +221,8 @@
     if kind.is_stream() {
         builder = builder
             .header("model", "m")
-            .header("token-count", "100,80")
-            .header("length-hint", "40");
+            .header("token-count", format!("100,{}", work.most_tokens))
+            .header("length-hint", work.hinted_tokens.to_string());
     }
     let body = Full::new(Bytes::from(body_of(id)));
     builder.body(body).expect("a request")
--- a/bergamotswitch/tests/soak_world/judge.rs
+++ b/bergamotswitch/tests/soak_world/judge.rs
@@ -6,8 +6,9 @@
 use bergamotswitch_standin::users_target::{SeenCall, event_text};
 use http::StatusCode;
 
-use super::callers::{CallEnd, CallKind, CallRecord, DEADLINE, SeenAnswer, body_of};
-use super::{EVENTS, SoakWorld, overlaps};
+use super::callers::{CallEnd, CallKind, CallRecord, SeenAnswer, body_of};
+use super::stops::lost_at_stop;
+use super::{SoakWorld, overlaps};
 use crate::users::REVOKE_MS;
 
 /// How long a host and the store have to be in health before a bound holds.
@@ -16,14 +17,14 @@
 /// no more, and what the test's own ways take at most.
 const APPLY: Duration = Duration::from_secs(2);
 const DRAIN: Duration = Duration::from_secs(2);
-const SLACK: Duration = Duration::from_millis(400);
+pub const SLACK: Duration = Duration::from_millis(400);
 /// The part of the calls that has to be served once all is over.
 const SERVED_PERCENT: usize = 90;
 
 /// A `SeenRun` is a call that a target began to work on.
-struct SeenRun {
+pub struct SeenRun {
     target: usize,
-    call: SeenCall,
+    pub call: SeenCall,
 }
 
 /// Get whether a caller got what it asked for.
@@ -110,14 +111,14 @@
         return None;
     }
     let right = match call.kind.is_stream() {
-        true => is_right_stream(answer),
+        true => is_right_stream(answer, call.work.events),
         false => is_right_text(answer),
     };
     (!right).then(|| format!("MIXED or ORDER: {call:?}"))
 }
 
-fn is_right_stream(answer: &SeenAnswer) -> bool {
-    let whole: String = (1..=EVENTS).map(event_text).collect();
+fn is_right_stream(answer: &SeenAnswer, events: u32) -> bool {
+    let whole: String = (1..=events).map(event_text).collect();
     let right = match answer.whole {
         true => answer.body == whole,
         // A stream may be cut before its first event, too.
@@ -160,24 +161,11 @@
 }
 
 fn overdue(world: &SoakWorld, call: &CallRecord) -> Option<String> {
-    let late = call.ended.duration_since(call.sent) > DEADLINE + SLACK;
+    let late = call.ended.duration_since(call.sent) > call.work.deadline + SLACK;
     let calm = !world.is_disturbed(call.host, before(call.sent), call.ended);
     (late && calm).then(|| format!("CONFIG: held beyond its time: {call:?}"))
 }
 
-/// In a run of planned work alone no call that reached a target is lost.
-fn lost_at_stop(world: &SoakWorld, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
-    if !world.planned || runs.is_empty() {
-        return None;
-    }
-    let lost = match &call.end {
-        CallEnd::Closed => true,
-        CallEnd::Answered(answer) => !answer.whole,
-        CallEnd::NoConnection | CallEnd::Overdue => false,
-    };
-    lost.then(|| format!("LOST: {call:?}"))
-}
-
 /// Check that a target got a call as its caller sent it.
 fn changed(call: &CallRecord, run: &SeenRun) -> Option<String> {
     let seen = &run.call;
@@ -187,7 +175,7 @@
         && seen.field("tenant") == "company"
         && seen.field("hold").is_empty()
         && seen.field("authorization").is_empty()
-        && deadline <= DEADLINE.as_millis()
+        && deadline <= call.work.deadline.as_millis()
         && service_of_call(call) == service_of_run(run);
     (!right).then(|| format!("UNASKED, ROUTE or BUDGET: {call:?} came as {seen:?}"))
 }
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -4,6 +4,8 @@
 mod callers;
 mod judge;
 mod plan;
+mod stops;
+mod work;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -18,7 +20,8 @@
 use crate::relay::{Flow, Relay};
 use crate::users::{self, HostProcess, KEY, start_host};
 use callers::{CallRecord, SECOND_KEY, run_caller};
-use plan::{SiteFault, TimedFault};
+use plan::{RunPlan, SiteFault, TimedFault};
+use stops::HostStop;
 
 /// The targets of a run: two of each service. A stream has so many events, one
 /// each 15 ms.
@@ -84,6 +87,11 @@
 pub struct SoakWorld {
     pub seed: u64,
     planned: bool,
+    /// The time from SIGTERM to SIGKILL, in runs with long work.
+    grace: Option<Duration>,
+    /// Whether callers ask for long work now.
+    has_long_work: Cell<bool>,
+    stops: RefCell<Vec<HostStop>>,
     store: UsersStore,
     hosts: Vec<WorldHost>,
     doors: Vec<SocketAddr>,
@@ -116,14 +124,14 @@
         .build();
     let runtime = runtime.expect("runtime");
     LocalSet::new().block_on(&runtime, async move {
-        let (faults, planned) = plan::plan(seed, hosts, TARGETS);
-        let world = SoakWorld::start(seed, hosts, planned).await;
-        world.run(faults).await
+        let plan = plan::plan(seed, hosts, TARGETS);
+        let world = SoakWorld::start(seed, hosts, &plan).await;
+        world.run(plan.faults).await
     })
 }
 
 impl SoakWorld {
-    async fn start(seed: u64, count: usize, planned: bool) -> Rc<Self> {
+    async fn start(seed: u64, count: usize, plan: &RunPlan) -> Rc<Self> {
         let store = UsersStore::start().await.expect("store");
         let mut targets = Vec::new();
         for number in 0..TARGETS {
@@ -144,11 +152,12 @@
             });
         }
         let mut hosts: Vec<WorldHost> = Vec::new();
+        let grace_s = plan.grace.map_or(users::GRACE_S, |grace| grace.as_secs());
         for number in 0..count {
             let (store_way, way) = Relay::start_anywhere(store.address());
             let seed = hosts.first().map(|host| host.process.borrow().link);
             hosts.push(WorldHost {
-                process: RefCell::new(start_host(number, seed, way)),
+                process: RefCell::new(start_host(number, seed, way, grace_s)),
                 store_way,
                 ends: Cell::new(false),
                 disturbed: RefCell::default(),
@@ -158,7 +167,10 @@
         let doors = doors.collect();
         let world = Rc::new(SoakWorld {
             seed,
-            planned,
+            planned: plan.planned,
+            grace: plan.grace,
+            has_long_work: Cell::new(plan.grace.is_some()),
+            stops: RefCell::default(),
             store,
             hosts,
             doors,
@@ -198,6 +210,7 @@
         for task in played {
             task.await.expect("a fault is played");
         }
+        self.has_long_work.set(false);
         self.all_ready("after the faults").await;
         sleep(RECOVERY).await;
         self.calm_from.set(Some(Instant::now()));
@@ -256,7 +269,11 @@
         };
         let routes = self.routes.borrow();
         let more: Vec<&str> = routes.iter().map(|route| route.prefix.as_str()).collect();
-        users::publish(&self.store, self.version.get(), keys, &more);
+        let (store, version) = (&self.store, self.version.get());
+        match self.grace {
+            Some(_) => users::publish_within(store, version, keys, &more, work::ROUTE_TIMEOUT),
+            None => users::publish(store, version, keys, &more),
+        }
     }
 
     fn register(&self, target: &WorldTarget, state: &str) {
@@ -280,7 +297,10 @@
                 sleep(span).await;
                 self.signal(host, "CONT");
             }
-            SiteFault::Stop { host } => self.stop(host).await,
+            SiteFault::Stop { host } => match self.grace {
+                Some(grace) => self.stop_within(host, grace).await,
+                None => self.stop(host).await,
+            },
             SiteFault::Reload { host } => self.signal(host, "HUP"),
             SiteFault::Store { mood, span } => {
                 let _guard = DisturbanceGuard::new(&self.store_disturbed);
--- a/bergamotswitch/tests/soak_world/plan.rs
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -5,6 +5,7 @@
 use bergamotswitch_standin::users_store::StoreMood;
 use bergamotswitch_standin::users_target::TargetMood;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 
 use crate::relay::Flow;
@@ -16,6 +17,21 @@
 /// One run in so many has planned work alone.
 const PLANNED_PARTS: u64 = 4;
 
+/// The first seed whose hosts are stopped as the platform does it, all of them,
+/// with callers that ask for long work. Seeds below it draw what they drew.
+const FIRST_STOP_SEED: u64 = 2_000;
+/// As [`PLANNED_PARTS`], from that seed on.
+const STOP_PLANNED_PARTS: u64 = 2;
+/// The times from SIGTERM to SIGKILL: shorter than callers keep an address,
+/// that of the known deployments, and longer than any answer.
+const GRACES_S: [u64; 3] = [3, 8, 20];
+/// When the first host is stopped, and the time to the next one.
+const FIRST_STOP: Duration = Duration::from_secs(1);
+const STOP_STEPS_MS: std::ops::Range<u64> = 500..3_000;
+/// How many hosts are stopped at once at most, and how often all are.
+const STOPS_AT_ONCE: usize = 2;
+const STOP_ROUNDS: usize = 2;
+
 /// The first seed that draws from all kinds of faults. Seeds below it draw what
 /// they drew when they were kept.
 const FIRST_WIDE_SEED: u64 = 1_000;
@@ -97,8 +113,21 @@
     pub fault: SiteFault,
 }
 
-/// Get the faults of a run, and whether all of them are planned work.
-pub fn plan(seed: u64, hosts: usize, targets: usize) -> (Vec<TimedFault>, bool) {
+/// A `RunPlan` is what happens in a run.
+pub struct RunPlan {
+    pub faults: Vec<TimedFault>,
+    /// Whether all of it is planned work.
+    pub planned: bool,
+    /// The time from SIGTERM to SIGKILL; none where a stop has no such end and
+    /// all work is short.
+    pub grace: Option<Duration>,
+}
+
+/// Get what happens in a run.
+pub fn plan(seed: u64, hosts: usize, targets: usize) -> RunPlan {
+    if seed >= FIRST_STOP_SEED {
+        return plan_stops(seed, hosts, targets);
+    }
     let mut rng = StdRng::seed_from_u64(seed);
     let planned = seed.is_multiple_of(PLANNED_PARTS);
     let kinds = match seed < FIRST_WIDE_SEED {
@@ -115,7 +144,52 @@
         }
     }
     faults.sort_by_key(|fault| fault.at);
-    (faults, planned)
+    RunPlan {
+        faults,
+        planned,
+        grace: None,
+    }
+}
+
+/// Get a run in which every host is stopped, with further faults meanwhile.
+fn plan_stops(seed: u64, hosts: usize, targets: usize) -> RunPlan {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let planned = seed.is_multiple_of(STOP_PLANNED_PARTS);
+    let grace = GRACES_S[rng.random_range(0..GRACES_S.len())];
+    let mut faults = draw_stops(&mut rng, hosts);
+    let last = faults.last().map_or(FAULT_TIME, |fault| fault.at);
+    let count = faults.len() + rng.random_range(FAULTS);
+    while faults.len() < count {
+        let fault = draw_fault(&mut rng, hosts, targets, KINDS);
+        let at = last.mul_f64(rng.random::<f64>());
+        if !planned || fault.is_planned() {
+            faults.push(TimedFault { at, fault });
+        }
+    }
+    faults.sort_by_key(|fault| fault.at);
+    RunPlan {
+        faults,
+        planned,
+        grace: Some(Duration::from_secs(grace)),
+    }
+}
+
+/// Draw stops of all hosts, some at once, in an order of each round's own.
+fn draw_stops(rng: &mut StdRng, hosts: usize) -> Vec<TimedFault> {
+    let step = Duration::from_millis(rng.random_range(STOP_STEPS_MS));
+    let at_once = rng.random_range(1..=STOPS_AT_ONCE);
+    let mut at = FIRST_STOP;
+    let mut stops = Vec::new();
+    for _ in 0..rng.random_range(1..=STOP_ROUNDS) {
+        let mut order: Vec<usize> = (0..hosts).collect();
+        order.shuffle(rng);
+        for group in order.chunks(at_once) {
+            let faults = group.iter().map(|&host| SiteFault::Stop { host });
+            stops.extend(faults.map(|fault| TimedFault { at, fault }));
+            at += step;
+        }
+    }
+    stops
 }
 
 fn draw_fault(rng: &mut StdRng, hosts: usize, targets: usize, kinds: u32) -> SiteFault {
--- /dev/null
+++ b/bergamotswitch/tests/soak_world/stops.rs
@@ -0,0 +1,135 @@
+//! Planned stops as the platform carries them out, and the calls they cut.
+
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::callers::{CallEnd, CallRecord};
+use super::judge::{SLACK, SeenRun};
+use super::{DisturbanceGuard, SoakWorld};
+
+/// How often the world looks whether a stopping process has ended.
+const LOOK: Duration = Duration::from_millis(20);
+/// How long after its last byte a call may be closed that was not read.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// How long after the end of the grace a cut counts as the stop's.
+const STOP_TAIL: Duration = Duration::from_secs(1);
+/// How long after the signal the rules excuse the cut of a call that is still
+/// worked on in the last sixth of the grace.
+const EXCUSED: Duration = Duration::from_secs(3);
+
+/// A `HostStop` is a SIGTERM that a host got.
+#[derive(Clone, Copy, Debug)]
+pub struct HostStop {
+    host: usize,
+    from: Instant,
+    grace: Duration,
+}
+
+impl HostStop {
+    /// Get whether a cut of this call may be this stop's.
+    fn concerns(&self, call: &CallRecord) -> bool {
+        let until = self.from + self.grace + STOP_TAIL;
+        self.host == call.host && call.ended >= self.from && call.sent <= until
+    }
+
+    /// Get whether a target still worked on a call in the last sixth of the
+    /// grace, and the call was cut no sooner.
+    fn is_worked_on(&self, call: &CallRecord, runs: &[SeenRun]) -> bool {
+        let last_sixth = self.from + self.grace * 5 / 6;
+        let works = |run: &SeenRun| run.call.at + call.work.length() >= last_sixth;
+        call.ended >= last_sixth && runs.iter().any(works)
+    }
+}
+
+impl SoakWorld {
+    /// Stop a host: SIGTERM, and SIGKILL at the end of the grace. One that is
+    /// stopped already, or away, is left alone.
+    pub(super) async fn stop_within(&self, host: usize, grace: Duration) {
+        let from = Instant::now();
+        let ends = &self.hosts[host].ends;
+        let process = &self.hosts[host].process;
+        if ends.get() || !process.borrow().child.try_signal("TERM") {
+            return;
+        }
+        ends.set(true);
+        self.stops.borrow_mut().push(HostStop { host, from, grace });
+        let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
+        let until = from + grace;
+        while ends.get() && Instant::now() < until {
+            sleep(LOOK.min(until - Instant::now())).await;
+        }
+        if ends.get() {
+            self.signal(host, "KILL");
+        }
+        while ends.get() {
+            sleep(LOOK).await;
+        }
+    }
+
+    fn stop_of(&self, call: &CallRecord) -> Option<HostStop> {
+        let stops = self.stops.borrow();
+        let latest = stops.iter().rev().find(|stop| stop.concerns(call));
+        latest.copied()
+    }
+}
+
+/// In a run of planned work alone no call is lost. Where work may be longer than
+/// the grace, a call from before the signal may be cut that a target still works
+/// on at its end; the host took one from behind the signal knowing the end.
+pub fn lost_at_stop(world: &SoakWorld, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
+    if !world.planned || !is_cut(call) {
+        return None;
+    }
+    if world.grace.is_none() {
+        return (!runs.is_empty()).then(|| format!("LOST: {call:?}"));
+    }
+    let held = call.ended.duration_since(call.sent);
+    let unread = runs.is_empty() && held <= LOSS_SLACK + SLACK;
+    if unread || held >= call.work.deadline {
+        return None;
+    }
+    let Some(stop) = world.stop_of(call) else {
+        return Some(format!("LOST without a stop: {}", summary(call, runs)));
+    };
+    let worked_on = stop.is_worked_on(call, runs);
+    let after = call.sent.saturating_duration_since(stop.from);
+    if worked_on && after.is_zero() {
+        return None;
+    }
+    let name = match worked_on && after <= EXCUSED {
+        true => "CUT",
+        false => "LOST",
+    };
+    let grace = stop.grace;
+    let (sent, ended) = (since(call.sent, &stop), since(call.ended, &stop));
+    let text = summary(call, runs);
+    Some(format!(
+        "{name}: sent {sent:.2} s and cut {ended:.2} s after SIGTERM, grace {grace:?}: {text}"
+    ))
+}
+
+fn is_cut(call: &CallRecord) -> bool {
+    match &call.end {
+        CallEnd::Closed => true,
+        CallEnd::Answered(answer) => !answer.whole,
+        CallEnd::NoConnection | CallEnd::Overdue => false,
+    }
+}
+
+/// Get the seconds from a stop's signal, negative before it.
+fn since(at: Instant, stop: &HostStop) -> f64 {
+    let after = at.saturating_duration_since(stop.from).as_secs_f64();
+    after - stop.from.saturating_duration_since(at).as_secs_f64()
+}
+
+fn summary(call: &CallRecord, runs: &[SeenRun]) -> String {
+    let CallRecord { id, kind, host, .. } = call;
+    let dispatched: Vec<Duration> = runs.iter().map(|run| run.call.at - call.sent).collect();
+    let length = call.work.length();
+    let deadline = call.work.deadline;
+    format!(
+        "{id} {kind:?} at host {host}, work of {length:?}, deadline {deadline:?}, \
+         at targets after {dispatched:?}"
+    )
+}
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -37,6 +37,10 @@
 const PORT_STEP: u32 = 997;
 /// The tries to start a host on free ports.
 const START_TRIES: usize = 5;
+/// The time from SIGTERM to SIGKILL that hosts are told, in seconds.
+pub const GRACE_S: u64 = 8;
+/// The longest time that a route lets a call take.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a revoked key may still work.
 pub const REVOKE_MS: u64 = 3_000;
 
@@ -138,7 +142,7 @@
         for number in 0..count {
             let seed = self.hosts.first().map(|host| host.link);
             let store = self.store.address();
-            self.hosts.push(start_host(number, seed, store));
+            self.hosts.push(start_host(number, seed, store, GRACE_S));
         }
     }
 
@@ -168,10 +172,22 @@
 /// Publish a version of the routes with these keys, and further routes to the
 /// desk.
 pub fn publish(store: &UsersStore, version: u64, keys: &[&str], more: &[&str]) {
+    publish_within(store, version, keys, more, ROUTE_TIMEOUT);
+}
+
+/// Publish as [`publish`] does, on routes that let a call take so long.
+pub fn publish_within(
+    store: &UsersStore,
+    version: u64,
+    keys: &[&str],
+    more: &[&str],
+    timeout: Duration,
+) {
+    let timeout_ms = timeout.as_millis() as u64;
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": 5000, "targetLatencyMs": 1000, "priority": 0,
+            "timeoutMs": timeout_ms, "targetLatencyMs": 1000, "priority": 0,
             "service": service, "maxAttempts": 2, "public": false,
             "resumable": name == "draft", "gapAimMs": 300,
         })
@@ -218,8 +234,13 @@
 
 /// Start a host. A port that was free a moment ago may be taken by another test
 /// by now; then others are tried.
-pub fn start_host(number: usize, seed: Option<SocketAddr>, store: SocketAddr) -> HostProcess {
-    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store));
+pub fn start_host(
+    number: usize,
+    seed: Option<SocketAddr>,
+    store: SocketAddr,
+    grace_s: u64,
+) -> HostProcess {
+    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store, grace_s));
     let host = tries.find_map(|host| host);
     host.expect("a host that finds its ports free")
 }
@@ -230,6 +251,7 @@
     number: usize,
     seed: Option<SocketAddr>,
     store: SocketAddr,
+    grace_s: u64,
 ) -> Option<HostProcess> {
     let [link, callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
     let seed = seed.unwrap_or(link);
@@ -240,7 +262,7 @@
             "readiness_address": readiness, "directory_address": directory,
             "metrics_address": metrics, "store_address": store, "seeds": [seed],
             "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
-            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50, "grace_s": 8,
+            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50, "grace_s": grace_s,
         },
         "log": {"output": "stdout", "format": "json"},
     });
