--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -113,6 +113,9 @@
 pub struct RunOutcome {
     pub calls: usize,
     pub served: usize,
+    /// The calls that reached a host after its SIGTERM, and those served.
+    pub at_stops: usize,
+    pub served_at_stops: usize,
     pub problems: Vec<String>,
     pub faults: Vec<String>,
 }
@@ -225,9 +228,16 @@
         }
         let problems = judge::problems(&self);
         let calls = self.calls.borrow();
+        let served = |calls: &[&CallRecord]| {
+            let served = calls.iter().filter(|call| judge::is_served(call));
+            served.count()
+        };
+        let at_stops = self.calls_at_stops(&calls);
         RunOutcome {
             calls: calls.len(),
-            served: calls.iter().filter(|call| judge::is_served(call)).count(),
+            served: served(&calls.iter().collect::<Vec<_>>()),
+            at_stops: at_stops.len(),
+            served_at_stops: served(&at_stops),
             problems,
             faults: texts,
         }
--- a/bergamotswitch/tests/soak_world/stops.rs
+++ b/bergamotswitch/tests/soak_world/stops.rs
@@ -24,6 +24,8 @@
     host: usize,
     from: Instant,
     grace: Duration,
+    /// When its process was gone.
+    until: Option<Instant>,
 }
 
 impl HostStop {
@@ -53,7 +55,13 @@
             return;
         }
         ends.set(true);
-        self.stops.borrow_mut().push(HostStop { host, from, grace });
+        let index = self.stops.borrow().len();
+        self.stops.borrow_mut().push(HostStop {
+            host,
+            from,
+            grace,
+            until: None,
+        });
         let _guard = DisturbanceGuard::new(&self.hosts[host].disturbed);
         let until = from + grace;
         while ends.get() && Instant::now() < until {
@@ -65,6 +73,20 @@
         while ends.get() {
             sleep(LOOK).await;
         }
+        self.stops.borrow_mut()[index].until = Some(Instant::now());
+    }
+
+    /// Get the calls that a stopping host took or turned away: sent after its
+    /// signal, and before its process was gone.
+    pub(super) fn calls_at_stops<'a>(&self, calls: &'a [CallRecord]) -> Vec<&'a CallRecord> {
+        let stopping = |call: &&CallRecord| {
+            let stops = self.stops.borrow();
+            let mut own = stops.iter().filter(|stop| stop.host == call.host);
+            own.any(|stop| {
+                stop.from < call.sent && stop.until.is_some_and(|until| call.sent < until)
+            })
+        };
+        calls.iter().filter(stopping).collect()
     }
 
     fn stop_of(&self, call: &CallRecord) -> Option<HostStop> {
@@ -75,8 +97,9 @@
 }
 
 /// In a run of planned work alone no call is lost. Where work may be longer than
-/// the grace, a call from before the signal may be cut that a target still works
-/// on at its end; the host took one from behind the signal knowing the end.
+/// the grace, one that was sent before the signal may be cut if a target still
+/// works on it at the end of the grace. One that was sent after it may not: the
+/// host knew how much time was left and could turn it away.
 pub fn lost_at_stop(world: &SoakWorld, call: &CallRecord, runs: &[SeenRun]) -> Option<String> {
     if !world.planned || !is_cut(call) {
         return None;
@@ -101,9 +124,8 @@
         true => "CUT",
         false => "LOST",
     };
-    let grace = stop.grace;
     let (sent, ended) = (since(call.sent, &stop), since(call.ended, &stop));
-    let text = summary(call, runs);
+    let (grace, text) = (stop.grace, summary(call, runs));
     Some(format!(
         "{name}: sent {sent:.2} s and cut {ended:.2} s after SIGTERM, grace {grace:?}: {text}"
     ))
