Judge by the target's own clock whether a cut call was still worked on

The judge took a run's least length for its real one. The stand-in now notes when a stream ended or was dropped; the bound stays the last sixth of the grace, and a plain answer is never excused.

--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -56,6 +56,9 @@
     pub at: Instant,
     /// Whether the target began to work on it.
     pub ran: bool,
+    /// When its stream ended, whole or broken off; none while it goes on, or
+    /// where the answer is no stream.
+    pub ended: Option<Instant>,
 }
 
 impl SeenCall {
@@ -188,12 +191,17 @@
         body,
         at: Instant::now(),
         ran: false,
+        ended: None,
     };
     let mood = lock(&shared.moods).pop_front().unwrap_or_default();
     let expected = call.field("target-instance");
     let mistaken = !expected.is_empty() && expected != shared.name;
     call.ran = !mistaken && mood != TargetMood::Full;
-    lock(&shared.seen).push(call.clone());
+    let place = {
+        let mut seen = lock(&shared.seen);
+        seen.push(call.clone());
+        seen.len() - 1
+    };
     if mistaken {
         return Ok(plain(StatusCode::MISDIRECTED_REQUEST, &call, "", &[]));
     }
@@ -220,7 +228,7 @@
     }
     let is_stream = !call.field("token-count").is_empty();
     let response = match is_stream {
-        true => events(&shared, &call, &mood),
+        true => events(&shared, &call, &mood, place),
         false => plain(StatusCode::OK, &call, &format!("from {}", shared.name), &[]),
     };
     Ok(signed(&shared, response))
@@ -257,7 +265,16 @@
 type Pieces = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, io::Error>> + Send + Sync>>;
 
 /// Get the stream of a call, from behind the last event that it names.
-fn events(shared: &TargetShared, call: &SeenCall, mood: &TargetMood) -> Response<AnswerBytes> {
+fn events(
+    shared: &Arc<TargetShared>,
+    call: &SeenCall,
+    mood: &TargetMood,
+    place: usize,
+) -> Response<AnswerBytes> {
+    let run = RunGuard {
+        shared: Arc::clone(shared),
+        place,
+    };
     let first: u32 = call.field("last-event-id").parse().unwrap_or(0) + 1;
     let last = asked_events(&call.line).unwrap_or(shared.events);
     let gap = shared.gap;
@@ -265,12 +282,18 @@
         TargetMood::BreakAfter(count) => Some(first + count),
         _ => None,
     };
-    let pieces = stream::iter(first..=last).then(move |id| async move {
-        sleep(gap).await;
-        match broken_at {
-            Some(broken) if id > broken => Err(io::ErrorKind::ConnectionReset.into()),
-            Some(broken) if id == broken => Ok(Frame::data(Bytes::from(format!("id: {id}\nda")))),
-            _ => Ok(Frame::data(Bytes::from(event_text(id)))),
+    let pieces = stream::iter(first..=last).then(move |id| {
+        // The stream holds the run until it has ended or is dropped.
+        let _run = &run;
+        async move {
+            sleep(gap).await;
+            match broken_at {
+                Some(broken) if id > broken => Err(io::ErrorKind::ConnectionReset.into()),
+                Some(broken) if id == broken => {
+                    Ok(Frame::data(Bytes::from(format!("id: {id}\nda"))))
+                }
+                _ => Ok(Frame::data(Bytes::from(event_text(id)))),
+            }
         }
     });
     let pieces: Pieces = Box::pin(pieces);
@@ -279,6 +302,18 @@
     response
 }
 
+/// A `RunGuard` is a stream that goes on; its drop notes when it ended.
+struct RunGuard {
+    shared: Arc<TargetShared>,
+    place: usize,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        lock(&self.shared.seen)[self.place].ended = Some(Instant::now());
+    }
+}
+
 /// Get how many events a call's query asks for, where it does.
 fn asked_events(line: &str) -> Option<u32> {
     let (_, count) = line.split_once("?events=")?;
--- a/bergamotswitch/tests/soak_world/stops.rs
+++ b/bergamotswitch/tests/soak_world/stops.rs
@@ -39,8 +39,9 @@
     /// grace, and the call was cut no sooner.
     fn is_worked_on(&self, call: &CallRecord, runs: &[SeenRun]) -> bool {
         let last_sixth = self.from + self.grace * 5 / 6;
-        let works = |run: &SeenRun| run.call.at + call.work.length() >= last_sixth;
-        call.ended >= last_sixth && runs.iter().any(works)
+        let works = |run: &SeenRun| run.call.ended.is_none_or(|ended| ended >= last_sixth);
+        let is_stream = call.kind.is_stream();
+        is_stream && call.ended >= last_sixth && runs.iter().any(works)
     }
 }
 
