--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -101,7 +101,7 @@
 
 // Symptom: a stopping host ends an answer itself, 0.2 s before the end of its
 // grace. Sequence, with five hosts: a process has run 16 to 41 streams of a
-// route, all of 0.13 s; SIGTERM; up to 3.7 s later a caller asks it for 4 to 7 s
+// route, nearly all of 0.13 s; SIGTERM; up to 3.7 s later a caller asks it for 4 to 7 s
 // (780 to 1,400 tokens by the caller's estimate, where the others named 40), with
 // a deadline behind the grace. Cause: four times the longest recent run of the
 // route counts as a bound, whatever size the call names itself.
