--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -10,7 +10,6 @@
 mod users;
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
 use soak_world::play;
@@ -22,17 +21,19 @@
 const WORKERS: usize = 3;
 
 /// Play seeds, some at a time; get those that broke a promise.
-fn failed_seeds(seeds: std::ops::Range<u64>, hosts: usize, workers: usize) -> Vec<u64> {
-    let next = AtomicU64::new(seeds.start);
+fn failed_seeds(
+    seeds: impl IntoIterator<Item = u64, IntoIter: Send>,
+    hosts: usize,
+    workers: usize,
+) -> Vec<u64> {
+    let left = Mutex::new(seeds.into_iter());
+    // The lock must not be held while a seed is played.
+    let next = || left.lock().expect("no panic").next();
     let failed = Mutex::new(Vec::new());
     thread::scope(|scope| {
         for _ in 0..workers {
             scope.spawn(|| {
-                loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= seeds.end {
-                        return;
-                    }
+                while let Some(seed) = next() {
                     if !is_kept(seed, hosts) {
                         failed.lock().expect("no panic").push(seed);
                     }
@@ -49,6 +50,8 @@
     let (calls, served) = (outcome.calls, outcome.served);
     let count = outcome.problems.len();
     println!("seed {seed}: {served} of {calls} calls served, {count} problems");
+    let (calls, served) = (outcome.at_stops, outcome.served_at_stops);
+    println!("  {served} of {calls} served that were sent to stopping hosts");
     if count > 0 {
         println!("  faults: {:#?}", outcome.faults);
         for problem in outcome.problems.iter().take(10) {
@@ -76,6 +79,38 @@
     assert_eq!(failed_seeds(1..2, HOSTS_BY_HAND, 1), Vec::<u64>::new());
 }
 
+// Every host stopped in turn or two at once, with long work.
+#[test]
+fn short_stops() {
+    assert_eq!(failed_seeds(2_000..2_004, FEW_HOSTS, 2), Vec::<u64>::new());
+}
+
+// Symptom: connections close without a whole answer at the end of a stopping
+// host's grace. Sequence and cause, with five hosts:
+// 2000: up to 3.9 s after SIGTERM a host takes streams that outlast its grace,
+//    since it took whatever came for as long as callers keep its address.
+// 2002: the grace is shorter than that. All hosts stop within 1.7 s of each
+//    other; when the last owner has resigned, calls on stopping hosts wait for
+//    permits until their deadline, and are neither turned away nor sent.
+// 2010: as 2000, with streams that waited before they ran.
+#[test]
+fn kept_stops() {
+    let seeds = [2_000, 2_002, 2_010];
+    assert_eq!(failed_seeds(seeds, HOSTS_BY_HAND, 3), Vec::<u64>::new());
+}
+
+// Symptom: a stopping host ends an answer itself, 0.2 s before the end of its
+// grace. Sequence, with five hosts: a process has run 16 to 41 streams of a
+// route, nearly all of 0.13 s; SIGTERM; up to 3.7 s later a caller asks it for 4 to 7 s
+// (780 to 1,400 tokens by the caller's estimate, where the others named 40), with
+// a deadline behind the grace. Cause: four times the longest recent run of the
+// route counts as a bound, whatever size the call names itself.
+#[test]
+fn kept_lengths() {
+    let seeds = [2_100, 2_106, 2_126];
+    assert_eq!(failed_seeds(seeds, HOSTS_BY_HAND, 3), Vec::<u64>::new());
+}
+
 #[test]
 #[ignore = "takes minutes; played by hand, with seeds from SOAK_SEEDS"]
 fn many_seeds() {
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -223,7 +223,7 @@
 }
 
 /// Publish a version of the routes with the times of a site.
-fn publish_with(
+pub fn publish_with(
     store: &UsersStore,
     version: u64,
     keys: &[&str],
@@ -291,7 +291,7 @@
 }
 
 /// Start a host with this grace.
-fn start_host_with(
+pub fn start_host_with(
     number: usize,
     seed: Option<SocketAddr>,
     store: SocketAddr,
