--- a/bergamotswitch-net/src/node/drive.rs
+++ b/bergamotswitch-net/src/node/drive.rs
@@ -2,6 +2,7 @@
 
 mod reports;
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -165,9 +166,7 @@
             tokio::select! {
                 _ = &mut closing => break,
                 () = &mut over => {
-                    metrics.incident(Incident::GraceEnding);
-                    let about = "answers that are still being read";
-                    journal::write(Incident::GraceEnding, &[("host", &me.run.host), ("about", &about)]);
+                    note_unread(&me, &metrics);
                     break;
                 }
                 input = inbox.recv() => turn_away(input, clock.now(), stop_at, &metrics),
@@ -467,6 +466,14 @@
     }
 }
 
+/// Note that the grace is over before callers have read their answers.
+fn note_unread(me: &HostSelf, metrics: &NodeMetrics) {
+    metrics.incident(Incident::GraceEnding);
+    let about = "answers that are still being read";
+    let pairs: [(&str, &dyn Display); 2] = [("host", &me.run.host), ("about", &about)];
+    journal::write(Incident::GraceEnding, &pairs);
+}
+
 /// Turn away what comes when the loop has ended, such as a request whose body
 /// was still being read. A dropped reply would leave open whether it ran.
 fn turn_away(
