--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -104,10 +104,12 @@
 // route, nearly all of 0.13 s; SIGTERM; up to 3.7 s later a caller asks it for 4 to 7 s
 // (780 to 1,400 tokens by the caller's estimate, where the others named 40), with
 // a deadline behind the grace. Cause: four times the longest recent run of the
-// route counts as a bound, whatever size the call names itself.
+// route counted as a bound, whatever size the call names itself.
+// 2126 and 2208: four of the five hosts stop; one that few others can stand in
+// for takes what nine in ten recent runs would fit, and cuts a longer one.
 #[test]
 fn kept_lengths() {
-    let seeds = [2_100, 2_106, 2_126];
+    let seeds = [2_100, 2_106, 2_126, 2_208];
     assert_eq!(failed_seeds(seeds, HOSTS_BY_HAND, 3), Vec::<u64>::new());
 }
 
