--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -105,11 +105,11 @@
 // (780 to 1,400 tokens by the caller's estimate, where the others named 40), with
 // a deadline behind the grace. Cause: four times the longest recent run of the
 // route counted as a bound, whatever size the call names itself.
-// 2126 and 2208: four of the five hosts stop; one that few others can stand in
+// 2126, 2208, 2238: four of the five hosts or all stop; one that few others can stand in
 // for takes what nine in ten recent runs would fit, and cuts a longer one.
 #[test]
 fn kept_lengths() {
-    let seeds = [2_100, 2_106, 2_126, 2_208];
+    let seeds = [2_100, 2_106, 2_126, 2_208, 2_238];
     assert_eq!(failed_seeds(seeds, HOSTS_BY_HAND, 3), Vec::<u64>::new());
 }
 
