--- a/bergamotswitch-core/src/entry/run_lengths.rs
+++ b/bergamotswitch-core/src/entry/run_lengths.rs
@@ -34,14 +34,17 @@
 impl RunLengths {
     /// Take in how long a run took to its whole answer.
     pub(super) fn note(&mut self, rule: &RuleName, run: RunSpan) {
-        if !self.recent.contains_key(rule) && self.recent.len() >= MAX_RULES {
-            self.recent.clear();
+        let Some(runs) = self.recent.get_mut(rule) else {
+            if self.recent.len() >= MAX_RULES {
+                self.recent.clear();
+            }
+            self.recent.insert(rule.clone(), VecDeque::from([run]));
+            return;
+        };
+        if runs.len() == WINDOW {
+            runs.pop_front();
         }
-        let spans = self.recent.entry(rule.clone()).or_default();
-        if spans.len() == WINDOW {
-            spans.pop_front();
-        }
-        spans.push_back(run);
+        runs.push_back(run);
     }
 
     /// Take in how long a run had taken when it was broken off. It tells of a
--- a/bergamotswitch/tests/soak_world/plan.rs
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -138,10 +138,7 @@
     let mut faults = Vec::new();
     while faults.len() < count {
         let fault = draw_fault(&mut rng, hosts, targets, kinds);
-        let at = FAULT_TIME.mul_f64(rng.random::<f64>());
-        if !planned || fault.is_planned() {
-            faults.push(TimedFault { at, fault });
-        }
+        faults.extend(draw_time(&mut rng, fault, FAULT_TIME, planned));
     }
     faults.sort_by_key(|fault| fault.at);
     RunPlan {
@@ -161,10 +158,7 @@
     let count = faults.len() + rng.random_range(FAULTS);
     while faults.len() < count {
         let fault = draw_fault(&mut rng, hosts, targets, KINDS);
-        let at = last.mul_f64(rng.random::<f64>());
-        if !planned || fault.is_planned() {
-            faults.push(TimedFault { at, fault });
-        }
+        faults.extend(draw_time(&mut rng, fault, last, planned));
     }
     faults.sort_by_key(|fault| fault.at);
     RunPlan {
@@ -174,6 +168,19 @@
     }
 }
 
+/// Draw when a fault begins; it is left out where all are to be planned work and
+/// it is none.
+fn draw_time(
+    rng: &mut StdRng,
+    fault: SiteFault,
+    last: Duration,
+    planned: bool,
+) -> Option<TimedFault> {
+    let at = last.mul_f64(rng.random::<f64>());
+    let fits = !planned || fault.is_planned();
+    fits.then_some(TimedFault { at, fault })
+}
+
 /// Draw stops of all hosts, some at once, in an order of each round's own.
 fn draw_stops(rng: &mut StdRng, hosts: usize) -> Vec<TimedFault> {
     let step = Duration::from_millis(rng.random_range(STOP_STEPS_MS));
