Write and count a refusal before the loop in one place

Four handlers of the own interface each counted the refusal and wrote its page; one that forgot the count would leave bergamot_refusals_total too low. The desk does both now.

--- a/bergamotswitch-net/src/caller/desk.rs
+++ b/bergamotswitch-net/src/caller/desk.rs
@@ -7,8 +7,8 @@
 use bergamotswitch_core::entry::ELSEWHERE_RETRY;
 use bergamotswitch_core::publication::Publication;
 use bergamotswitch_core::refusal::{Refusal, RefusalReason};
-use bergamotswitch_core::rules::Tier;
 use http::HeaderMap;
+use salvo::Response;
 use tokio::sync::watch;
 
 use super::fields;
@@ -107,9 +107,16 @@
         account.ok_or_else(|| RefusalPage::before_acceptance(RefusalReason::UnknownAccount))
     }
 
-    /// Have a refusal counted that was made before the loop knew of it.
-    pub(super) fn count_turned(&self, page: &RefusalPage, tier: Option<Tier>) {
-        let turned = NodeInput::Turned(page.reason(), tier);
+    /// Write a refusal that was made before the loop knew of the call, and have
+    /// it counted there.
+    pub(super) fn turn_away(&self, page: &RefusalPage, res: &mut Response) {
+        self.count_turned(page);
+        page.write(res);
+    }
+
+    /// Have a refusal counted that was made before the loop knew of the call.
+    pub(super) fn count_turned(&self, page: &RefusalPage) {
+        let turned = NodeInput::Turned(page.reason(), None);
         // Without a loop nobody reads the counters either.
         let _ = self.node.send(turned);
     }
--- a/bergamotswitch-net/src/caller/engine_call.rs
+++ b/bergamotswitch-net/src/caller/engine_call.rs
@@ -90,10 +90,7 @@
     ) {
         match check_engine_call(&self.desk, self.form, req).await {
             Ok((checked, wish)) => self.answer(checked, wish, res).await,
-            Err(page) => {
-                self.desk.count_turned(&page, None);
-                page.write(res);
-            }
+            Err(page) => self.desk.turn_away(&page, res),
         }
     }
 }
--- a/bergamotswitch-net/src/caller/forward.rs
+++ b/bergamotswitch-net/src/caller/forward.rs
@@ -124,7 +124,7 @@
     answer.map_err(|failure| {
         let refusal = Refusal::may_have_run(RefusalReason::Lost);
         let page = RefusalPage::new(refusal).with_detail(failure.as_str());
-        desk.count_turned(&page, None);
+        desk.count_turned(&page);
         page
     })
 }
--- a/bergamotswitch-net/src/caller/lookup.rs
+++ b/bergamotswitch-net/src/caller/lookup.rs
@@ -194,10 +194,7 @@
     ) {
         match self.answer(req).await {
             Ok(answer) => res.render(Json(answer)),
-            Err(page) => {
-                self.desk.count_turned(&page, None);
-                page.write(res);
-            }
+            Err(page) => self.desk.turn_away(&page, res),
         }
     }
 }
@@ -212,8 +209,7 @@
         _ctrl: &mut FlowCtrl,
     ) {
         if let Err(page) = self.answer(req, res).await {
-            self.desk.count_turned(&page, None);
-            page.write(res);
+            self.desk.turn_away(&page, res);
         }
     }
 }
--- a/bergamotswitch-net/src/caller/service_call.rs
+++ b/bergamotswitch-net/src/caller/service_call.rs
@@ -183,10 +183,7 @@
     ) {
         match self.check(req).await {
             Ok(checked) => self.answer(checked, res).await,
-            Err(page) => {
-                self.desk.count_turned(&page, None);
-                page.write(res);
-            }
+            Err(page) => self.desk.turn_away(&page, res),
         }
     }
 }
