Say of each host why a site does not get ready

"A host does not get ready" told neither which host nor whether its process still ran. Now each host of the site is told with its addresses, its process or exit status, /readyz, the names it gives, how often it wrote each numbered line, and the last lines it wrote; for that its output goes to a file that is gone with the host, where it went nowhere. A host that does not answer at all ends the wait as well, which had no bound. A start that finds no free port tells what each try wrote.

The first failure read with it, in a loop of starts of three hosts: "ended with exit status: 2: cannot listen on ...: Address already in use", the other two ready.

--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
+use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,10 +15,15 @@
 /// How often a stopping process is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The lines that are shown of what a host wrote.
+const LAST_LINES: usize = 5;
+
 /// A `HostChild` is a running host; its drop ends it.
 pub struct HostChild {
     settings: PathBuf,
     child: Child,
+    /// The length of its output before it wrote any.
+    output_from: usize,
 }
 
 impl Drop for HostChild {
@@ -26,18 +32,28 @@
         // takes no other signal.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if logs_folder().is_none() {
+            // A file that stays behind is no failure of the test.
+            let _ = std::fs::remove_file(output_path(&self.settings));
+        }
     }
 }
 
 impl HostChild {
     /// Start a host with this settings file.
     pub fn start(settings: PathBuf) -> Self {
+        let output_from = output_of(&settings).len();
         let child = spawn(&settings);
-        HostChild { settings, child }
+        HostChild {
+            settings,
+            child,
+            output_from,
+        }
     }
 
     /// Start it again, with the same settings.
     pub fn restart(&mut self) {
+        self.output_from = output_of(&self.settings).len();
         self.child = spawn(&self.settings);
     }
 
@@ -47,6 +63,24 @@
         self.child.wait().expect("host ends");
     }
 
+    /// Get the id of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Get the last lines that it wrote since its start.
+    pub fn last_lines(&self) -> String {
+        let text = self.output();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LAST_LINES)..].join("\n")
+    }
+
+    fn output(&self) -> String {
+        let bytes = output_of(&self.settings);
+        let own = bytes.get(self.output_from..).unwrap_or_default();
+        String::from_utf8_lossy(own).into_owned()
+    }
+
     /// Get how it ended, where it has.
     pub fn end(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("child")
@@ -135,25 +169,33 @@
 fn spawn(settings: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
     command.args(["serve", "--settings"]).arg(settings);
-    let (out, err) = outputs(settings);
+    let path = output_path(settings);
+    let output = File::options().create(true).append(true).open(path);
+    let output = output.expect("output file");
+    let errors = output.try_clone().expect("output file");
     command
-        .stdout(out)
-        .stderr(err)
+        .stdout(output)
+        .stderr(errors)
         .spawn()
         .expect("host starts")
 }
 
-/// Get where a host's lines go. A run that is traced keeps them, in a file of
-/// the folder that the environment names.
-fn outputs(settings: &Path) -> (Stdio, Stdio) {
-    let Some(directory) = std::env::var_os("BERGAMOT_TEST_LOGS") else {
-        return (Stdio::null(), Stdio::null());
-    };
-    let name = settings.with_extension("log");
-    let path = Path::new(&directory).join(name.file_name().unwrap_or_default());
-    let mut options = std::fs::OpenOptions::new();
-    let file = options.create(true).append(true).open(path);
-    let file = file.expect("log file");
-    let copy = file.try_clone().expect("log file");
-    (file.into(), copy.into())
+/// Get the file that a host's lines go to: beside its settings and gone with
+/// the test, or in the folder that the environment names for a run that is
+/// traced.
+fn output_path(settings: &Path) -> PathBuf {
+    let path = settings.with_extension("log");
+    match (logs_folder(), path.file_name()) {
+        (Some(folder), Some(name)) => folder.join(name),
+        _ => path,
+    }
+}
+
+fn logs_folder() -> Option<PathBuf> {
+    std::env::var_os("BERGAMOT_TEST_LOGS").map(PathBuf::from)
+}
+
+/// Get all that hosts with these settings wrote; nothing where none did.
+fn output_of(settings: &Path) -> Vec<u8> {
+    std::fs::read(output_path(settings)).unwrap_or_default()
 }
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -24,6 +24,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use self::host_child::HostChild;
 
@@ -38,6 +39,8 @@
 const PORT_STEP: u32 = 997;
 /// The tries to start a host on free ports.
 const START_TRIES: usize = 5;
+/// How long a host that is looked at may take to answer.
+const LOOK_LIMIT: Duration = Duration::from_secs(2);
 /// How long a revoked key may still work.
 pub const REVOKE_MS: u64 = 3_000;
 
@@ -101,6 +104,27 @@
         is_ready(self.readiness).await
     }
 
+    /// Get what can be seen of the host from outside. To a test that waits for
+    /// it, one that has ended, one that is not ready and one that lacks another
+    /// look alike.
+    async fn standing(&mut self) -> String {
+        let process = match self.child.end() {
+            Some(status) => format!("ended with {status}"),
+            None => format!("process {} runs", self.child.id()),
+        };
+        let ready = look(Call::get("/readyz"), self.readiness).await;
+        let ready = ready.map(|answer| answer.status);
+        let named = timeout(LOOK_LIMIT, self.named()).await.ok();
+        let noted = look(Call::get("/metrics"), self.metrics).await;
+        let noted = noted.map(|page| noted_counts(page.text()));
+        let lines = self.child.last_lines();
+        let (callers, link) = (self.callers, self.link);
+        format!(
+            "callers {callers}, link {link}: {process}, ready {ready:?}, names {named:?}, \
+             log lines by number {noted:?}; it wrote last:\n{lines}"
+        )
+    }
+
     /// Get the addresses that the host names.
     pub async fn named(&self) -> Vec<String> {
         let path = format!("/resolve?name={HOST}&region=r&zone=hall-1");
@@ -194,14 +218,22 @@
     }
 
     /// Wait until every host is ready and knows all others.
-    pub async fn all_ready(&self) {
-        let until = Instant::now() + PATIENCE;
-        for host in &self.hosts {
-            while !host.is_ready().await || host.named().await.len() != self.hosts.len() {
-                assert!(Instant::now() < until, "a host does not get ready");
-                pause().await;
+    pub async fn all_ready(&mut self) {
+        let ready = async {
+            for host in &self.hosts {
+                while !host.is_ready().await || host.named().await.len() != self.hosts.len() {
+                    pause().await;
+                }
             }
+        };
+        if timeout(PATIENCE, ready).await.is_ok() {
+            return;
         }
+        let mut standings = Vec::new();
+        for host in &mut self.hosts {
+            standings.push(host.standing().await);
+        }
+        panic!("a host does not get ready:\n{}", standings.join("\n"));
     }
 
     /// Get the first host's address for callers.
@@ -210,6 +242,23 @@
     }
 }
 
+/// Ask a host that may not answer.
+async fn look(call: Call, address: SocketAddr) -> io::Result<Answer> {
+    let answer = timeout(LOOK_LIMIT, call.send(address)).await;
+    answer.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// Get how often a host wrote each numbered line, from its metrics.
+fn noted_counts(page: &str) -> Vec<(u32, u64)> {
+    let counts = page.lines().filter_map(|line| {
+        let (series, count) = line.split_once("{number=\"")?;
+        let (number, count) = count.split_once("\"} ")?;
+        let is_count = series == "bergamot_incidents_total" && count != "0";
+        is_count.then_some((number.parse().ok()?, count.parse().ok()?))
+    });
+    counts.collect()
+}
+
 /// Get whether the host that says so at this address is ready.
 pub async fn is_ready(address: SocketAddr) -> bool {
     let answer = Call::get("/readyz").send(address).await;
@@ -297,20 +346,57 @@
     store: SocketAddr,
     grace: Duration,
 ) -> HostProcess {
-    let mut tries = (0..START_TRIES).map(|_| try_start_host(number, seed, store, grace));
-    let host = tries.find_map(|host| host);
-    host.expect("a host that finds its ports free")
+    let mut faults = Vec::new();
+    for _ in 0..START_TRIES {
+        match try_start_at(HostAddresses::free(), number, seed, store, grace) {
+            Ok(host) => return host,
+            Err(fault) => faults.push(fault),
+        }
+    }
+    panic!("no host finds its ports free: {faults:#?}");
+}
+
+/// The addresses on which a host is to listen.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAddresses {
+    pub link: SocketAddr,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
-/// Try to start a host; where a port is taken its process ends at once, and
-/// there is none.
-fn try_start_host(
+impl HostAddresses {
+    pub fn free() -> Self {
+        HostAddresses {
+            link: free_address(),
+            callers: free_address(),
+            readiness: free_address(),
+            directory: free_address(),
+            metrics: free_address(),
+        }
+    }
+}
+
+/// Try to start a host; where a port is taken its process ends at once.
+///
+/// # Errors
+///
+/// Returns what a host wrote that has ended.
+pub fn try_start_at(
+    addresses: HostAddresses,
     number: usize,
     seed: Option<SocketAddr>,
     store: SocketAddr,
     grace: Duration,
-) -> Option<HostProcess> {
-    let [link, callers, readiness, directory, metrics] = std::array::from_fn(|_| free_address());
+) -> Result<HostProcess, String> {
+    let HostAddresses {
+        link,
+        callers,
+        readiness,
+        directory,
+        metrics,
+    } = addresses;
     let seed = seed.unwrap_or(link);
     let settings = json!({
         "name": format!("front-{number}"), "domain": "hall-1",
@@ -343,12 +429,12 @@
     let until = Instant::now() + PATIENCE;
     while std::net::TcpStream::connect(metrics).is_err() {
         if host.child.end().is_some() {
-            return None;
+            return Err(host.child.last_lines());
         }
         assert!(Instant::now() < until, "the host does not listen");
         std::thread::sleep(Duration::from_millis(20));
     }
-    Some(host)
+    Ok(host)
 }
 
 /// Change the grace in a settings file.
@@ -380,7 +466,7 @@
 /// Get an address that is free now, below the ports that the system picks for
 /// outgoing connections: a host that is down for a moment would find its port
 /// taken by one of these when it starts again.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static TAKEN: AtomicU32 = AtomicU32::new(0);
     loop {
         let count = TAKEN.fetch_add(1, Ordering::Relaxed);
