Look for free ports without listening, and let hosts say that they started

A port is now looked at with a socket that is bound and shared and does not listen: whoever has a copy of it keeps no host from listening. And a host is started when it has written that it listens on all its addresses, not when something answers on the port of its metrics; a host whose process has ended before is no host, and other ports are tried, as before.

--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -15,6 +15,9 @@
 /// How often a stopping process is looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// How the line begins that a host writes once it listens on all its addresses.
+const STARTED: &str = "ready callers=";
+
 /// The lines that are shown of what a host wrote.
 const LAST_LINES: usize = 5;
 
@@ -68,6 +71,11 @@
         self.child.id()
     }
 
+    /// Get whether it said that it listens on all its addresses.
+    pub fn has_started(&self) -> bool {
+        self.output().lines().any(|line| line.starts_with(STARTED))
+    }
+
     /// Get the last lines that it wrote since its start.
     pub fn last_lines(&self) -> String {
         let text = self.output();
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -8,7 +8,7 @@
 pub mod host_child;
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -23,7 +23,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use self::host_child::HostChild;
@@ -427,11 +427,12 @@
         settings: path,
     };
     let until = Instant::now() + PATIENCE;
-    while std::net::TcpStream::connect(metrics).is_err() {
+    // Its own word: on a port that it did not get somebody else answers.
+    while !host.child.has_started() {
         if host.child.end().is_some() {
             return Err(host.child.last_lines());
         }
-        assert!(Instant::now() < until, "the host does not listen");
+        assert!(Instant::now() < until, "the host does not start");
         std::thread::sleep(Duration::from_millis(20));
     }
     Ok(host)
@@ -466,6 +467,11 @@
 /// Get an address that is free now, below the ports that the system picks for
 /// outgoing connections: a host that is down for a moment would find its port
 /// taken by one of these when it starts again.
+///
+/// To listen on it to see whether it is free would take it: a process that
+/// another test starts at that moment has a copy of the socket until it runs
+/// its own program, and the host finds somebody listening. A socket that is
+/// bound alone, and may be shared, keeps nobody from listening.
 pub fn free_address() -> SocketAddr {
     static TAKEN: AtomicU32 = AtomicU32::new(0);
     loop {
@@ -475,7 +481,9 @@
             .wrapping_add(count);
         let port = PORTS.start + (place % PORTS.len() as u32) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.set_reuseaddr(true).expect("shared socket");
+        if socket.bind(address).is_ok() {
             return address;
         }
     }
