Change the grace after the stop where the test says so

`stop_grace::reload_later` failed once in some 50 runs of the file, beside loops of starts (load 49 on 12 cores): a stream of 4 s taken 1 s after the signal and cut.

Cause, from the host's log: 101 gives the stop 20 s (`grace_ms` 20000), where the host had started with 3. The test wrote the new grace to the settings file before SIGTERM, and a host looks at that file every two seconds without a signal as well. So it was a grace of 20 s from the start, with a kill after 3 s: not the sequence of the test, whose SIGTERM comes first.

Change: where the reload is to come during the stop, the file is written when the host has begun to stop (line 101). The assertions are the same.

No decision changes.

--- a/bergamotswitch/tests/stop_grace.rs
+++ b/bergamotswitch/tests/stop_grace.rs
@@ -28,7 +28,8 @@
 /// two rounds, since targets that nobody knows get a few runs each at first, and
 /// the second begins only where a run and half as much again still fits.
 const NO_HURRY: Duration = Duration::from_secs(60);
-/// The number of the log line about reloaded settings.
+/// The numbers of the log lines about a planned stop and reloaded settings.
+const STOP_BEGUN: u32 = 101;
 const SETTINGS_RELOADED: u32 = 105;
 
 fn seconds(count: f64) -> Duration {
@@ -479,13 +480,16 @@
     run_before(&site, "/once/1", TELLING_RUNS).await;
     let host = site.hosts.remove(0);
     let (door, metrics) = (host.callers, host.metrics);
-    users::write_grace(&host.settings, reload.reloaded_to);
     if !reload.during {
+        users::write_grace(&host.settings, reload.reloaded_to);
         host.child.signal("HUP");
         users::noted(metrics, SETTINGS_RELOADED).await;
     }
     let stop = PlannedStop::begin(host.child, reload.killed_after);
     if reload.during {
+        // The host looks at the file without a signal, too.
+        users::noted(metrics, STOP_BEGUN).await;
+        users::write_grace(&host.settings, reload.reloaded_to);
         stop.signal("HUP");
         users::noted(metrics, SETTINGS_RELOADED).await;
     }
