Count no silence of other hosts while this one stands still

A host that is gone is still noticed by one that gets too little of a processor (`slow_host`).

Ruled out: to tell the roster of shorter pauses as of those from two seconds on; that begins all silence anew, and a host that is often late would never drop one.

--- a/bergamotswitch-core/src/roster/machine.rs
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -82,6 +82,7 @@
     /// to a host that stops.
     pub fn set_flags(&mut self, now: Moment, flags: MemberFlags) {
         if flags != self.flags {
+            self.discount_sleep(now);
             self.flags = flags;
             self.round_at = now;
         }
@@ -92,6 +93,29 @@
         self.round_at
     }
 
+    /// Count no silence of the others from when a round was due and did not come.
+    ///
+    /// A process that stands still for a second hears nobody. Taken for the
+    /// others' silence, it would be alone when it wakes: one would see it act as
+    /// owner beside the owner, and refuse what waits there, until their next
+    /// messages. A round later than its whole interval is no delay of a loop that
+    /// runs, and what lies beyond that counts for nobody.
+    fn discount_sleep(&mut self, now: Moment) {
+        let slept = now.since(self.awake_until());
+        if slept.is_zero() {
+            return;
+        }
+        for member in self.members.values_mut() {
+            member.heard_at = member.heard_at.plus(slept).min(now);
+        }
+        self.round_at = now;
+    }
+
+    /// Get until when this host was surely awake, if it is late by now.
+    fn awake_until(&self) -> Moment {
+        self.round_at.plus(self.opts.round_interval)
+    }
+
     /// Count all others as heard of now: the process slept, and its own
     /// silence is no evidence against them.
     pub fn woke(&mut self, now: Moment) {
@@ -106,6 +130,7 @@
         if now < self.round_at {
             return Vec::new();
         }
+        self.discount_sleep(now);
         self.round_at = now.plus(self.opts.round_interval);
         self.rounds += 1;
         let forget_after = self.opts.forget_after;
@@ -124,6 +149,7 @@
 
     /// Take in a message; get the answer where one is of use.
     pub fn hear(&mut self, now: Moment, message: RosterMessage) -> Vec<RosterAction> {
+        self.discount_sleep(now);
         let sender = message.sender;
         let to = sender.host.link_address;
         let base = sender.stamp;
@@ -197,7 +223,7 @@
 
     fn is_heard(&self, now: Moment, member: &KnownMember) -> bool {
         let silent_after = self.opts.silent_after(self.members.len() + 1);
-        now.since(member.heard_at) < silent_after
+        now.min(self.awake_until()).since(member.heard_at) < silent_after
     }
 
     fn own_stamp(&self, now: Moment) -> u64 {
