--- a/bergamotswitch-core/src/entry/terms.rs
+++ b/bergamotswitch-core/src/entry/terms.rs
@@ -17,6 +17,8 @@
     pub ends_at_deadline: bool,
     /// Whether it ends when its caller leaves although it may not run again.
     pub ends_with_caller: bool,
+    /// The most output tokens that its answer may have, where it says so.
+    pub most_output: Option<u32>,
     /// The units that it takes from its account's quota.
     pub quota_units: u32,
     /// Whether a key let it in that may have been revoked since.
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -214,6 +214,7 @@
                 resumable: work == RouteWork::ResumableStream,
                 ends_at_deadline: true,
                 ends_with_caller: work != RouteWork::NonIdempotent,
+                most_output: call.tokens.map(|tokens| tokens.most_output),
                 quota_units: self
                     .account
                     .map_or(0, |account| account.quota.units(tokens)),
--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -29,6 +29,8 @@
     pub(super) tier: Tier,
     prompt: u32,
     output: u32,
+    /// The most output tokens that the call names.
+    most_output: Option<u32>,
     received_at: Moment,
     started_at: Option<Moment>,
     first_at: Option<Moment>,
@@ -49,6 +51,7 @@
             tier: submission.verdict.tier,
             prompt: submission.cost.prefill,
             output: submission.cost.decode,
+            most_output: submission.terms.most_output,
             received_at: now,
             started_at: None,
             first_at: None,
@@ -112,7 +115,8 @@
             .stop_at
             .map(|at| self.received_at.since(at).as_millis());
         let stopping = stopping.map_or(String::new(), |millis| millis.to_string());
-        let pairs: [(&str, &dyn Display); 17] = [
+        let most = self.most_text();
+        let pairs: [(&str, &dyn Display); 18] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
@@ -128,6 +132,7 @@
             ("targets", &targets),
             ("prompt", &self.prompt),
             ("output", &self.output),
+            ("most_output", &most),
             ("pieces", &pieces),
             ("stopping_ms", &stopping),
         ];
@@ -156,7 +161,8 @@
                 .to_string(),
         };
         let targets = self.target_names();
-        let pairs: [(&str, &dyn Display); 13] = [
+        let most = self.most_text();
+        let pairs: [(&str, &dyn Display); 14] = [
             ("request", &caller_id),
             ("number", &number),
             ("route", &self.rule),
@@ -168,12 +174,18 @@
             ("targets", &targets),
             ("prompt", &self.prompt),
             ("output", &self.output),
+            ("most_output", &most),
             ("pieces", &pieces),
             ("stopping_ms", &stopping),
         ];
         journal::write(Incident::RequestOpen, &pairs);
     }
 
+    fn most_text(&self) -> String {
+        self.most_output
+            .map_or(String::new(), |tokens| tokens.to_string())
+    }
+
     fn target_names(&self) -> String {
         let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
         names.join(",")
