Bound a call by its pieces at the slowest pace; no host cuts one in ten knowingly

A stopping host that few others could stand in for took, in the first third of its grace, what nine in ten recent runs would fit: one in ten of it was cut. It no longer does. What a stopping host takes is bounded by what its caller says of it: three times the longest recent time to the first piece, and its likely output times the most pieces that recent runs made of theirs, twice, at the slowest recent pace, runs under way included. Where a call names nothing beyond its most, the bound is four times the longest run as before.

Ruled out: the most output alone (it is a constant of each rule, and longer than the grace at any pace); time for each token guessed (exceeded by one in 29); factors 1, 1.5 and 3.

The test few_others asserted that such a host takes work of three seconds with seven left; it is replaced by nine_of_ten, which asserts that nothing is taken that one in ten recent runs would not fit.

Ran: entry_grace. Not run: the rest.

--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use super::Submission;
 use super::request_state::{Dispatched, LiveRequest, NotRunProof, Uncertain, Waiting};
+use super::run_lengths::RunSpan;
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::permit::{Permit, Usage};
@@ -101,6 +103,17 @@
 }
 
 impl RunningAttempt {
+    /// Get how long it has taken, for so many pieces.
+    pub(super) fn span(&self, now: Moment, submission: &Submission, pieces: u32) -> RunSpan {
+        let first = self.first_token_at.unwrap_or(now);
+        RunSpan {
+            span: now.since(self.started_at),
+            first: first.since(self.started_at),
+            pieces,
+            output: submission.cost.decode,
+        }
+    }
+
     /// Get what the attempt used when it is stopped at `now`. The engine
     /// admits a prompt on arrival, so the whole estimate counts.
     pub(super) fn usage(&self, now: Moment, prefill: u32) -> Usage {
--- a/bergamotswitch-core/src/entry/desk/ending.rs
+++ b/bergamotswitch-core/src/entry/desk/ending.rs
@@ -6,10 +6,9 @@
 use crate::entry::attempt::{RunningAttempt, is_unknown};
 use crate::entry::kept_answer::KeptAnswer;
 use crate::entry::ledger::RequestRecord;
-use crate::entry::run_lengths::RunSpan;
 use crate::entry::{Conclusion, EntryAction};
 use crate::incident::Incident;
-use crate::permit::{OwnerMessage, Release, ReleaseOutcome};
+use crate::permit::{OwnerMessage, Release, ReleaseOutcome, Usage};
 use crate::refusal::{Refusal, RunClaim};
 
 impl EntryDesk {
@@ -24,14 +23,14 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let rule = &record.submission.verdict.rule;
-        let span = RunSpan {
-            span: now.since(running.started_at),
-            output: record.submission.cost.decode,
+        let span = |usage: Usage| {
+            let pieces = usage.decode.max(running.decoded);
+            running.span(now, &record.submission, pieces)
         };
         match outcome {
-            ReleaseOutcome::Finished(_) => self.lengths.note(rule, span),
-            ReleaseOutcome::Failed(_) | ReleaseOutcome::Stopped(_) => {
-                self.lengths.note_broken(rule, span);
+            ReleaseOutcome::Finished(usage) => self.lengths.note(rule, span(usage)),
+            ReleaseOutcome::Failed(usage) | ReleaseOutcome::Stopped(usage) => {
+                self.lengths.note_broken(rule, span(usage));
             }
             ReleaseOutcome::Unused | ReleaseOutcome::Unreachable | ReleaseOutcome::Refused => {}
         }
--- a/bergamotswitch-core/src/entry/desk/mod.rs
+++ b/bergamotswitch-core/src/entry/desk/mod.rs
@@ -122,7 +122,6 @@
             EntryEvent::Stop => self.stopping = true,
             EntryEvent::WholeBy(at) => self.set_whole_by(now, at, &mut actions),
             EntryEvent::DoorShut => self.bound.is_shut = true,
-            EntryEvent::FewOthers(few) => self.bound.few_others = few,
             EntryEvent::CutOff => self.cut_off(now, &mut actions),
             EntryEvent::Tick | EntryEvent::Woke(_) => self.turn_away(now, &mut actions),
         }
--- a/bergamotswitch-core/src/entry/desk/stopping.rs
+++ b/bergamotswitch-core/src/entry/desk/stopping.rs
@@ -14,22 +14,10 @@
 use crate::clock::Moment;
 use crate::entry::attempt::AttemptStage;
 use crate::entry::ledger::LiveEntry;
+use crate::entry::run_lengths::{CallSize, RunSpan};
 use crate::entry::{EntryAction, Submission};
 use crate::refusal::{Refusal, RefusalReason, WasteCause};
 
-/// How many times the longest of recent runs is taken for a bound. Lengths vary
-/// hundredfold: of the 57,000 runs in the logs of nine days of three fleets one in
-/// 35 took longer than the longest of the 64 before it at its host and rule, one
-/// in 330 twice as long, one in 6,300 four times as long.
-const BOUND_FACTOR: u32 = 4;
-
-/// The part of the grace, from its beginning, in which a host that few others
-/// can stand in for takes what nine in ten recent runs would fit; later, hosts
-/// that stopped before it are back. Where all hosts of three fleets were stopped
-/// within five seconds and half of their targets were slow, it raised the credit
-/// that callers gave by 0.017 to 0.054 of all that they could (three runs each).
-const STAND_IN_PARTS: u32 = 3;
-
 /// When a caller comes back that a stopping host turns away. Another host
 /// serves it at once; the pause keeps callers that stay at this address from
 /// asking it without end.
@@ -40,10 +28,6 @@
 pub(super) struct StopBound {
     /// By when answers have to be whole; never where nothing bounds the stop.
     whole_by: Moment,
-    /// Whether few other hosts take callers.
-    pub(super) few_others: bool,
-    /// How long such a host stands in for the others.
-    stand_in_until: Moment,
     /// Whether no new request is taken.
     pub(super) is_shut: bool,
 }
@@ -52,38 +36,22 @@
     fn default() -> Self {
         StopBound {
             whole_by: Moment::NEVER,
-            few_others: false,
-            stand_in_until: Moment::NEVER,
             is_shut: false,
         }
     }
 }
 
-impl StopBound {
-    fn set(&mut self, now: Moment, at: Moment) {
-        let until = now.plus(at.since(now) / STAND_IN_PARTS);
-        self.whole_by = at;
-        self.stand_in_until = self.stand_in_until.min(until);
-    }
-
-    /// Get whether work is taken that a host among many would turn away: it
-    /// would likely be turned away elsewhere as well.
-    fn stands_in(&self, now: Moment) -> bool {
-        self.few_others && now <= self.stand_in_until
-    }
-}
-
 impl EntryDesk {
     /// Take in by when answers have to be whole, and turn away what waits and
     /// will not be.
     pub(super) fn set_whole_by(&mut self, now: Moment, at: Moment, actions: &mut Vec<EntryAction>) {
-        self.bound.set(now, at);
+        self.bound.whole_by = at;
         self.turn_away(now, actions);
     }
 
     /// Get whether a run that begins now ends in time: its deadline ends it in
-    /// any case, or recent runs were all far shorter than what is left. Work of
-    /// which nobody can tell how long it takes does not begin.
+    /// any case, or recent runs tell that it takes far less than what is left.
+    /// Work of which nobody can tell how long it takes does not begin.
     pub(super) fn may_begin(&self, now: Moment, submission: &Submission, deadline: Moment) -> bool {
         if self.bound.whole_by == Moment::NEVER {
             return true;
@@ -91,16 +59,7 @@
         if submission.terms.ends_at_deadline && deadline <= self.bound.whole_by {
             return true;
         }
-        let span = match self.bound.stands_in(now) {
-            true => {
-                let rule = &submission.verdict.rule;
-                self.lengths.ninth_decile(rule, submission.cost.decode)
-            }
-            false => {
-                let longest = self.longest_run(now, submission);
-                longest.map(|span| span * BOUND_FACTOR)
-            }
-        };
+        let span = self.longest_run(now, submission);
         span.is_some_and(|span| now.plus(span) <= self.bound.whole_by)
     }
 
@@ -110,18 +69,22 @@
         self.may_begin(now, submission, Moment::NEVER)
     }
 
-    /// Get the longest of the recent runs of a rule and of those under way:
-    /// targets that have just become slow end none.
+    /// Get how long a run of a submission may take, as far as the recent runs of
+    /// its rule and those under way tell.
     fn longest_run(&self, now: Moment, submission: &Submission) -> Option<Duration> {
         let rule = &submission.verdict.rule;
-        let longest = self.lengths.longest(rule, submission.cost.decode)?;
         let same_rule = |entry: &&LiveEntry| entry.record.submission.verdict.rule == *rule;
-        let running = self.ledger.iter().filter(same_rule);
-        let ages = running.filter_map(|entry| match &entry.stage {
-            AttemptStage::Running(running) => Some(now.since(running.started_at)),
+        let entries = self.ledger.iter().filter(same_rule);
+        let running = entries.filter_map(|entry| match &entry.stage {
+            AttemptStage::Running(running) => {
+                let pieces = running.decoded;
+                Some(running.span(now, &entry.record.submission, pieces))
+            }
             AttemptStage::Waiting(_) => None,
         });
-        Some(ages.fold(longest, Duration::max))
+        let under_way: Vec<RunSpan> = running.collect();
+        let size = CallSize::of(submission);
+        self.lengths.bound(rule, size, &under_way)
     }
 
     /// Refuse what waits and would not end in time: there is still time for it
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -166,8 +166,6 @@
     /// The addresses under which callers come have lapsed: no new request is
     /// taken.
     DoorShut,
-    /// Whether few other hosts take callers.
-    FewOthers(bool),
     /// The planned stop may not last any longer: everything ends now.
     CutOff,
     /// Time has passed.
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -109,8 +109,6 @@
     pub(super) membership: Membership,
     pub(super) book: RevisionBook,
     pub(super) stopping: bool,
-    /// Whether few other hosts take callers, as of the last look.
-    few_others: bool,
     pub(super) load_permille: u16,
     pub(super) opts: NodeOptions,
     pub(super) shard_use: ShardUse,
@@ -146,7 +144,6 @@
             }),
             register: TargetRegister::default(),
             stopping: false,
-            few_others: false,
             load_permille: 0,
             opts,
             shard_use: ShardUse::default(),
@@ -256,23 +253,9 @@
         let actions = self.shards.on_all(now, |_| OwnerEvent::Tick);
         self.queue_owner(actions);
         self.review_guards(now);
-        self.review_others(now);
         self.tell_desk(now, EntryEvent::Tick);
     }
 
-    /// While this host stops, tell the desk whether few other hosts take
-    /// callers.
-    fn review_others(&mut self, now: Moment) {
-        if !self.stopping {
-            return;
-        }
-        let few_others = self.has_few_others(now);
-        if few_others != self.few_others {
-            self.few_others = few_others;
-            self.tell_desk(now, EntryEvent::FewOthers(few_others));
-        }
-    }
-
     fn on_stop(&mut self, now: Moment) {
         if self.stopping {
             self.actions
@@ -280,7 +263,6 @@
             return;
         }
         self.stopping = true;
-        self.review_others(now);
         self.tell_membership(now, MembershipEvent::Stop);
         let actions = self.shards.on_all(now, |_| OwnerEvent::Stopping);
         self.queue_owner(actions);
--- a/bergamotswitch-core/src/node/intake.rs
+++ b/bergamotswitch-core/src/node/intake.rs
@@ -12,11 +12,6 @@
 /// a peer that knows is asked about once a second.
 const KEY_RETRY: std::time::Duration = std::time::Duration::from_secs(1);
 
-/// Few hosts take callers where at most one in so many does: whoever is turned
-/// away then meets a host that takes callers in one try of four at best. What
-/// the rule gains stands at `STAND_IN_PARTS` of the entry desk.
-const FEW_PARTS: usize = 4;
-
 impl NodeCore {
     /// Take a caller's request.
     pub fn submit(&mut self, now: Moment, submission: Submission) -> (Reception, Vec<NodeAction>) {
@@ -70,24 +65,6 @@
         AddressBook::new(&self.publication).answer(query, &health)
     }
 
-    /// Get whether so few other hosts take callers, as far as this one knows,
-    /// that whoever is turned away here is likely turned away there as well.
-    pub(super) fn has_few_others(&self, now: Moment) -> bool {
-        let is_other = |host: &EntryHost| host.name != self.me.host;
-        let others = match &self.roster {
-            Some(roster) => {
-                let ready = roster.ready_hosts(now);
-                ready.iter().filter(|host| is_other(host)).count()
-            }
-            None => {
-                let health = self.host_health();
-                let usable = health.iter().filter(|health| health.is_usable());
-                usable.filter(|health| is_other(&health.host)).count()
-            }
-        };
-        others * FEW_PARTS <= self.publication.hosts.hosts.len()
-    }
-
     fn host_health(&self) -> Vec<HostHealth> {
         let peers = self.membership.peers();
         let hosts = self.publication.hosts.hosts.iter();
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -44,6 +44,37 @@
     }
 }
 
+/// Let a run of a submission take so long, for so many pieces.
+fn learn_one(desk: &mut TestDesk, submission: Submission, span: Duration, pieces: u32) {
+    let attempt = desk.begin(submission, "t0");
+    desk.attempt(attempt, AttemptEvent::FirstToken);
+    desk.pass(span);
+    let usage = Usage {
+        decode: pieces,
+        ..usage()
+    };
+    desk.attempt(attempt, AttemptEvent::Finished(usage));
+}
+
+/// Get a call whose caller thinks that it needs so many tokens of at most 4,000.
+fn sized(likely: u32) -> Submission {
+    let mut submission = submission();
+    submission.cost.decode = likely;
+    submission.terms.most_output = Some(4_000);
+    submission
+}
+
+/// Let runs of very different sizes go at one pace: 20 ms for each of their
+/// pieces, which hold about 8 tokens.
+fn learn_sizes(desk: &mut TestDesk) {
+    for _ in 0..MANY_RUNS {
+        learn_one(desk, sized(40), Duration::from_millis(100), 5);
+    }
+    for _ in 0..MANY_RUNS {
+        learn_one(desk, sized(2_000), Duration::from_secs(5), 250);
+    }
+}
+
 fn is_begun(desk: &mut TestDesk) -> bool {
     matches!(desk.submit(submission()).0, Reception::Accepted(_))
 }
@@ -181,23 +212,77 @@
     assert!(actions.contains(&EntryAction::Stopped));
 }
 
-// Symptom: nobody is served while all hosts stop at once. Sequence: each host
-// turns away what might outlast its grace, and so does the next one. Cause: that
-// another host takes what one turns away was taken for granted.
+// Symptom: an answer that was asked for 1.1 s after the signal is cut at the end
+// of the grace. Sequence: nearly all hosts stop together; runs of the call's rule
+// take 0.1 s nine times in ten and eight seconds else; it is asked for in the first
+// third of the grace. Cause: a host that few others could stand in for took what
+// nine in ten recent runs would fit, and so cut one in ten of what it took.
 #[test]
-fn few_others() {
+fn nine_of_ten() {
     let mut desk = TestDesk::new(EntryOptions::default());
-    learn(&mut desk, Duration::from_secs(3));
+    for _ in 0..MANY_RUNS {
+        learn_one(&mut desk, submission(), Duration::from_millis(100), 1);
+    }
+    for _ in 0..MANY_RUNS / 10 {
+        learn_one(&mut desk, submission(), Duration::from_secs(8), 1);
+    }
     stop(&mut desk, LEFT);
     turned_away(&mut desk, submission());
-    desk.event(EntryEvent::FewOthers(true));
-    let attempt = desk.begin(submission(), "t0");
-    desk.attempt(attempt, AttemptEvent::Finished(usage()));
-    // Late in the stop others are back, and a cut answer helps nobody.
-    desk.pass(LEFT / 3 + STEP);
+    desk.pass(Duration::from_millis(1_100));
     turned_away(&mut desk, submission());
 }
 
+// Symptom: callers are turned away whom a stopping host could have served.
+// Sequence: answers of a rule are 40 to 2,000 tokens long, and their callers say
+// about how long; SIGTERM; a short one is asked for. Cause: all work of a rule was
+// taken for as long as its longest.
+#[test]
+fn named_size() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    learn_sizes(&mut desk);
+    stop(&mut desk, LEFT);
+    desk.begin(sized(40), "t0");
+    turned_away(&mut desk, sized(2_000));
+    // One that names only its most tells nothing of its own length, and one that
+    // names nothing still less.
+    let mut most_alone = sized(40);
+    most_alone.terms.most_output = Some(40);
+    turned_away(&mut desk, most_alone);
+    let mut unnamed = sized(40);
+    unnamed.terms.most_output = None;
+    turned_away(&mut desk, unnamed);
+}
+
+// Symptom: an answer that was taken as a short one is cut. Sequence: a target
+// becomes slow; the runs that have ended were fast. Cause: the pace of runs under
+// way was not asked.
+#[test]
+fn slow_pace() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    learn_sizes(&mut desk);
+    let attempt = desk.begin(sized(40), "t0");
+    desk.attempt(attempt, AttemptEvent::FirstToken);
+    desk.pass(Duration::from_secs(4));
+    desk.attempt(attempt, AttemptEvent::Progress(4));
+    stop(&mut desk, LEFT);
+    turned_away(&mut desk, sized(40));
+}
+
+// Symptom and sequence: as above. Cause: callers' estimates that had become too
+// small were believed.
+#[test]
+fn short_guesses() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    learn_sizes(&mut desk);
+    learn_one(&mut desk, sized(40), Duration::from_secs(4), 200);
+    stop(&mut desk, LEFT);
+    turned_away(&mut desk, sized(40));
+    // The most that a call may make bounds it whatever it is thought to need.
+    let mut tiny = sized(20);
+    tiny.terms.most_output = Some(21);
+    desk.begin(tiny, "t0");
+}
+
 // Symptom: answers are cut at the end of a grace although recent runs fit it.
 // Sequence: whole runs take three seconds; a target fails 64 times at once, or
 // as many callers leave; a stop begins with two seconds left. Cause: runs that
