--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -106,7 +106,7 @@
 // a deadline behind the grace. Cause: four times the longest recent run of the
 // route counted as a bound, whatever size the call names itself.
 // 2126, 2208, 2238: four of the five hosts or all stop; one that few others can stand in
-// for takes what nine in ten recent runs would fit, and cuts a longer one.
+// for took what nine in ten recent runs would fit, and cut a longer one.
 #[test]
 fn kept_lengths() {
     let seeds = [2_100, 2_106, 2_126, 2_208, 2_238];
