--- a/bergamotswitch-core/src/entry/desk/stopping.rs
+++ b/bergamotswitch-core/src/entry/desk/stopping.rs
@@ -14,62 +14,57 @@
 use crate::clock::Moment;
 use crate::entry::attempt::AttemptStage;
 use crate::entry::ledger::LiveEntry;
+use crate::entry::run_lengths::{CallSize, RunSpan};
 use crate::entry::{EntryAction, Submission};
 use crate::refusal::{Refusal, RefusalReason, WasteCause};
 
-/// How many times the longest of recent runs is taken for a bound. Lengths vary
-/// hundredfold: of the 57,000 runs in the logs of nine days of three fleets one in
-/// 35 took longer than the longest of the 64 before it at its host and rule, one
-/// in 330 twice as long, one in 6,300 four times as long.
-const BOUND_FACTOR: u32 = 4;
+/// When a caller comes back that a stopping host turns away while others take
+/// callers. Another host serves it at once; the pause keeps callers that stay at
+/// this address from asking it without end.
+pub const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
 
-/// The part of the grace, from its beginning, in which a host that few others
-/// can stand in for takes what nine in ten recent runs would fit; later, hosts
-/// that stopped before it are back. Where all hosts of three fleets were stopped
-/// within five seconds and half of their targets were slow, it raised the credit
-/// that callers gave by 0.017 to 0.054 of all that they could (three runs each).
-const STAND_IN_PARTS: u32 = 3;
+/// Callers that are told to wait until others are back come over so many parts
+/// of the wait longer: all of them at once would fill the first host's queues.
+const SPREAD_PARTS: u32 = 4;
 
-/// When a caller comes back that a stopping host turns away. Another host
-/// serves it at once; the pause keeps callers that stay at this address from
-/// asking it without end.
-pub const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
+/// The step by which one caller's place in that spread follows another's, in
+/// parts of 65,536: the golden section keeps any number of them evenly apart.
+const SPREAD_STEP: u16 = 40_503;
 
 /// A `StopBound` is what a planned stop that may not last sets to new work.
 #[derive(Debug)]
 pub(super) struct StopBound {
     /// By when answers have to be whole; never where nothing bounds the stop.
     whole_by: Moment,
-    /// Whether few other hosts take callers.
-    pub(super) few_others: bool,
-    /// How long such a host stands in for the others.
-    stand_in_until: Moment,
     /// Whether no new request is taken.
     pub(super) is_shut: bool,
+    /// When enough other hosts take callers again, where few do.
+    pub(super) others_back: Option<Moment>,
+    /// Where in the spread the next caller comes back.
+    place: u16,
 }
 
 impl Default for StopBound {
     fn default() -> Self {
         StopBound {
             whole_by: Moment::NEVER,
-            few_others: false,
-            stand_in_until: Moment::NEVER,
             is_shut: false,
+            others_back: None,
+            place: 0,
         }
     }
 }
 
 impl StopBound {
-    fn set(&mut self, now: Moment, at: Moment) {
-        let until = now.plus(at.since(now) / STAND_IN_PARTS);
-        self.whole_by = at;
-        self.stand_in_until = self.stand_in_until.min(until);
-    }
-
-    /// Get whether work is taken that a host among many would turn away: it
-    /// would likely be turned away elsewhere as well.
-    fn stands_in(&self, now: Moment) -> bool {
-        self.few_others && now <= self.stand_in_until
+    /// Get when a caller comes back that is turned away now.
+    fn retry_after(&mut self, now: Moment) -> Duration {
+        let wait = self.others_back.map_or(Duration::ZERO, |at| at.since(now));
+        if wait <= ELSEWHERE_RETRY {
+            return ELSEWHERE_RETRY;
+        }
+        self.place = self.place.wrapping_add(SPREAD_STEP);
+        let place = f64::from(self.place) / f64::from(u16::MAX);
+        wait + (wait / SPREAD_PARTS).mul_f64(place)
     }
 }
 
@@ -77,13 +72,13 @@
     /// Take in by when answers have to be whole, and turn away what waits and
     /// will not be.
     pub(super) fn set_whole_by(&mut self, now: Moment, at: Moment, actions: &mut Vec<EntryAction>) {
-        self.bound.set(now, at);
+        self.bound.whole_by = at;
         self.turn_away(now, actions);
     }
 
     /// Get whether a run that begins now ends in time: its deadline ends it in
-    /// any case, or recent runs were all far shorter than what is left. Work of
-    /// which nobody can tell how long it takes does not begin.
+    /// any case, or recent runs tell that it takes far less than what is left.
+    /// Work of which nobody can tell how long it takes does not begin.
     pub(super) fn may_begin(&self, now: Moment, submission: &Submission, deadline: Moment) -> bool {
         if self.bound.whole_by == Moment::NEVER {
             return true;
@@ -91,16 +86,7 @@
         if submission.terms.ends_at_deadline && deadline <= self.bound.whole_by {
             return true;
         }
-        let span = match self.bound.stands_in(now) {
-            true => {
-                let rule = &submission.verdict.rule;
-                self.lengths.ninth_decile(rule, submission.cost.decode)
-            }
-            false => {
-                let longest = self.longest_run(now, submission);
-                longest.map(|span| span * BOUND_FACTOR)
-            }
-        };
+        let span = self.longest_run(now, submission);
         span.is_some_and(|span| now.plus(span) <= self.bound.whole_by)
     }
 
@@ -110,18 +96,22 @@
         self.may_begin(now, submission, Moment::NEVER)
     }
 
-    /// Get the longest of the recent runs of a rule and of those under way:
-    /// targets that have just become slow end none.
+    /// Get how long a run of a submission may take, as far as the recent runs of
+    /// its rule and those under way tell.
     fn longest_run(&self, now: Moment, submission: &Submission) -> Option<Duration> {
         let rule = &submission.verdict.rule;
-        let longest = self.lengths.longest(rule, submission.cost.decode)?;
         let same_rule = |entry: &&LiveEntry| entry.record.submission.verdict.rule == *rule;
-        let running = self.ledger.iter().filter(same_rule);
-        let ages = running.filter_map(|entry| match &entry.stage {
-            AttemptStage::Running(running) => Some(now.since(running.started_at)),
+        let entries = self.ledger.iter().filter(same_rule);
+        let running = entries.filter_map(|entry| match &entry.stage {
+            AttemptStage::Running(running) => {
+                let pieces = running.decoded;
+                Some(running.span(now, &entry.record.submission, pieces))
+            }
             AttemptStage::Waiting(_) => None,
         });
-        Some(ages.fold(longest, Duration::max))
+        let under_way: Vec<RunSpan> = running.collect();
+        let size = CallSize::of(submission);
+        self.lengths.bound(rule, size, &under_way)
     }
 
     /// Refuse what waits and would not end in time: there is still time for it
@@ -139,7 +129,7 @@
             match entry.stage {
                 AttemptStage::Waiting(waiting) if !fits => {
                     self.withdraw(&entry.record, waiting.asked.as_ref(), actions);
-                    let refusal = elsewhere(waiting.life.refuse(RefusalReason::Stopping));
+                    let refusal = self.elsewhere(now, waiting.life.refuse(RefusalReason::Stopping));
                     self.refuse(now, entry.record, refusal, actions);
                 }
                 stage => self.ledger.put(LiveEntry { stage, ..entry }),
@@ -166,9 +156,9 @@
             }
         }
     }
-}
 
-/// Get the refusal of a request that another host can serve.
-pub(super) fn elsewhere(refusal: Refusal) -> Refusal {
-    refusal.with_retry_after(ELSEWHERE_RETRY)
+    /// Get the refusal of a request that another host can serve.
+    pub(super) fn elsewhere(&mut self, now: Moment, refusal: Refusal) -> Refusal {
+        refusal.with_retry_after(self.bound.retry_after(now))
+    }
 }
