Show that a host which ends 200 requests names a quarter of them

stop_lines::all_told: 200 requests run, SIGTERM with a grace of 3 s. The log has 49 lines 207 of 200, none of 206 for them, and no 103; 107 tells of the rest.

--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -36,6 +36,12 @@
         HostChild { settings, child }
     }
 
+    /// Start a host whose standard output goes there.
+    pub fn start_to(settings: PathBuf, out: Stdio) -> Self {
+        let child = spawn_to(&settings, out, Stdio::null());
+        HostChild { settings, child }
+    }
+
     /// Start it again, with the same settings.
     pub fn restart(&mut self) {
         self.child = spawn(&self.settings);
@@ -133,9 +139,13 @@
 }
 
 fn spawn(settings: &Path) -> Child {
+    let (out, err) = outputs(settings);
+    spawn_to(settings, out, err)
+}
+
+fn spawn_to(settings: &Path, out: Stdio, err: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
     command.args(["serve", "--settings"]).arg(settings);
-    let (out, err) = outputs(settings);
     command
         .stdout(out)
         .stderr(err)
--- /dev/null
+++ b/bergamotswitch/tests/stop_lines.rs
@@ -0,0 +1,205 @@
+//! What a stopping host's log tells of it and of the requests that it ends.
+
+mod users;
+
+use std::collections::BTreeSet;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use bergamotswitch_standin::users_target::TargetMood;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+use users::host_child::{HostChild, PlannedStop};
+use users::{Call, Site, SiteOptions, until};
+
+/// The grace of the host that stops.
+const GRACE: Duration = Duration::from_secs(3);
+/// The requests that are open at the end of the grace: four times what the log
+/// takes in one interval.
+const OPEN: usize = 200;
+/// How long callers wait: much longer than the grace.
+const DEADLINE_MS: &str = "30000";
+
+/// The calls after which the targets are known.
+const KNOWN_ROUNDS: usize = 10;
+const KNOWN_AT_ONCE: usize = 8;
+
+const HOST_STOPPED: u64 = 103;
+const LINES_DROPPED: u64 = 107;
+const GRACE_ENDING: u64 = 109;
+const REQUEST_ENDED: u64 = 206;
+const REQUEST_OPEN: u64 = 207;
+
+/// A file for a host's lines; its drop removes it.
+struct LogFile(PathBuf);
+
+impl Drop for LogFile {
+    fn drop(&mut self) {
+        // A file that is gone needs no removal.
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+impl LogFile {
+    /// Get the file beside a host's settings.
+    fn beside(settings: &Path) -> Self {
+        LogFile(settings.with_extension("lines"))
+    }
+
+    fn output(&self) -> Stdio {
+        File::create(&self.0).expect("log file").into()
+    }
+
+    /// Get the numbered lines, each with its number.
+    fn lines(&self) -> Vec<(u64, Value)> {
+        let text = std::fs::read_to_string(&self.0).expect("log file");
+        let lines = text.lines().filter(|line| line.starts_with('{'));
+        let lines = lines.map(|line| {
+            let line: Value = serde_json::from_str(line).expect("a whole line");
+            let number = line["kv"]["event"].as_u64();
+            (number.or(line["event"].as_u64()).unwrap_or_default(), line)
+        });
+        lines.collect()
+    }
+}
+
+/// Get the callers' ids in the lines of one number.
+fn requests(lines: &[(u64, Value)], number: u64) -> BTreeSet<String> {
+    let lines = lines.iter().filter(|(found, _)| *found == number);
+    let ids = lines.filter_map(|(_, line)| line["kv"]["request"].as_str());
+    ids.map(str::to_owned).collect()
+}
+
+/// A site of one host whose standard output goes there, with places for all
+/// that is open.
+async fn site_to(output: impl FnOnce(&Path) -> Stdio) -> Site {
+    let options = SiteOptions {
+        events: 400,
+        gap: Duration::from_millis(100),
+        slots: OPEN as u32,
+        aim: Duration::from_secs(5),
+        timeout: Duration::from_secs(60),
+        grace: GRACE,
+        ..SiteOptions::default()
+    };
+    let mut site = Site::start_with(options).await;
+    let host = &mut site.hosts[0];
+    host.child.kill();
+    let output = output(&host.settings);
+    host.child = HostChild::start_to(host.settings.clone(), output);
+    site.all_ready().await;
+    site
+}
+
+/// Have requests run that do not end in the grace: half of them streams, half
+/// of them calls that get no answer.
+async fn open_requests(site: &Site) -> Vec<JoinHandle<()>> {
+    make_known(site).await;
+    for desk in &site.desks {
+        desk.expect(&vec![TargetMood::Mute; OPEN]);
+    }
+    let before = running(site);
+    let door = site.door();
+    let asks = (0..OPEN).map(|number| {
+        let id = format!("open-{number}");
+        let call = match number % 2 {
+            0 => Call::stream("/once/1", &id),
+            _ => Call::new("POST", "/receipt/1", &id),
+        };
+        let call = call.with("deadline-ms", DEADLINE_MS);
+        // What callers get is another test's.
+        tokio::spawn(async move { drop(call.send(door).await) })
+    });
+    let asks = asks.collect();
+    until("all run", async || running(site) == before + OPEN).await;
+    asks
+}
+
+/// Run short calls, some at once: a target that nobody knows gets little.
+async fn make_known(site: &Site) {
+    for round in 0..KNOWN_ROUNDS {
+        let calls = (0..KNOWN_AT_ONCE).map(|number| {
+            let id = format!("before-{round}-{number}");
+            let call = match number % 2 {
+                0 => Call::stream("/once/1?events=1", &id),
+                _ => Call::new("POST", "/receipt/1", &id),
+            };
+            tokio::spawn(call.send(site.door()))
+        });
+        for answer in calls.collect::<Vec<_>>() {
+            let answer = answer.await.expect("call").expect("answer");
+            assert!(answer.whole && answer.status.is_success(), "{answer:?}");
+        }
+    }
+}
+
+/// Count the calls that targets ran.
+fn running(site: &Site) -> usize {
+    let targets = site.engines.iter().chain(&site.desks);
+    let seen = targets.flat_map(|target| target.seen());
+    seen.filter(|call| call.ran).count()
+}
+
+// Symptom: of the requests that a host cut, the log names some fifty, and the
+// line about the host's own end is missing. Sequence: 200 requests run; SIGTERM;
+// the host ends them all at the end of its grace. Cause: above 50 lines in a tenth
+// of a second all kinds were left out alike, and what had come since the last
+// interval was not written when the process ended.
+#[tokio::test]
+async fn all_told() {
+    let mut log = None;
+    let mut site = site_to(|settings| {
+        let file = log.insert(LogFile::beside(settings));
+        file.output()
+    })
+    .await;
+    let log = log.expect("log file");
+    let asks = open_requests(&site).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, GRACE);
+    assert!(stop.end().await.is_clean());
+    for ask in asks {
+        ask.await.expect("call");
+    }
+    let lines = log.lines();
+    let told: Vec<u64> = lines.iter().map(|(number, _)| *number).collect();
+    assert_eq!(requests(&lines, REQUEST_OPEN).len(), OPEN, "{told:?}");
+    assert_eq!(requests(&lines, REQUEST_ENDED).len(), OPEN, "{told:?}");
+    assert!(told.contains(&GRACE_ENDING), "{told:?}");
+    assert!(!told.contains(&LINES_DROPPED), "{told:?}");
+    assert_eq!(told.last(), Some(&HOST_STOPPED), "{told:?}");
+}
+
+// Symptom: the log of a host that ended well looks like that of one that was
+// killed. Sequence: an idle host gets SIGTERM and ends. Cause: the lines since the
+// last interval, the one about its end among them, were not written.
+#[tokio::test]
+async fn end_told() {
+    let mut log = None;
+    let mut site = site_to(|settings| {
+        let file = log.insert(LogFile::beside(settings));
+        file.output()
+    })
+    .await;
+    let log = log.expect("log file");
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, GRACE);
+    assert!(stop.end().await.is_clean());
+    let lines = log.lines();
+    let told: Vec<u64> = lines.iter().map(|(number, _)| *number).collect();
+    assert_eq!(told.last(), Some(&HOST_STOPPED), "{told:?}");
+}
+
+// Symptom: a host is killed at the end of its grace although it had ended
+// everything. Sequence: nobody reads its log, 200 requests run, SIGTERM. Cause: a
+// last write that waits for its reader.
+#[tokio::test]
+async fn unread_log() {
+    let mut site = site_to(|_| Stdio::piped()).await;
+    let asks = open_requests(&site).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, GRACE);
+    assert!(stop.end().await.is_clean());
+    for ask in asks {
+        ask.await.expect("call");
+    }
+}
