Show that a stopping host's metrics cannot be read once its door is shut

stop_counters::turned_counted: five callers are turned away after SIGTERM and counted as refusals with the reason stopping; 4.5 s after the signal, while a call runs, the metrics refuse the connection.

--- a/bergamotswitch/tests/refusal_counters.rs
+++ b/bergamotswitch/tests/refusal_counters.rs
@@ -2,9 +2,12 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use bergamotswitch::command::client;
 use bergamotswitch::command::demo::calls::DEPLOYMENTS;
-use fleet::Fleet;
+use fleet::caller::Call;
+use fleet::{ALL_HOSTS, ENGINES, Fleet};
 use serde_json::json;
 
 // Symptom: urgent requests are refused, and the counters do not show it.
@@ -31,3 +34,36 @@
         .collect();
     assert_eq!(counted, [format!("\"{}\"}} 1", call.tier)]);
 }
+
+/// The tokens of a report that an engine of Red Austral writes in some 6 s.
+const REPORT_TOKENS: u32 = 2_000;
+
+// Symptom: nobody can see how many callers a stopping host turns away. Sequence:
+// SIGTERM; a report that is longer than what is left of the grace is turned away,
+// while another one runs. Cause: a refusal that is not counted.
+#[tokio::test]
+async fn stop_counted() {
+    let grace = Duration::from_secs(8);
+    let (mut fleet, ()) =
+        Fleet::start_with("red-austral", |stage| fleet::set_grace(stage, grace)).await;
+    let owner = fleet.wait_owner(ENGINES, &ALL_HOSTS).await;
+    let others = fleet.others(owner);
+    let host = fleet.hosts[others[0]].address();
+    let before = Call::report("before", REPORT_TOKENS);
+    assert!(before.send(host).await.is_whole());
+    let mut open = Call::report("open", REPORT_TOKENS)
+        .begin(host)
+        .await
+        .expect("head");
+    open.read_output().await;
+    let stop = fleet.hosts.remove(others[0]).stop(grace);
+    stop.at(Duration::from_millis(3_500)).await;
+    let late = Call::report("late", REPORT_TOKENS).send(host).await;
+    assert_eq!(late.code(), "stopping", "{late:?}");
+    let page = fleet::metrics(host).await;
+    let series = "bergamot_refusals_total{reason=\"stopping\",tier=";
+    let lines = page.lines().filter_map(|line| line.strip_prefix(series));
+    let counted: Vec<&str> = lines.filter(|line| !line.ends_with(" 0")).collect();
+    assert_eq!(counted, ["\"1\"} 1"], "{page}");
+    stop.end().await;
+}
--- /dev/null
+++ b/bergamotswitch/tests/stop_counters.rs
@@ -0,0 +1,73 @@
+//! What a stopping host's counters tell of its stop.
+
+mod users;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotswitch_standin::users_target::TargetMood;
+use http::StatusCode;
+use users::host_child::PlannedStop;
+use users::{Call, Site, SiteOptions, until};
+
+/// The grace, and a moment after which no callers are taken any more.
+const GRACE: Duration = Duration::from_secs(8);
+const DOOR_SHUT: Duration = Duration::from_millis(4_500);
+/// How many callers are turned away.
+const TURNED: usize = 5;
+
+/// Get a host's counters of refusals because of a stop, those at zero left out.
+async fn turned_by_stop(metrics: SocketAddr) -> Vec<String> {
+    let page = Call::get("/metrics").send(metrics).await.expect("metrics");
+    let series = "bergamot_refusals_total{reason=\"stopping\",";
+    let lines = page
+        .text()
+        .lines()
+        .filter_map(|line| line.strip_prefix(series));
+    let counted = lines.filter(|line| !line.ends_with(" 0"));
+    counted.map(str::to_owned).collect()
+}
+
+// Symptom: nobody can see how many callers a stopping host turns away. Sequence:
+// SIGTERM; callers are turned away; the door shuts while a call still runs, and the
+// metrics are asked for then. Cause: the listener of the metrics was closed with
+// that of the callers.
+#[tokio::test]
+async fn turned_counted() {
+    let mut site = Site::start_with(SiteOptions {
+        hosts: 2,
+        events: 90,
+        gap: Duration::from_millis(100),
+        timeout: Duration::from_secs(30),
+        grace: GRACE,
+        ..SiteOptions::default()
+    })
+    .await;
+    for desk in &site.desks {
+        desk.expect(&[TargetMood::Mute]);
+    }
+    let door = site.door();
+    let held = Call::new("POST", "/receipt/1", "held").with("deadline-ms", "25000");
+    let held = tokio::spawn(async move { drop(held.send(door).await) });
+    until("the call runs", async || {
+        site.desks.iter().any(|desk| !desk.seen().is_empty())
+    })
+    .await;
+    let host = site.hosts.remove(0);
+    let metrics = host.metrics;
+    let stop = PlannedStop::begin(host.child, GRACE);
+    stop.at(Duration::from_millis(500)).await;
+    for number in 0..TURNED {
+        // Nobody knows yet how long such a stream takes.
+        let call = Call::stream("/once/1", &format!("turned-{number}"));
+        let answer = call.with("deadline-ms", "20000").send(door).await;
+        let status = answer.expect("answer").status;
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let expected = [format!("tier=\"0\"}} {TURNED}")];
+    assert_eq!(turned_by_stop(metrics).await, expected);
+    stop.at(DOOR_SHUT).await;
+    assert_eq!(turned_by_stop(metrics).await, expected);
+    assert!(stop.end().await.is_clean());
+    held.await.expect("call");
+}
