Answer readers of a gateway's metrics until its stop is over

Cause: the door's shutting dropped all listeners of the gateway, that of the metrics too, so that nobody could read how many callers a stop turned away or what was left.

Change: callers', readiness and directory listeners are dropped with the door; that of the metrics when the work has ended, and its connections end then.

A first form kept the listener alone: two runs of five failed, as a connection that is taken in the phase in which callers' connections end may be closed before its question is read. Now each listener names the phase in which its connections end.

stop_counters::turned_counted failed before; then it passed in 12 runs of 12, two at a time, and in 7 of 8 before these: the eighth printed nothing, its limit of 100 s took in the build. Passed with the first form, not run again: refusal_counters, stop_bodies.

--- a/bergamotswitch-net/src/gateway/listener.rs
+++ b/bergamotswitch-net/src/gateway/listener.rs
@@ -32,10 +32,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Try to answer what comes on a listener by `handler`, until the guard is
-/// dropped.
+/// dropped. Its connections end in the phase `until`.
 pub(super) fn serve<Handler, Answer>(
     listener: std::net::TcpListener,
     desk: &Arc<GatewayDesk>,
+    until: GatewayPhase,
     handler: Handler,
 ) -> io::Result<TaskGuard>
 where
@@ -56,7 +57,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    drop(tokio::spawn(connection(Arc::clone(&desk), stream, handler)))
+                    let desk = Arc::clone(&desk);
+                    drop(tokio::spawn(connection(desk, stream, until, handler)))
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
@@ -65,8 +67,12 @@
     Ok(task)
 }
 
-async fn connection<Handler, Answer>(desk: Arc<GatewayDesk>, stream: TcpStream, handler: Handler)
-where
+async fn connection<Handler, Answer>(
+    desk: Arc<GatewayDesk>,
+    stream: TcpStream,
+    until: GatewayPhase,
+    handler: Handler,
+) where
     Handler: Fn(Arc<GatewayDesk>, Request<Incoming>) -> Answer + Copy + Send + Sync + 'static,
     Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
@@ -103,11 +109,7 @@
     let mut connection = std::pin::pin!(connection);
     let closing = async {
         // The guard of the value seen must not be held over an await.
-        drop(
-            phase
-                .wait_for(|phase| *phase == GatewayPhase::Closing)
-                .await,
-        );
+        drop(phase.wait_for(|phase| *phase >= until).await);
     };
     let ended = tokio::select! {
         served = connection.as_mut() => Some(served),
--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -37,8 +37,10 @@
     Serving,
     /// Callers still come, and every answer closes its connection.
     Lapsing,
-    /// Connections end with the answer that they carry.
+    /// Callers' connections end with the answer that they carry.
     Closing,
+    /// So do operators'.
+    Ending,
 }
 
 /// A `GatewayDesk` is what every handler needs.
@@ -59,7 +61,10 @@
 pub struct GatewayServer {
     phase: watch::Sender<GatewayPhase>,
     connections: mpsc::Receiver<()>,
-    listeners: Vec<TaskGuard>,
+    /// Where callers and the platform ask.
+    doors: Vec<TaskGuard>,
+    /// Where operators ask.
+    metrics: TaskGuard,
 }
 
 impl GatewayServer {
@@ -85,16 +90,19 @@
             alive,
             body_room: Arc::new(tokio::sync::Semaphore::new(body_bytes)),
         });
-        let listeners = vec![
-            serve(sockets.callers, &desk, call::answer)?,
-            serve(sockets.readiness, &desk, lookup::answer)?,
-            serve(sockets.directory, &desk, lookup::answer)?,
-            serve(sockets.metrics, &desk, lookup::metrics)?,
+        let until = GatewayPhase::Closing;
+        let doors = vec![
+            serve(sockets.callers, &desk, until, call::answer)?,
+            serve(sockets.readiness, &desk, until, lookup::answer)?,
+            serve(sockets.directory, &desk, until, lookup::answer)?,
         ];
+        let until = GatewayPhase::Ending;
+        let metrics = serve(sockets.metrics, &desk, until, lookup::metrics)?;
         Ok(GatewayServer {
             phase,
             connections,
-            listeners,
+            doors,
+            metrics,
         })
     }
 
@@ -104,11 +112,12 @@
         self.phase.send_replace(GatewayPhase::Lapsing);
     }
 
-    /// Close the door: no connection is taken, and each open one ends with the
-    /// answer that it waits for.
+    /// Close the door: no connection of a caller is taken, and each open one
+    /// ends with the answer that it waits for. Operators are answered for as long
+    /// as work goes on: what a stop turns away could not be seen otherwise.
     pub fn shut(&mut self) {
         self.phase.send_replace(GatewayPhase::Closing);
-        self.listeners.clear();
+        self.doors.clear();
     }
 
     /// Take no further callers, and wait until the open answers have left,
@@ -121,8 +130,13 @@
     pub async fn close(mut self) {
         self.shut();
         let GatewayServer {
-            mut connections, ..
+            mut connections,
+            metrics,
+            phase,
+            ..
         } = self;
+        drop(metrics);
+        phase.send_replace(GatewayPhase::Ending);
         // Nothing is ever sent: the end of the last sender is waited for.
         let _ = connections.recv().await;
     }
