--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -282,7 +282,8 @@
         place,
     };
     let first: u32 = call.field("last-event-id").parse().unwrap_or(0) + 1;
-    let last = asked_events(&call.line).unwrap_or(shared.events);
+    let last = asked(&call.line, "events").unwrap_or(shared.events);
+    let padding = asked(&call.line, "padding").unwrap_or(0) as usize;
     let gap = shared.gap;
     let broken_at = match mood {
         TargetMood::BreakAfter(count) => Some(first + count),
@@ -298,7 +299,7 @@
                 Some(broken) if id == broken => {
                     Ok(Frame::data(Bytes::from(format!("id: {id}\nda"))))
                 }
-                _ => Ok(Frame::data(Bytes::from(event_text(id)))),
+                _ => Ok(Frame::data(Bytes::from(padded_event(id, padding)))),
             }
         }
     });
@@ -320,13 +321,20 @@
     }
 }
 
-/// Get how many events a call's query asks for, where it does.
-fn asked_events(line: &str) -> Option<u32> {
-    let (_, count) = line.split_once("?events=")?;
-    count.parse().ok()
+/// Get a number that a call's query names, where it does.
+fn asked(line: &str, name: &str) -> Option<u32> {
+    let (_, query) = line.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, number) = pairs.find(|(key, _)| *key == name)?;
+    number.parse().ok()
 }
 
 /// Get one event's bytes.
 pub fn event_text(id: u32) -> String {
-    format!("id: {id}\ndata: piece {id}\n\n")
+    padded_event(id, 0)
+}
+
+/// Get the bytes of an event that is longer by so much.
+pub fn padded_event(id: u32, padding: usize) -> String {
+    format!("id: {id}\ndata: piece {id}{}\n\n", ".".repeat(padding))
 }
--- a/bergamotswitch/tests/planned_stop.rs
+++ b/bergamotswitch/tests/planned_stop.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 use fleet::caller::{Call, pause, send_all};
@@ -117,6 +119,74 @@
     assert_ran_once(&runs);
 }
 
+/// Ask a stopping host for a report that fits in the grace that it was started
+/// with, and not in the one that its settings file names since.
+async fn ask_reloaded(during: bool) {
+    let (started_with, reloaded_to) = (Duration::from_secs(20), Duration::from_secs(8));
+    let (mut fleet, paths) = Fleet::start_with("red-austral", |stage| {
+        fleet::set_grace(stage, started_with);
+        fleet::settings_paths(stage)
+    })
+    .await;
+    let owner = fleet.wait_owner(ENGINES, &ALL_HOSTS).await;
+    let others = fleet.others(owner);
+    let address = fleet.hosts[others[0]].address();
+    let before = Call::report("before", REPORT_TOKENS);
+    assert!(before.send(address).await.is_whole());
+    let host = fleet.hosts.remove(others[0]);
+    write_grace(&paths[others[0]], reloaded_to);
+    if !during {
+        host.signal("HUP");
+        reloaded(address).await;
+    }
+    let stop = host.stop(reloaded_to);
+    if during {
+        stop.signal("HUP");
+        reloaded(address).await;
+    }
+    stop.at(Duration::from_millis(3_500)).await;
+    let asked_at = Instant::now();
+    let late = Call::report("late", REPORT_TOKENS).send(address).await;
+    assert_eq!(late.code(), "stopping", "{late:?}");
+    assert_eq!(late.ran(), "no", "{late:?}");
+    assert!(asked_at.elapsed() < AT_ONCE, "{late:?}");
+    assert!(stop.end().await.is_clean());
+    assert_eq!(fleet.runs().await.len(), 1);
+}
+
+/// Change the grace in a host's settings file.
+fn write_grace(path: &Path, grace: Duration) {
+    let text = std::fs::read_to_string(path).expect("settings file");
+    let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+    settings["grace_s"] = grace.as_secs_f64().into();
+    // Whole at any moment for a host that watches it.
+    let draft = path.with_extension("draft");
+    std::fs::write(&draft, settings.to_string()).expect("settings file");
+    std::fs::rename(&draft, path).expect("settings file");
+}
+
+/// Wait until a host has read its changed settings.
+async fn reloaded(host: SocketAddr) {
+    while !fleet::metrics(host).await.contains("{number=\"105\"} 1") {
+        pause().await;
+    }
+}
+
+// Symptom: a report is cut by a planned stop that is shorter than the host thinks.
+// Sequence: the settings file names a shorter grace; SIGHUP, SIGTERM; a report that
+// fits in the old grace is taken. Cause: only the settings of the start were
+// looked at.
+#[tokio::test]
+async fn reload_before_stop() {
+    ask_reloaded(false).await;
+}
+
+// Symptom, sequence and cause: as above, where SIGTERM comes first.
+#[tokio::test]
+async fn reload_during_stop() {
+    ask_reloaded(true).await;
+}
+
 // Symptom: requests at other hosts wait or fail while one host is stopped.
 // Sequence: the owner of the shard gets SIGTERM and stays until the end of its
 // grace with a report that is longer; the other hosts are asked all the while.
--- /dev/null
+++ b/bergamotswitch/tests/stop_paused.rs
@@ -0,0 +1,178 @@
+//! A host that is paused in its planned stop and goes on when its door should
+//! have been shut long ago, or its last words said.
+
+mod users;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotswitch_standin::users_target::event_text;
+use http::StatusCode;
+use tokio::task::JoinHandle;
+use users::host_child::PlannedStop;
+use users::{Answer, Call, KeptConnection, Site, SiteOptions, until};
+
+/// The grace that the host knows.
+const GRACE: Duration = Duration::from_secs(8);
+/// The events of a stream, some 6 s.
+const EVENTS: u32 = 60;
+const EVENT_GAP: Duration = Duration::from_millis(100);
+/// When the pause begins, after the signal.
+const PAUSED_AT: Duration = Duration::from_secs(1);
+/// How many callers ask on new connections, and as many on open ones.
+const CALLERS: usize = 8;
+/// What a plain answer begins with.
+const RECEIPT: &str = "from desk-";
+/// How long callers wait: longer than the grace.
+const DEADLINE_MS: &str = "20000";
+
+/// A pause in a planned stop.
+struct Pause {
+    /// When the host goes on, after the signal.
+    ends_at: Duration,
+    /// When it is killed.
+    killed_at: Duration,
+}
+
+type Asked = JoinHandle<io::Result<Answer>>;
+
+fn ask(door: SocketAddr, call: Call) -> Asked {
+    let call = call.with("deadline-ms", DEADLINE_MS);
+    tokio::spawn(async move { call.send(door).await })
+}
+
+fn whole_stream() -> String {
+    (1..=EVENTS).map(event_text).collect()
+}
+
+/// Get a caller's call and its id: every second one's is a stream.
+fn call_of(name: &str, number: usize) -> (String, Call) {
+    let id = format!("{name}-{number}");
+    let call = match number % 2 {
+        0 => Call::stream("/once/1", &id),
+        _ => Call::new("POST", "/receipt/1", &id),
+    };
+    let call = call.with("deadline-ms", DEADLINE_MS);
+    (id, call)
+}
+
+/// Count the runs of a call at all targets.
+fn runs_of(site: &Site, id: &str) -> usize {
+    let targets = site.engines.iter().chain(&site.desks);
+    let seen = targets.flat_map(|target| target.seen());
+    seen.filter(|call| call.ran && call.field("request-id") == id)
+        .count()
+}
+
+/// Check what a caller got that asked while the host was paused: its whole
+/// answer, a true refusal, or no answer where nothing ran.
+fn assert_true(site: &Site, id: &str, answer: &io::Result<Answer>) {
+    let runs = runs_of(site, id);
+    match answer {
+        Ok(answer) if answer.status == StatusCode::OK => {
+            let text = answer.text();
+            let is_all = text == whole_stream() || text.starts_with(RECEIPT);
+            assert!(answer.whole && is_all, "{id}: {answer:?}");
+            assert_eq!(runs, 1, "{id}");
+        }
+        Ok(answer) => {
+            let status = answer.status;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+            assert_eq!(runs, 0, "{id}: {answer:?}");
+        }
+        Err(_) => assert_eq!(runs, 0, "{id}"),
+    }
+}
+
+/// Pause a stopping host that has a stream open, ask it meanwhile, and check
+/// what callers and targets see. Get whether it ended by itself.
+async fn pause_in_stop(pause: Pause) -> bool {
+    let mut site = Site::start_with(SiteOptions {
+        hosts: 2,
+        events: EVENTS,
+        gap: EVENT_GAP,
+        slots: 16,
+        timeout: Duration::from_secs(30),
+        grace: GRACE,
+        ..SiteOptions::default()
+    })
+    .await;
+    let door = site.door();
+    // The host knows by this how long such work takes.
+    let before = ask(door, Call::stream("/once/1", "before"));
+    assert!(before.await.expect("call").expect("answer").whole);
+    let open = ask(door, Call::stream("/once/1", "open"));
+    until("the stream runs", async || runs_of(&site, "open") > 0).await;
+
+    let mut kept = Vec::new();
+    for _ in 0..CALLERS {
+        kept.push(KeptConnection::open(door).await.expect("connection"));
+    }
+
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, pause.killed_at);
+    stop.at(PAUSED_AT).await;
+    stop.signal("STOP");
+    let mut asked = Vec::new();
+    for (number, mut connection) in kept.into_iter().enumerate() {
+        let (id, call) = call_of("new", number);
+        asked.push((id, ask(door, call)));
+        let (id, call) = call_of("kept", number);
+        let call = tokio::spawn(async move { connection.send(call).await });
+        asked.push((id, call));
+    }
+    stop.at(pause.ends_at).await;
+    stop.signal("CONT");
+
+    for (id, asked) in asked {
+        assert_true(&site, &id, &asked.await.expect("call"));
+    }
+    // What was under way is whole, or seen as cut.
+    let open = open.await.expect("call").expect("head");
+    let whole = whole_stream();
+    assert_eq!(open.whole, open.text() == whole, "{open:?}");
+    assert!(whole.starts_with(open.text()), "{open:?}");
+    assert_eq!(runs_of(&site, "open"), 1);
+    // The other host serves.
+    let next = ask(site.door(), Call::new("POST", "/receipt/1", "next"));
+    let next = next.await.expect("call").expect("answer");
+    assert_eq!(next.status, StatusCode::OK);
+    stop.end().await.is_clean()
+}
+
+// Symptom: answers are cut that a host began after it had slept. Sequence: SIGTERM,
+// SIGSTOP; callers connect and ask; SIGCONT when its door should be shut and 2.5 s
+// of its grace are left. Cause: what has come meanwhile is taken by times that are
+// over.
+#[tokio::test]
+async fn beyond_door() {
+    let clean = pause_in_stop(Pause {
+        ends_at: Duration::from_millis(5_500),
+        killed_at: GRACE,
+    })
+    .await;
+    assert!(clean);
+}
+
+// Symptom, sequence and cause: as above, where it goes on when it should have said
+// its last words, a moment before it is killed.
+#[tokio::test]
+async fn beyond_cut() {
+    pause_in_stop(Pause {
+        ends_at: Duration::from_millis(7_850),
+        killed_at: GRACE,
+    })
+    .await;
+}
+
+// Symptom: as above, or a process that stays. Sequence: it goes on behind the whole
+// grace, and nobody has killed it. Cause: a time that has passed is waited for.
+#[tokio::test]
+async fn beyond_grace() {
+    let clean = pause_in_stop(Pause {
+        ends_at: Duration::from_millis(9_000),
+        killed_at: Duration::from_secs(12),
+    })
+    .await;
+    assert!(clean);
+}
