Show that a stream which ends in half an event is passed on as whole

The users' rules: a target may stop in the middle of an event; an answer that ends early must not look complete; one without a length ends with its connection. So a body that ends is no proof, and the host must look at the event.

--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -89,6 +89,32 @@
     assert_eq!(runs, 1);
 }
 
+// Symptom: a stream looks whole and ends in half an event. Sequence: its target
+// stops in the middle of the last event, and its body ends as a whole one does: that
+// of an answer without a length ends with its connection. Cause: the end of the body
+// was taken for the end of the stream, and the half event was passed on.
+#[tokio::test]
+async fn half_last_event() {
+    let site = Site::start(1).await;
+    let break_all = || {
+        for engine in &site.engines {
+            engine.expect_only(&[TargetMood::BreakAfter(7)]);
+        }
+    };
+    break_all();
+    let answer = Call::stream("/once/1", "r-1").send(site.door()).await;
+    let answer = answer.expect("answer");
+    assert!(!answer.whole, "{answer:?}");
+    let seven: String = (1..=7).map(event_text).collect();
+    assert_eq!(answer.text(), seven);
+    // Another target makes the last event of a stream that may be carried on.
+    break_all();
+    let answer = Call::stream("/draft/1", "r-2").send(site.door()).await;
+    let answer = answer.expect("answer");
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.text(), whole_stream());
+}
+
 // Symptom: the last bytes of a stream are missing after a planned stop.
 // Sequence: SIGTERM comes in the middle of a stream; the run ends, the loop is
 // idle, and the process ends before the bytes have left. Cause: the end of the
