Split the tests of planned stops by feature

What waits, what is overdue, reloads and kept connections have files of their own; what they share is stop_support. Tests are unchanged to the letter: compared line by line, but for pub, imports and the first lines of files nothing is gone or new. others_served stays where it was.

--- /dev/null
+++ b/bergamotswitch/tests/stop_connections.rs
@@ -0,0 +1,68 @@
+//! Callers that keep their connections through a planned stop.
+
+mod stop_support;
+mod users;
+
+use std::net::SocketAddr;
+
+use stop_support::*;
+use tokio::time::Instant;
+use users::host_child::PlannedStop;
+use users::{KeptConnection, pause};
+
+/// Use connections, each as long as it lasts, until the host takes no more.
+async fn use_kept(door: SocketAddr, caller: usize) -> Vec<Asked> {
+    let mut all = Vec::new();
+    while let Ok(mut connection) = KeptConnection::open(door).await {
+        loop {
+            let id = format!("kept-{caller}-{}", all.len());
+            let call = match all.len() % 2 {
+                0 => receipt_call(seconds(12.0)),
+                _ => stream_call("/once/1", seconds(12.0)),
+            };
+            let begun = Instant::now();
+            let answer = connection.send(call.with("request-id", &id)).await;
+            let is_last = answer
+                .as_ref()
+                .is_ok_and(|answer| answer.field("connection").eq_ignore_ascii_case("close"));
+            let took = begun.elapsed();
+            let broke = answer.is_err();
+            all.push(Asked { id, answer, took });
+            pause().await;
+            if is_last || broke {
+                break;
+            }
+        }
+    }
+    all
+}
+
+// Symptom: a caller that keeps its connection loses an answer in a planned stop.
+// Sequence: callers use their connections through the whole stop, and open new
+// ones while the door is open. Cause: a connection closed, or the process ended,
+// with a call on it that a target already ran.
+#[tokio::test]
+async fn kept_connections() {
+    let grace = seconds(8.0);
+    let mut site = site_of(8, grace).await;
+    run_before(&site, "/once/1", TELLING_RUNS).await;
+    let door = site.door();
+    let callers = (0..6).map(|caller| tokio::spawn(use_kept(door, caller)));
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(seconds(1.0)).await;
+    let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
+    let mut all = Vec::new();
+    for caller in callers {
+        all.extend(caller.await.expect("caller"));
+    }
+    assert!(stop.end().await.is_clean());
+    for asked in &all {
+        match asked.answer {
+            Ok(_) => asked.assert_true(&site),
+            // The call crossed the close of its connection.
+            Err(_) => assert_eq!(runs_of(&site, &asked.id), 0, "{asked:?}"),
+        }
+    }
+    let served = all.iter().filter(|asked| asked.is_served()).count();
+    assert!(served > 12, "{served} served");
+}
--- /dev/null
+++ b/bergamotswitch/tests/stop_support/mod.rs
@@ -0,0 +1,193 @@
+//! What tests of planned stops share: a site with a host that stops and one
+//! that goes on, and what came of a call.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotswitch_standin::users_target::event_text;
+use http::StatusCode;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::users::{Answer, Call, Site, SiteOptions, until};
+
+/// The pause before each event of a stream.
+pub const EVENT_GAP: Duration = Duration::from_millis(100);
+/// By when a caller has been turned away that is turned away at once: it is
+/// told without waiting for anything, so this allows for a busy machine alone.
+pub const AT_ONCE: Duration = Duration::from_secs(1);
+/// The longest wait that a caller may be asked for: another host serves it.
+const MAX_RETRY_AFTER_S: f64 = 1.0;
+/// Enough runs for a host to tell from how long such work takes; they fit into
+/// the engines of a site at once.
+pub const TELLING_RUNS: usize = 20;
+
+pub fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+/// What came of one call.
+#[derive(Debug)]
+pub struct Asked {
+    pub id: String,
+    pub answer: io::Result<Answer>,
+    pub took: Duration,
+}
+
+pub async fn ask(door: SocketAddr, call: Call, id: &str) -> Asked {
+    let begun = Instant::now();
+    let answer = call.with("request-id", id).send(door).await;
+    Asked {
+        id: id.to_owned(),
+        answer,
+        took: begun.elapsed(),
+    }
+}
+
+impl Asked {
+    pub fn text(&self) -> &str {
+        self.answer.as_ref().map_or("", Answer::text)
+    }
+
+    /// Get whether the caller got an answer to its end that is no success.
+    pub fn is_failure(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_ok_and(|answer| answer.whole && answer.status.is_server_error())
+    }
+
+    /// Check that the caller was served, or turned away truly.
+    pub fn assert_true(&self, site: &Site) {
+        if !self.is_served() {
+            assert!(self.is_turned_away(), "{self:?}");
+            self.assert_refusal(site);
+        }
+    }
+
+    pub fn has_status(&self, status: StatusCode) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_ok_and(|answer| answer.status == status && answer.whole)
+    }
+
+    pub fn is_served(&self) -> bool {
+        self.has_status(StatusCode::OK)
+    }
+
+    pub fn is_turned_away(&self) -> bool {
+        self.has_status(StatusCode::SERVICE_UNAVAILABLE)
+    }
+
+    /// Check that a refusal tells the caller what to do, and is true.
+    pub fn assert_refusal(&self, site: &Site) {
+        let answer = self.answer.as_ref().expect("answer");
+        let wait: f64 = answer.field("retry-after").parse().expect("seconds");
+        assert!((0.0..=MAX_RETRY_AFTER_S).contains(&wait), "{self:?}");
+        let connection = answer.field("connection").to_lowercase();
+        assert_eq!(connection, "close", "{self:?}");
+        assert_eq!(runs_of(site, &self.id), 0, "{self:?}");
+    }
+
+    /// Check that the caller has the whole stream, or was turned away truly.
+    pub fn assert_kept(&self, site: &Site, events: u32) {
+        self.assert_true(site);
+        let refused = self.is_turned_away();
+        assert!(refused || self.text() == whole_stream(events), "{self:?}");
+    }
+
+    /// Check that a stream that was cut is so in what it has, and not seen as
+    /// whole.
+    pub fn assert_cut(&self, events: u32) {
+        let answer = self.answer.as_ref().expect("answer");
+        assert!(!answer.whole, "{self:?}");
+        assert!(whole_stream(events).starts_with(self.text()), "{self:?}");
+    }
+}
+
+pub fn whole_stream(events: u32) -> String {
+    (1..=events).map(event_text).collect()
+}
+
+/// Count the runs of a call at all targets.
+pub fn runs_of(site: &Site, id: &str) -> usize {
+    let targets = site.engines.iter().chain(&site.desks);
+    let seen = targets.flat_map(|target| target.seen());
+    seen.filter(|call| call.ran && call.field("request-id") == id)
+        .count()
+}
+
+/// A site of two hosts, of which one stops and one goes on, and whose streams
+/// have so many events.
+pub async fn site_of(events: u32, grace: Duration) -> Site {
+    let options = SiteOptions {
+        hosts: 2,
+        slots: 16,
+        events,
+        gap: EVENT_GAP,
+        aim: seconds(5.0),
+        timeout: seconds(30.0),
+        grace,
+    };
+    Site::start_with(options).await
+}
+
+/// A site as above whose engines run eight streams at once, all told.
+pub async fn small_site(events: u32, grace: Duration) -> Site {
+    let options = SiteOptions {
+        hosts: 2,
+        events,
+        gap: EVENT_GAP,
+        aim: seconds(5.0),
+        timeout: seconds(30.0),
+        grace,
+        ..SiteOptions::default()
+    };
+    Site::start_with(options).await
+}
+
+/// Get a stream's call whose caller waits so long.
+pub fn stream_call(path: &str, deadline: Duration) -> Call {
+    let millis = deadline.as_millis().to_string();
+    Call::stream(path, "").with("deadline-ms", &millis)
+}
+
+/// Send copies of a call together.
+pub fn ask_many(door: SocketAddr, call: &Call, name: &str, count: usize) -> Vec<JoinHandle<Asked>> {
+    let asks = (1..=count).map(|number| {
+        let (call, id) = (call.clone(), format!("{name}-{number}"));
+        tokio::spawn(async move { ask(door, call, &id).await })
+    });
+    asks.collect()
+}
+
+pub async fn wait_all(asks: Vec<JoinHandle<Asked>>) -> Vec<Asked> {
+    let mut all = Vec::new();
+    for asked in asks {
+        all.push(asked.await.expect("call"));
+    }
+    all
+}
+
+/// Run streams of a route before a stop, so that their length is known.
+pub async fn run_before(site: &Site, path: &str, count: usize) {
+    let call = stream_call(path, seconds(25.0));
+    for asked in wait_all(ask_many(site.door(), &call, "before", count)).await {
+        assert!(asked.is_served(), "{asked:?}");
+    }
+}
+
+/// Get a plain call that must run once, whose caller waits so long.
+pub fn receipt_call(deadline: Duration) -> Call {
+    let millis = deadline.as_millis().to_string();
+    Call::new("POST", "/receipt/1", "").with("deadline-ms", &millis)
+}
+
+/// Send a call and wait until a target has it.
+pub async fn ask_and_reach(site: &Site, call: Call, id: &'static str) -> JoinHandle<Asked> {
+    let door = site.door();
+    let asked = tokio::spawn(async move { ask(door, call, id).await });
+    until("a target has the call", async || runs_of(site, id) > 0).await;
+    asked
+}
