--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// Start a host whose standard output goes there.
+    pub fn start_to(settings: PathBuf, out: Stdio) -> Self {
+        let child = spawn_to(&settings, out, Stdio::null());
+        HostChild {
+            settings,
+            child,
+            output_from: 0,
+        }
+    }
+
     /// Start it again, with the same settings.
     pub fn restart(&mut self) {
         self.output_from = output_of(&self.settings).len();
@@ -175,15 +185,19 @@
 }
 
 fn spawn(settings: &Path) -> Child {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
-    command.args(["serve", "--settings"]).arg(settings);
     let path = output_path(settings);
     let output = File::options().create(true).append(true).open(path);
     let output = output.expect("output file");
     let errors = output.try_clone().expect("output file");
+    spawn_to(settings, output.into(), errors.into())
+}
+
+fn spawn_to(settings: &Path, out: Stdio, err: Stdio) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
+    command.args(["serve", "--settings"]).arg(settings);
     command
-        .stdout(output)
-        .stderr(errors)
+        .stdout(out)
+        .stderr(err)
         .spawn()
         .expect("host starts")
 }
