Test the retry budget over all hosts, failing

Symptom, found by reading: what hosts save up and what new processes begin with are constants a host.

--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -1,5 +1,5 @@
 //! A fleet of whole hosts in virtual time that find each other by their roster
-//! and keep the quotas of client accounts.
+//! and keep the quotas of client accounts and the retry budget of a pool.
 
 use std::collections::{BTreeMap, BTreeSet};
 pub use std::time::Duration;
@@ -50,7 +50,7 @@
 const STORE: Duration = Duration::from_millis(20);
 const TARGETS: usize = 4;
 
-/// One run in so many fails, and its call is sent once more.
+/// One first run in so many fails where a test says nothing else.
 const FAILS_EVERY: u64 = 7;
 const RUN_SPAN: Duration = Duration::from_millis(150);
 
@@ -85,6 +85,13 @@
     pub calls: BTreeMap<RequestId, CallRecord>,
     /// When hosts began and ceased to order the shard.
     pub turns: Vec<(Moment, usize, bool)>,
+    /// When calls were sent to a target once more.
+    pub retries: Vec<Moment>,
+    /// One first run in so many fails, and its call is sent once more.
+    pub fails_every: u64,
+    /// Whether all runs fail.
+    pub all_fail: bool,
+    entry: EntryOptions,
     hosts: Vec<FleetHost>,
     links: BTreeSet<(usize, usize)>,
     parcels: BTreeMap<(Moment, u64), (Incarnation, Parcel)>,
@@ -122,7 +129,7 @@
     number.parse().expect("a host of the fleet")
 }
 
-fn options(index: usize, now: Moment) -> NodeOptions {
+fn options(index: usize, now: Moment, entry: EntryOptions) -> NodeOptions {
     let limits = FleetLimits::default();
     let membership = MembershipOptions::default()
         .with_heartbeat(Duration::from_millis(200))
@@ -132,7 +139,7 @@
         .with_handover(Duration::from_millis(400));
     let values = [ROUTES_VALUE, TARGETS_VALUE].map(name::<ValueName>);
     NodeOptions {
-        entry: EntryOptions::default().with_re_ask_interval(Duration::from_millis(500)),
+        entry: entry.with_re_ask_interval(Duration::from_millis(500)),
         owner: OwnerOptions::default().with_quota_tolerance(QuotaTolerance {
             window: WINDOW,
             part: OVERAGE * BURST_PART,
@@ -275,10 +282,19 @@
 impl QuotaFleet {
     /// Start a fleet whose messages take this long, and let it settle.
     pub fn start(latency: Duration) -> Self {
+        Self::start_with(latency, EntryOptions::default())
+    }
+
+    /// Start such a fleet whose entry desks have these options.
+    pub fn start_with(latency: Duration, entry: EntryOptions) -> Self {
         let mut fleet = QuotaFleet {
             now: Moment::START,
             calls: BTreeMap::new(),
             turns: Vec::new(),
+            retries: Vec::new(),
+            fails_every: FAILS_EVERY,
+            all_fail: false,
+            entry,
             hosts: Vec::new(),
             links: BTreeSet::new(),
             parcels: BTreeMap::new(),
@@ -306,7 +322,7 @@
         let core = NodeCore::new(
             run.clone(),
             entry.domain,
-            options(index, self.now),
+            options(index, self.now, self.entry.clone()),
             Moment::START,
         );
         FleetHost {
@@ -544,8 +560,12 @@
         if let Some(call) = self.calls.get_mut(&attempt.request) {
             call.ran_at.get_or_insert(self.now);
         }
-        let fails = attempt.request.sequence.is_multiple_of(FAILS_EVERY) && attempt.attempt == 0;
-        let event = match fails {
+        if attempt.attempt > 0 {
+            self.retries.push(self.now);
+        }
+        let fails =
+            attempt.request.sequence.is_multiple_of(self.fails_every) && attempt.attempt == 0;
+        let event = match fails || self.all_fail {
             true => AttemptEvent::Failed,
             false => AttemptEvent::Finished(usage()),
         };
