Test links to hosts of an older version, failing

Symptom, by reading: a stopping owner hands its quotas over in a message that a host of the version before takes for no message, and so it drops the link.

--- a/bergamotswitch-net/tests/link_support/mod.rs
+++ b/bergamotswitch-net/tests/link_support/mod.rs
@@ -226,6 +226,8 @@
 pub struct RawPeer {
     pub requests: SendRequest<Bytes>,
     pub hello: Hello,
+    /// The field that it does not know.
+    pub unknown_field: &'static str,
 }
 
 impl RawPeer {
@@ -240,6 +242,7 @@
         RawPeer {
             requests,
             hello: Hello::new(&run),
+            unknown_field: "",
         }
     }
 
@@ -261,6 +264,9 @@
     pub async fn say_hello(&mut self) -> Response<RecvStream> {
         let mut fields = HeaderMap::new();
         self.hello.write(&mut fields);
+        if !self.unknown_field.is_empty() {
+            fields.remove(self.unknown_field);
+        }
         self.ask(Method::GET, fields).await.0
     }
 
--- a/bergamotswitch-net/tests/peer_links.rs
+++ b/bergamotswitch-net/tests/peer_links.rs
@@ -7,9 +7,11 @@
 
 use bergamotswitch_core::host::{HostIncarnation, HostList, HostName, Incarnation};
 use bergamotswitch_core::link::{LinkEvent, LinkMessage};
+use bergamotswitch_core::permit::{OwnerMessage, QuotaLevel};
+use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::revision::{PublishedValue, Revision, RevisionMessage};
 use bergamotswitch_net::input::NodeInput;
-use bergamotswitch_net::link::codec;
+use bergamotswitch_net::link::codec::{self, FrameReader};
 use bergamotswitch_net::link::counters::MessageKind;
 use bergamotswitch_net::link::handshake::{Hello, HelloPair, LinkKey, LinkRole, PeerRefusal};
 use bytes::Bytes;
@@ -394,6 +396,58 @@
         .await;
 }
 
+fn quota_levels() -> LinkMessage {
+    let shard = PoolShard {
+        pool: "bolido-llm".try_into().unwrap(),
+        domain: None,
+    };
+    let level = QuotaLevel {
+        account: "equipo-recuperacion".try_into().unwrap(),
+        units: 272_162,
+    };
+    LinkMessage::ToOwner(OwnerMessage::QuotaLevels {
+        shard,
+        levels: vec![level],
+    })
+}
+
+// Symptom: while a fleet is replaced by a newer version, host by host, links
+// between old and new hosts break at each planned stop, and calls wait. Cause:
+// a stopping owner hands its quotas over in a message that the older host takes
+// for no message, and so it drops the link.
+#[tokio::test]
+async fn older_peer() {
+    let (mut a, mut b) = (host("a", 1), host("b", 2));
+    let c = host("c", 3);
+    let roster = list(&[&a, &b, &c]);
+    a.hub.set_roster(&roster, KEY);
+    b.hub.set_roster(&roster, KEY);
+    a.hub.connect(&b.entry);
+    a.expect(LinkEvent::Up(b.run.clone())).await;
+    b.expect(LinkEvent::Up(a.run.clone())).await;
+    let mut older = RawPeer::connect(&a, "c", 3).await;
+    older.unknown_field = "link-messages";
+    let (answer, _writer) = older.prove(KEY).await;
+    assert_eq!(answer.status(), StatusCode::OK);
+    a.expect(LinkEvent::Up(c.run.clone())).await;
+    // It gets what it knows, and nothing else; one of this version gets both.
+    for host in [&b.run.host, &c.run.host] {
+        let sent = a.hub.send(host, &quota_levels());
+        assert_eq!(sent, *host == b.run.host);
+        assert!(a.hub.send(host, &beat(1)));
+    }
+    for message in [quota_levels(), beat(1)] {
+        b.expect(LinkEvent::Message(a.run.clone(), message)).await;
+    }
+    let mut body = answer.into_body();
+    let data = time::timeout(PATIENCE, body.data()).await.unwrap();
+    let mut frames = FrameReader::default();
+    frames.push(&data.unwrap().unwrap());
+    let first = frames.next_frame().unwrap().unwrap();
+    assert_eq!(first.message, beat(1));
+    assert_eq!(a.hub.counters().dropped, 1);
+}
+
 #[tokio::test]
 async fn unread_peer() {
     // Symptom: a host's memory grows until it dies. Sequence: a peer stays
