Send quota levels only to hosts that know them

Cause: the hand-over of quotas is a new message on links that kept their version. A host of the version before takes it for no message and drops the link, so while a fleet is replaced host by host links break at each planned stop, twice a host: calls that wait there are asked for again half a second later. By reading; no fleet of two versions was run.

Change: a hello names the newest set of messages that its side knows, in a field of its own that is left out of the proof, so that older hosts still find it right. A message is sent only to peers that know its set. What is not sent is lost, as before: the next owner's buckets begin empty.

Ruled out: a newer link version, with which old and new hosts would not link at all.

--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -11,6 +11,14 @@
 /// slot that nobody asked for.
 pub const LINK_VERSION: u16 = 2;
 
+/// The newest set of messages that this version knows. A message that is added
+/// begins a set; it is sent only to peers whose hello names that set, so that a
+/// fleet works while its hosts are replaced by newer ones.
+pub const MESSAGE_SET: u16 = 1;
+
+/// The set that began with the hand-over of quotas.
+const QUOTA_SET: u16 = 1;
+
 /// The largest message in bytes: a published value has up to a megabyte, and
 /// a peer must not make a host allocate without bound.
 pub const MAX_MESSAGE_LEN: usize = 1_200_000;
@@ -42,6 +50,16 @@
     Revision(RevisionMessage),
 }
 
+impl LinkMessage {
+    /// Get the set with which the message was added.
+    pub fn message_set(&self) -> u16 {
+        match self {
+            LinkMessage::ToOwner(OwnerMessage::QuotaLevels { .. }) => QUOTA_SET,
+            _ => 0,
+        }
+    }
+}
+
 /// A `LinkEvent` is what a host's links report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LinkEvent {
--- a/bergamotswitch-net/src/link/acceptor.rs
+++ b/bergamotswitch-net/src/link/acceptor.rs
@@ -199,7 +199,7 @@
     if let Err(refusal) = admitted {
         return Err(AcceptFailure::Refused(refusal, answer));
     }
-    let Some(guard) = registry.register(pair.dialler.run(), LinkRole::Acceptor) else {
+    let Some(guard) = registry.register(&pair.dialler, LinkRole::Acceptor) else {
         return Err(AcceptFailure::Duplicate(answer));
     };
     let mut head = Response::new(());
--- a/bergamotswitch-net/src/link/dialler.rs
+++ b/bergamotswitch-net/src/link/dialler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bergamotswitch_core::host::{EntryHost, HostIncarnation};
+use bergamotswitch_core::host::EntryHost;
 use bytes::Bytes;
 use h2::client::{self, SendRequest};
 use h2::{RecvStream, SendStream};
@@ -35,7 +35,7 @@
 
 /// A `ProvenStream` is a link's stream after its handshake.
 struct ProvenStream {
-    run: HostIncarnation,
+    acceptor: Hello,
     writer: SendStream<Bytes>,
     reader: RecvStream,
 }
@@ -93,10 +93,10 @@
     // The roster may have changed since the attempt began.
     registry.admit(&host.name).map_err(DialFailure::Refused)?;
     let guard = registry
-        .register(&proven.run, LinkRole::Dialler)
-        .or_else(|| registry.register_yielded(&proven.run))
+        .register(&proven.acceptor, LinkRole::Dialler)
+        .or_else(|| registry.register_yielded(proven.acceptor.run()))
         .ok_or(DialFailure::Duplicate)?;
-    let run = proven.run;
+    let run = proven.acceptor.run().clone();
     let session = LinkSession {
         guard,
         writer: proven.writer,
@@ -149,7 +149,7 @@
     pair.check_proof(key, LinkRole::Acceptor, answer.headers())
         .map_err(DialFailure::Refused)?;
     Ok(ProvenStream {
-        run: pair.acceptor.run().clone(),
+        acceptor: pair.acceptor,
         writer,
         reader: answer.into_body(),
     })
--- a/bergamotswitch-net/src/link/handshake.rs
+++ b/bergamotswitch-net/src/link/handshake.rs
@@ -18,7 +18,7 @@
 use std::fmt;
 
 use bergamotswitch_core::host::{HostIncarnation, HostName};
-use bergamotswitch_core::link::LINK_VERSION;
+use bergamotswitch_core::link::{LINK_VERSION, MESSAGE_SET};
 use hmac::{Hmac, Mac};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use serde::Serialize;
@@ -30,6 +30,7 @@
 const VERSION_FIELD: &str = "link-version";
 const RUN_FIELD: &str = "link-run";
 const NONCE_FIELD: &str = "link-nonce";
+const MESSAGES_FIELD: &str = "link-messages";
 const PROOF_FIELD: &str = "link-proof";
 
 /// A `PeerRefusal` is the reason why a connection is not taken as a link.
@@ -115,6 +116,10 @@
     version: u16,
     run: HostIncarnation,
     nonce: u128,
+    /// The newest set of messages that it knows. It is left out of the proof:
+    /// hosts from before it would find no proof right.
+    #[serde(skip)]
+    message_set: u16,
 }
 
 impl Hello {
@@ -124,6 +129,7 @@
             version: LINK_VERSION,
             run: run.clone(),
             nonce: rand::random(),
+            message_set: MESSAGE_SET,
         }
     }
 
@@ -132,9 +138,15 @@
         &self.run
     }
 
+    /// Get the newest set of messages that this side knows.
+    pub fn message_set(&self) -> u16 {
+        self.message_set
+    }
+
     /// Add the hello to header fields.
     pub fn write(&self, fields: &mut HeaderMap) {
         fields.insert(VERSION_FIELD, HeaderValue::from(self.version));
+        fields.insert(MESSAGES_FIELD, HeaderValue::from(self.message_set));
         insert_text(fields, RUN_FIELD, &self.run.to_string());
         insert_text(fields, NONCE_FIELD, &format!("{:032x}", self.nonce));
     }
@@ -154,10 +166,14 @@
             .map_err(|_| PeerRefusal::Malformed)?;
         let nonce = u128::from_str_radix(field_text(fields, NONCE_FIELD)?, 16)
             .map_err(|_| PeerRefusal::Malformed)?;
+        // A host from before message sets knows the first one.
+        let message_set = field_text(fields, MESSAGES_FIELD).unwrap_or("0");
+        let message_set = message_set.parse().map_err(|_| PeerRefusal::Malformed)?;
         Ok(Hello {
             version: LINK_VERSION,
             run,
             nonce,
+            message_set,
         })
     }
 }
--- a/bergamotswitch-net/src/link/registry.rs
+++ b/bergamotswitch-net/src/link/registry.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 
 use super::counters::{LinkCounters, MessageKind};
-use super::handshake::{LinkKey, LinkRole, PeerRefusal};
+use super::handshake::{Hello, LinkKey, LinkRole, PeerRefusal};
 use super::options::LinkOptions;
 use super::queue::{QueuedFrame, SendQueue};
 use super::value_frames::ValueFrames;
@@ -44,6 +44,8 @@
 struct ActiveLink {
     session: u64,
     run: HostIncarnation,
+    /// The newest set of messages that the peer knows.
+    message_set: u16,
     role: LinkRole,
     since: Instant,
     queue: Arc<SendQueue>,
@@ -143,11 +145,8 @@
 
     /// Try to make a session the link to its peer; `None` where the link that
     /// is there stays.
-    pub(crate) fn register(
-        self: &Arc<Self>,
-        run: &HostIncarnation,
-        role: LinkRole,
-    ) -> Option<LinkGuard> {
+    pub(crate) fn register(self: &Arc<Self>, hello: &Hello, role: LinkRole) -> Option<LinkGuard> {
+        let run = hello.run();
         let mut state = self.lock();
         let known = state.links.get(&run.host);
         let same_run = known.filter(|link| link.run == *run);
@@ -165,6 +164,7 @@
         let link = ActiveLink {
             session: state.sessions,
             run: run.clone(),
+            message_set: hello.message_set(),
             role,
             since: Instant::now(),
             queue,
@@ -275,6 +275,12 @@
             state.counters.dropped += 1;
             return false;
         };
+        // An older host takes it for no message and drops the link: one would
+        // see links break at each planned stop while a fleet is replaced.
+        if message.message_set() > link.message_set {
+            state.counters.dropped += 1;
+            return false;
+        }
         if link.queue.push(QueuedFrame { kind, bytes }) {
             return true;
         }
