--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -169,6 +169,8 @@
     /// In a planned stop, when enough hosts are expected to take callers again;
     /// none where they do now, or nobody can tell.
     OthersBack(Option<Moment>),
+    /// How many hosts there are, this one among them.
+    Hosts(usize),
     /// The planned stop may not last any longer: everything ends now.
     CutOff,
     /// Time has passed.
