--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -3,7 +3,9 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
+use std::collections::VecDeque;
 use std::fs::File;
+use std::io::{BufRead, BufReader, PipeReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,8 +27,7 @@
 pub struct HostChild {
     settings: PathBuf,
     child: Child,
-    /// The length of its output before it wrote any.
-    output_from: usize,
+    output: HostOutput,
 }
 
 impl Drop for HostChild {
@@ -35,29 +36,23 @@
         // takes no other signal.
         let _ = self.child.kill();
         let _ = self.child.wait();
-        if logs_folder().is_none() {
-            // A file that stays behind is no failure of the test.
-            let _ = std::fs::remove_file(output_path(&self.settings));
-        }
     }
 }
 
 impl HostChild {
     /// Start a host with this settings file.
     pub fn start(settings: PathBuf) -> Self {
-        let output_from = output_of(&settings).len();
-        let child = spawn(&settings);
+        let (child, output) = spawn(&settings);
         HostChild {
             settings,
             child,
-            output_from,
+            output,
         }
     }
 
     /// Start it again, with the same settings.
     pub fn restart(&mut self) {
-        self.output_from = output_of(&self.settings).len();
-        self.child = spawn(&self.settings);
+        (self.child, self.output) = spawn(&self.settings);
     }
 
     /// Kill it and wait for its end.
@@ -73,20 +68,19 @@
 
     /// Get whether it said that it listens on all its addresses.
     pub fn has_started(&self) -> bool {
-        self.output().lines().any(|line| line.starts_with(STARTED))
-    }
-
-    /// Get the last lines that it wrote since its start.
-    pub fn last_lines(&self) -> String {
-        let text = self.output();
-        let lines: Vec<&str> = text.lines().collect();
-        lines[lines.len().saturating_sub(LAST_LINES)..].join("\n")
+        lock(&self.output.seen).started
     }
 
-    fn output(&self) -> String {
-        let bytes = output_of(&self.settings);
-        let own = bytes.get(self.output_from..).unwrap_or_default();
-        String::from_utf8_lossy(own).into_owned()
+    /// Get the last lines that it wrote; all of them once it has ended.
+    pub fn last_lines(&mut self) -> String {
+        if self.end().is_some()
+            && let Some(reader) = self.output.reader.take()
+        {
+            reader.join().expect("its lines are read");
+        }
+        let seen = lock(&self.output.seen);
+        let lines: Vec<&str> = seen.last.iter().map(String::as_str).collect();
+        lines.join("\n")
     }
 
     /// Get how it ended, where it has.
@@ -159,8 +153,8 @@
     }
 }
 
-fn lock(host: &Mutex<HostChild>) -> MutexGuard<'_, HostChild> {
-    host.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 async fn watch_end(host: Arc<Mutex<HostChild>>, killed_at: Instant) -> StopEnd {
@@ -174,36 +168,59 @@
     StopEnd::Killed
 }
 
-fn spawn(settings: &Path) -> Child {
+/// What a host writes, read as it comes. It goes to no file unless a run is
+/// traced: a host that logs stands still for as long as a busy disk does.
+struct HostOutput {
+    seen: Arc<Mutex<SeenOutput>>,
+    reader: Option<std::thread::JoinHandle<()>>,
+}
+
+#[derive(Default)]
+struct SeenOutput {
+    started: bool,
+    last: VecDeque<String>,
+}
+
+fn spawn(settings: &Path) -> (Child, HostOutput) {
+    let (output, errors) = std::io::pipe().expect("pipe");
     let mut command = Command::new(env!("CARGO_BIN_EXE_bergamotswitch"));
     command.args(["serve", "--settings"]).arg(settings);
-    let path = output_path(settings);
-    let output = File::options().create(true).append(true).open(path);
-    let output = output.expect("output file");
-    let errors = output.try_clone().expect("output file");
-    command
-        .stdout(output)
-        .stderr(errors)
-        .spawn()
-        .expect("host starts")
+    let copy = errors.try_clone().expect("pipe");
+    let child = command.stdout(copy).stderr(errors).spawn();
+    let child = child.expect("host starts");
+    let seen = Arc::<Mutex<SeenOutput>>::default();
+    let shown = Arc::clone(&seen);
+    let file = log_file(settings);
+    let reader = std::thread::spawn(move || read_lines(output, &shown, file));
+    let output = HostOutput {
+        seen,
+        reader: Some(reader),
+    };
+    (child, output)
 }
 
-/// Get the file that a host's lines go to: beside its settings and gone with
-/// the test, or in the folder that the environment names for a run that is
-/// traced.
-fn output_path(settings: &Path) -> PathBuf {
-    let path = settings.with_extension("log");
-    match (logs_folder(), path.file_name()) {
-        (Some(folder), Some(name)) => folder.join(name),
-        _ => path,
+fn read_lines(output: PipeReader, seen: &Mutex<SeenOutput>, mut file: Option<File>) {
+    for line in BufReader::new(output).split(b'\n') {
+        let line = line.expect("a line");
+        let text = String::from_utf8_lossy(&line).into_owned();
+        if let Some(file) = &mut file {
+            writeln!(file, "{text}").expect("log file");
+        }
+        let mut seen = lock(seen);
+        seen.started |= text.starts_with(STARTED);
+        seen.last.push_back(text);
+        if seen.last.len() > LAST_LINES {
+            seen.last.pop_front();
+        }
     }
 }
 
-fn logs_folder() -> Option<PathBuf> {
-    std::env::var_os("BERGAMOT_TEST_LOGS").map(PathBuf::from)
-}
-
-/// Get all that hosts with these settings wrote; nothing where none did.
-fn output_of(settings: &Path) -> Vec<u8> {
-    std::fs::read(output_path(settings)).unwrap_or_default()
+/// Get where the lines of a run that is traced go: to a file of the folder that
+/// the environment names.
+fn log_file(settings: &Path) -> Option<File> {
+    let directory = std::env::var_os("BERGAMOT_TEST_LOGS")?;
+    let name = settings.with_extension("log");
+    let path = Path::new(&directory).join(name.file_name().unwrap_or_default());
+    let file = File::options().create(true).append(true).open(path);
+    Some(file.expect("log file"))
 }
