Bring about a connection that closes after a target's error, without an answer

The test fails: the target of a stream answers with its error, the call waits for another target and is given up, and the caller's connection closes.

--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use bergamotswitch_standin::users_target::{TargetMood, event_text};
+use bergamotswitch_standin::users_target::{TargetMood, UsersTarget, event_text};
 use http::StatusCode;
 use http_body_util::BodyExt;
-use users::{Call, Site};
+use users::{Call, KeptConnection, Site, SiteOptions, until};
 
 fn whole_stream() -> String {
     (1..=8).map(event_text).collect()
@@ -189,3 +189,41 @@
     let runs: usize = site.engines.iter().map(|engine| engine.seen().len()).sum();
     assert_eq!(runs, 9);
 }
+
+// Symptom: a caller's kept connection closes without any answer, while the host
+// goes on. Sequence: the target of a stream answers with its own error; the call is
+// to be tried at another target, which has no place; it waits, and is given up. Cause:
+// whatever the answer's parts began with when it was over was passed on as the
+// beginning of a stream: the error's head, then a body that broke off, so that the
+// connection ended before the head had left.
+// Evidence: the host's line 206 of such a call has one piece, the outcome refused
+// and the reason deadline-passed, 2 ms after the target's error; the connection
+// closes at that moment.
+#[tokio::test]
+async fn error_then_refused() {
+    let site = Site::start_with(SiteOptions {
+        slots: 1,
+        events: 60,
+        gap: Duration::from_millis(100),
+        timeout: Duration::from_secs(20),
+        ..SiteOptions::default()
+    })
+    .await;
+    let door = site.door();
+    let held = Call::stream("/draft/1", "held").with("deadline-ms", "15000");
+    let held = tokio::spawn(async move { held.send(door).await });
+    let is_busy = |engine: &UsersTarget| engine.seen().iter().any(|call| call.ran);
+    until("a target runs the stream", async || {
+        site.engines.iter().any(is_busy)
+    })
+    .await;
+    let free = site.engines.iter().find(|engine| !is_busy(engine));
+    free.expect("one runs nothing")
+        .expect(&[TargetMood::Failing]);
+    let mut connection = KeptConnection::open(door).await.expect("connection");
+    let call = Call::stream("/draft/1", "refused").with("deadline-ms", "2000");
+    let answer = connection.send(call).await.expect("an answer");
+    assert!(answer.whole, "{answer:?}");
+    assert!(answer.status.is_server_error(), "{answer:?}");
+    held.await.expect("call").expect("answer");
+}
