Begin a caller's stream with a stream's own head alone

Cause: a target's error that another attempt is to follow stays in the answer until that attempt starts. Given up before it starts, the answer is over and begins with the error's head. The gateway took that for the beginning of a stream; the body broke off at once, and the connection closed before the head had left: LOST.

Change: only a success begins a stream; everything else is passed on whole, here as the refusal that ended it. The project's own interface looked at the head already.

Ruled out: the stops.

Ran: gateway_streams, gateway_calls.

--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -317,6 +317,11 @@
 }
 
 /// Follow an accepted call's answer.
+///
+/// An answer that is over may begin with the error of a target that another one
+/// was to follow, and end with a refusal. Passed on as it comes, its body would
+/// break off at once, and the caller's connection close before the error's head has
+/// left: the caller has no answer at all. Only a stream's own head begins one.
 async fn follow(mut follower: AnswerFollower, is_stream: bool) -> Response<AnswerBody> {
     if !is_stream {
         return whole_answer(follower.whole().await);
@@ -326,7 +331,9 @@
             status,
             content_type,
             fields,
-        } => target_answer(status, &content_type, fields, AnswerBody::follow(follower)),
+        } if is_success(status) => {
+            target_answer(status, &content_type, fields, AnswerBody::follow(follower))
+        }
         _ => whole_answer(follower.whole().await),
     }
 }
@@ -336,12 +343,16 @@
 fn has_event(parts: &[AnswerPart]) -> bool {
     let mut parts = parts.iter();
     let begun = match parts.next() {
-        Some(AnswerPart::Head { status, .. }) => (200..300).contains(status),
+        Some(AnswerPart::Head { status, .. }) => is_success(*status),
         _ => false,
     };
     begun && parts.any(|part| matches!(part, AnswerPart::Data(_)))
 }
 
+fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 fn whole_answer(parts: Vec<AnswerPart>) -> Response<AnswerBody> {
     let mut head = None;
     let mut pieces = Vec::new();
