Take out a counter that nobody can read

bergamot_overdue_requests_total moved in the last 0.2 s of a process, whose metrics are hardly read then; metrics_move, which asks that each series moves, failed by it in the whole run of the checks. The log tells of each such request (207), and the number of those lines is counted as for every event.

--- a/bergamotswitch-net/src/metrics/labels.rs
+++ b/bergamotswitch-net/src/metrics/labels.rs
@@ -41,12 +41,6 @@
     pub(super) value: String,
 }
 
-/// A `StageLabels` tells open requests apart.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(super) struct StageLabels {
-    pub(super) stage: &'static str,
-}
-
 /// A `ForwardLabels` tells forwarded requests apart.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ForwardLabels {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -1,7 +1,6 @@
 //! Provides a host's metrics in the Prometheus text format.
 
 mod labels;
-mod open_stage;
 mod owner_totals;
 mod registration;
 
@@ -21,12 +20,11 @@
 
 use labels::{
     ForwardLabels, IncidentLabels, MessageLabels, ReasonLabels, RefusalLabels, ShardLabels,
-    StageLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
+    TierLabels, ValueLabels, WasteLabels, tier_labels,
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
 
-pub use open_stage::OpenStage;
 pub use owner_totals::OwnerTotals;
 
 /// The prefix of all metric names.
@@ -65,7 +63,6 @@
     first_token: TimeFamily,
     queue_wait: TimeFamily,
     incidents: Family<IncidentLabels, Counter>,
-    overdue: Family<StageLabels, Counter>,
     forwards: Family<ForwardLabels, Counter>,
     queued: Family<TierLabels, Gauge>,
     revisions: Family<ValueLabels, Gauge<u64, AtomicU64>>,
@@ -100,7 +97,6 @@
             first_token: time_family(),
             queue_wait: time_family(),
             incidents: Family::default(),
-            overdue: Family::default(),
             forwards: Family::default(),
             queued: Family::default(),
             revisions: Family::default(),
@@ -143,11 +139,6 @@
                 number: u32::from(incident.number()),
             }));
         }
-        for stage in OpenStage::ALL {
-            drop(self.overdue.get_or_create(&StageLabels {
-                stage: stage.as_str(),
-            }));
-        }
     }
 
     /// Count a refusal; without a tier where no rule had given one yet.
@@ -211,13 +202,6 @@
         self.incidents.get_or_create(&labels).inc();
     }
 
-    /// Count a request that was still open when a planned stop had nearly used
-    /// up its grace.
-    pub fn overdue(&self, stage: OpenStage) {
-        let stage = stage.as_str();
-        self.overdue.get_or_create(&StageLabels { stage }).inc();
-    }
-
     /// Count a request forwarded to its holder, and whether that was reached.
     pub fn forwarded(&self, reached: bool) {
         let reached = match reached {
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -46,11 +46,6 @@
             "Numbered events of docs/EVENTS.md",
             self.incidents.clone(),
         );
-        registry.register(
-            "overdue_requests",
-            "Requests open when a planned stop had nearly used up its grace",
-            self.overdue.clone(),
-        );
         registry.register(
             "forwards",
             "Requests forwarded to the host that holds them",
--- a/bergamotswitch-net/src/node/drive/reports.rs
+++ b/bergamotswitch-net/src/node/drive/reports.rs
@@ -86,7 +86,6 @@
         let now = self.now();
         for (id, request) in self.open.live() {
             self.metrics.incident(Incident::RequestOpen);
-            self.metrics.overdue(request.label.stage());
             let pieces = request.answer.pieces();
             request.label.note_open(now, id, times, pieces);
         }
--- a/bergamotswitch-net/src/node/request_label.rs
+++ b/bergamotswitch-net/src/node/request_label.rs
@@ -14,7 +14,6 @@
 use super::stop::StopTimes;
 use crate::input::OutgoingCall;
 use crate::journal;
-use crate::metrics::OpenStage;
 
 /// A `RequestLabel` is what the line about a request's end says of it.
 #[derive(Debug)]
@@ -145,7 +144,10 @@
     pub(super) fn note_open(&self, now: Moment, id: RequestId, stop: &StopTimes, pieces: usize) {
         let number = id.sequence;
         let caller_id = self.caller_id.as_deref().unwrap_or_default();
-        let stage = self.stage().as_str();
+        let stage = match self.started_at {
+            Some(_) => "running",
+            None => "waiting",
+        };
         let age = now.since(self.received_at).as_millis();
         let ran = self.started_at.map_or(Duration::ZERO, |at| now.since(at));
         let ran = ran.as_millis();
@@ -184,14 +186,6 @@
             .map_or(String::new(), |tokens| tokens.to_string())
     }
 
-    /// Get how far the request is.
-    pub(super) fn stage(&self) -> OpenStage {
-        match self.started_at {
-            Some(_) => OpenStage::Running,
-            None => OpenStage::Waiting,
-        }
-    }
-
     fn target_names(&self) -> String {
         let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
         names.join(",")
