--- a/bergamotswitch-core/src/roster/machine.rs
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -113,8 +113,9 @@
     /// A process that stands still for a second hears nobody. Taken for the
     /// others' silence, it would be alone when it wakes: one would see it act as
     /// owner beside the owner, and refuse what waits there, until their next
-    /// messages. A round later than its whole interval is no delay of a loop that
-    /// runs, and what lies beyond that counts for nobody.
+    /// messages. What a round is late beyond its whole interval counts for nobody.
+    /// A host that is always that late, for want of a processor, so notices others'
+    /// ends later.
     fn discount_sleep(&mut self, now: Moment) {
         let slept = now.since(self.awake_until());
         if slept.is_zero() {
