Tell an owner what this host holds when its link opens anew

Cause: what is sent into a link that closes is lost. A host that slept gave its permits back into closed links; its owner counted them until their audit, some 25 s later, and callers waited for idle targets (entry_frozen, known red). Asks sent into a closed link stood still until they were sent again.

Change: a link that opens to the owner of a shard makes its entry host tell again what it holds and ask again for what waits; the owner audits the rest at once. A restarted owner is told by the same path, so that the special one for it goes.

Ruled out: retelling on wake-up alone. The links close after it, and a link that closes without a sleep loses the same.

--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -108,7 +108,7 @@
                     .shards
                     .on_all(now, |_| OwnerEvent::HostGone(host.clone(), run));
                 self.queue_owner(actions);
-                self.retell_successor(now, &host);
+                self.exposure.run_ended(now, &host);
             }
             MembershipAction::Note(incident, host) => {
                 let text = format!("peer={host}");
@@ -117,13 +117,14 @@
         }
     }
 
-    /// Tell a restarted owner what this host holds. It is the same host to
-    /// membership, which announces no change, but its new run knows neither
-    /// the keys nor the work that the earlier one knew: a request sent again
-    /// at another host would run twice. One would see two runs of one key in
-    /// an engine's ledger after a quick restart.
-    fn retell_successor(&mut self, now: Moment, host: &HostName) {
-        for shard in self.exposure.restarted(now, host) {
+    /// Tell an owner that is linked anew what this host holds, and ask again for
+    /// what waits. To membership it is the same host, which announces no change,
+    /// but what was sent over the former link may be lost, and a new run of it
+    /// knows neither keys nor work. Without this, targets stand idle until the
+    /// owner's audit of permits that were given back long ago, and a request
+    /// sent again at another host could run twice after a quick restart.
+    pub(super) fn retell_linked(&mut self, now: Moment, host: &HostName) {
+        for shard in self.exposure.owned_by(host) {
             self.tell_desk(now, EntryEvent::OwnerIs(shard, host.clone()));
         }
     }
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -299,6 +299,7 @@
             LinkEvent::Up(run) => {
                 let host = run.host.clone();
                 self.tell_membership(now, MembershipEvent::LinkUp(run));
+                self.retell_linked(now, &host);
                 self.tell_book(now, RevisionEvent::PeerUp(host));
             }
             LinkEvent::Down(run) => {
--- a/bergamotswitch-core/src/node/exposure.rs
+++ b/bergamotswitch-core/src/node/exposure.rs
@@ -63,16 +63,18 @@
         self.shards.get(shard).map(|seen| &seen.owner)
     }
 
-    /// Take note that a host runs anew; get the shards that it owns.
-    pub(super) fn restarted(&mut self, now: Moment, host: &HostName) -> Vec<PoolShard> {
-        let mut owned = Vec::new();
-        for (shard, seen) in &mut self.shards {
-            if seen.owner == *host {
-                seen.taken_over_at = Some(now);
-                owned.push(shard.clone());
-            }
+    /// Take note that a host's run has ended: its next one knows no keys.
+    pub(super) fn run_ended(&mut self, now: Moment, host: &HostName) {
+        let owned = self.shards.values_mut().filter(|seen| seen.owner == *host);
+        for seen in owned {
+            seen.taken_over_at = Some(now);
         }
-        owned
+    }
+
+    /// Get the shards that a host owns in this host's view.
+    pub(super) fn owned_by(&self, host: &HostName) -> Vec<PoolShard> {
+        let owned = self.shards.iter().filter(|(_, seen)| seen.owner == *host);
+        owned.map(|(shard, _)| shard.clone()).collect()
     }
 
     /// Get whether an order of the pool was taken over within `retention`: its
--- a/bergamotswitch-core/tests/node_bench/net.rs
+++ b/bergamotswitch-core/tests/node_bench/net.rs
@@ -115,6 +115,24 @@
         }
     }
 
+    /// Cut two hosts off from each other: their link closes, and what was sent
+    /// over it and not read is lost.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a.min(b), a.max(b)));
+        self.tell_ends(a, b, LinkEvent::Down);
+    }
+
+    /// Let two hosts reach each other again, over a new link.
+    pub fn heal(&mut self, a: usize, b: usize) {
+        self.cuts.remove(&(a.min(b), a.max(b)));
+        self.tell_ends(a, b, LinkEvent::Up);
+    }
+
+    fn tell_ends(&mut self, a: usize, b: usize, news: fn(HostIncarnation) -> LinkEvent) {
+        self.nodes[a].event(NodeEvent::Link(news(run(HOSTS[b]))));
+        self.nodes[b].event(NodeEvent::Link(news(run(HOSTS[a]))));
+    }
+
     pub fn owners(&self) -> Vec<usize> {
         let owns = |node: &TestNode| node.core.view(node.now).owns.contains(&shard());
         let nodes = self.nodes.iter().enumerate();
