Believe a caller's guess only where guesses as large were put to the test

Cause: a stopping host bounded a long answer by what became of the guesses of recent runs, nearly all of them short and right.

Change: a guess counts where 16 recent runs had guesses at least half as large; else the most that the call may make bounds it.

Ruled out: a larger factor for all calls, which turns short ones away too.

entry_grace::larger_guesses failed before.

--- a/bergamotswitch-core/src/entry/run_lengths.rs
+++ b/bergamotswitch-core/src/entry/run_lengths.rs
@@ -15,6 +15,10 @@
 /// run in ten.
 const MIN_SAMPLES: usize = 16;
 
+/// Guesses are alike that are at least so large a part of each other: callers
+/// are right about short answers and wrong about long ones.
+const ALIKE_PARTS: u32 = 2;
+
 /// The most rules that are remembered; beyond, all begin anew. A fleet has some
 /// hundred.
 const MAX_RULES: usize = 2_048;
@@ -164,6 +168,9 @@
 /// Get the bound of a call that tells its likely output: its pieces, at the
 /// slowest pace. Lengths vary hundredfold, pace and what comes of guesses hardly;
 /// without it all work of a rule would be taken for as long as its longest.
+/// Where few guesses as large as this one were put to the test, the most that it
+/// may make is its bound: a host that had seen short answers alone would take a
+/// long one for what its caller thinks, and cut it.
 fn piece_bound(
     runs: &VecDeque<RunSpan>,
     under_way: &[RunSpan],
@@ -178,13 +185,26 @@
     let pace = ended.into_iter().chain(so_far).max()?;
     let all = || runs.iter().chain(under_way);
     let first = all().map(|run| run.first).max()?;
-    let growth = all().map(RunSpan::growth).fold(0.0, f64::max);
-    let pieces = f64::from(likely.max(LEAST_GUESS)) * growth * PIECES_FACTOR;
     // Each piece holds a token or more.
-    let pieces = pieces.min(f64::from(most));
+    let most = f64::from(most);
+    let pieces = match has_alike(runs, likely) {
+        true => {
+            let growth = all().map(RunSpan::growth).fold(0.0, f64::max);
+            (f64::from(likely.max(LEAST_GUESS)) * growth * PIECES_FACTOR).min(most)
+        }
+        false => most,
+    };
     Some(first * FIRST_FACTOR + pace.mul_f64(pieces))
 }
 
+/// Get whether enough guesses about as large as this one, or larger, were put to
+/// the test.
+fn has_alike(runs: &VecDeque<RunSpan>, likely: u32) -> bool {
+    let least = likely.max(LEAST_GUESS) / ALIKE_PARTS;
+    let alike = runs.iter().filter(|run| run.output >= least);
+    alike.count() >= MIN_SAMPLES
+}
+
 /// Get the bound of any call. One that is thought to need more output than all
 /// recent runs is as many times longer: a host that had seen short answers alone
 /// would otherwise take an answer thirty times as long for one of these, and cut it.
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -292,6 +292,29 @@
     desk.begin(tiny, "t0");
 }
 
+// Symptom: an answer of 6.6 s that was asked for 1.1 s after the signal is cut.
+// Sequence: nearly all runs of the rule are short, with right estimates; a caller
+// asks for ten times as much, by an estimate that is a third of what it takes.
+// Cause: what became of small guesses was believed of a large one.
+#[test]
+fn larger_guesses() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    for _ in 0..MANY_RUNS {
+        learn_one(&mut desk, sized(40), Duration::from_millis(100), 5);
+    }
+    for _ in 0..MANY_RUNS / 10 {
+        learn_one(&mut desk, sized(400), Duration::from_secs(1), 50);
+    }
+    stop(&mut desk, LEFT);
+    desk.begin(sized(40), "t0");
+    turned_away(&mut desk, sized(400));
+    // The most that it may make bounds it all the same.
+    let mut bounded = sized(400);
+    bounded.terms.most_output = Some(401);
+    desk.event(EntryEvent::WholeBy(desk.now.plus(LEFT * 2)));
+    desk.begin(bounded, "t0");
+}
+
 // Symptom: answers are cut at the end of a grace although recent runs fit it.
 // Sequence: whole runs take three seconds; a target fails 64 times at once, or
 // as many callers leave; a stop begins with two seconds left. Cause: runs that
