Wait for a silent target's stream where no other run may follow

Cause: a stream that may be carried on was broken off after a pause of one second, and only then was asked whether another run may begin. At a stopping host, or without retries left, its caller's answer was cut while its target worked on it.

Change: a pause is told, not an end. The desk ends the attempt where another run may begin now; else its target is waited for, and asked about again after each further pause.

Ruled out: no bound on pauses at all. A silent target's stream would hang where another one carries it on (gateway_streams::pause_carried_on).

gateway_streams::pause_in_stop failed before (stream cut), entry_retries:: silent_stream plays it without a network.

--- a/bergamotswitch-core/src/entry/desk/aborting.rs
+++ b/bergamotswitch-core/src/entry/desk/aborting.rs
@@ -127,6 +127,20 @@
         self.refuse(now, record, refusal, actions);
     }
 
+    /// Stop an attempt whose target is silent; its owner counts it as failed.
+    pub(super) fn abort_silent(
+        &mut self,
+        now: Moment,
+        record: &RequestRecord,
+        running: &RunningAttempt,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let usage = running.usage(now, record.submission.cost.prefill);
+        let outcome = ReleaseOutcome::Failed(usage);
+        self.abort_as(now, record, running, outcome, actions);
+        count_waste(record, WasteCause::Retry, usage.prefill, actions);
+    }
+
     fn abort(
         &mut self,
         now: Moment,
@@ -136,17 +150,23 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let usage = running.usage(now, record.submission.cost.prefill);
+        let outcome = ReleaseOutcome::Stopped(usage);
+        self.abort_as(now, record, running, outcome, actions);
+        count_waste(record, cause, usage.prefill, actions);
+    }
+
+    fn abort_as(
+        &mut self,
+        now: Moment,
+        record: &RequestRecord,
+        running: &RunningAttempt,
+        outcome: ReleaseOutcome,
+        actions: &mut Vec<EntryAction>,
+    ) {
         actions.push(EntryAction::Abort {
             attempt: record.attempt_id(),
             cancel: true,
         });
-        self.release(
-            now,
-            record,
-            running,
-            ReleaseOutcome::Stopped(usage),
-            actions,
-        );
-        count_waste(record, cause, usage.prefill, actions);
+        self.release(now, record, running, outcome, actions);
     }
 }
--- a/bergamotswitch-core/src/entry/desk/follow_up.rs
+++ b/bergamotswitch-core/src/entry/desk/follow_up.rs
@@ -85,6 +85,28 @@
         }
     }
 
+    /// Let another run carry a silent stream on, where one may begin now. Where
+    /// none may, its target is waited for: its next event may be on its way, and
+    /// to break off would lose its caller an answer that is being made.
+    pub(super) fn carry_on(
+        &mut self,
+        now: Moment,
+        mut record: RequestRecord,
+        running: RunningAttempt,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        record.runs = record.runs.saturating_add(1);
+        let may_follow = self.may_run_again(&record, &running);
+        if !may_follow || self.try_retry(now, &record).is_err() {
+            record.runs -= 1;
+            return self.put_back(record, running);
+        }
+        record.avoid_target(&running.permit.target);
+        self.abort_silent(now, &record, &running, actions);
+        let life = running.life.rerun();
+        self.ask_again(now, record, life, RetryReason::ConnectionBroke, actions);
+    }
+
     /// Get whether another run may follow one that may have run: not where it
     /// would do harm, nor where a caller has seen some of an answer.
     pub(super) fn may_run_again(&self, record: &RequestRecord, running: &RunningAttempt) -> bool {
--- a/bergamotswitch-core/src/entry/desk/progress.rs
+++ b/bergamotswitch-core/src/entry/desk/progress.rs
@@ -53,6 +53,7 @@
                 actions.push(EntryAction::Note(Incident::StreamResumed, record.id));
                 self.put_back(record, running);
             }
+            AttemptEvent::Silent => self.carry_on(now, record, running, actions),
             AttemptEvent::Finished(usage) => self.finished(now, record, running, usage, actions),
             AttemptEvent::NotSent(reason) => self.not_sent(now, record, running, reason, actions),
             AttemptEvent::Refused => self.refused_at(now, record, running, actions),
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -132,6 +132,8 @@
     Progress(u32),
     /// The stream goes on over a new connection.
     Resumed,
+    /// The stream has paused for so long that its target may be gone.
+    Silent,
     /// The answer is whole.
     Finished(Usage),
     /// The connection broke or went silent and the stream was not resumed.
--- a/bergamotswitch-core/tests/entry_retries.rs
+++ b/bergamotswitch-core/tests/entry_retries.rs
@@ -138,6 +138,33 @@
     assert_eq!(desk.reply(preempt(permit.id, attempt)), vec![]);
 }
 
+// Symptom: a caller's stream is cut while its target works on it. Sequence: a
+// stream that may be carried on pauses for a second; no other run may follow.
+// Cause: the pause was taken for the end of the run.
+#[test]
+fn silent_stream() {
+    let mut stream = submission();
+    stream.streaming = true;
+    stream.terms.resumable = true;
+    stream.terms.max_runs = Some(2);
+    let mut desk = TestDesk::new(EntryOptions::default());
+    let first = desk.begin(stream, "t0");
+    desk.attempt(first, AttemptEvent::FirstToken);
+    let actions = desk.attempt(first, AttemptEvent::Silent);
+    assert!(retried(&actions, RetryReason::ConnectionBroke));
+    let aborted = |attempt| EntryAction::Abort {
+        attempt,
+        cancel: true,
+    };
+    assert!(actions.contains(&aborted(first)));
+    // The second run is the last one: its target is waited for.
+    let second = asks(&actions)[0].attempt;
+    desk.start(second, "t1");
+    assert_eq!(desk.attempt(second, AttemptEvent::Silent), vec![]);
+    let actions = desk.attempt(second, AttemptEvent::Finished(usage()));
+    assert_eq!(conclusions(&actions), vec![Conclusion::Answered]);
+}
+
 #[test]
 fn no_late_retry() {
     let mut desk = TestDesk::new(EntryOptions::default());
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::name::AccountName;
 use bergamotswitch_platform::answer::{self, TargetAnswer};
@@ -44,7 +45,7 @@
     /// How long the answer may take to begin before the target counts as
     /// silent; until the deadline where absent.
     pub first_wait: Option<Duration>,
-    /// How long a stream may pause before its target counts as silent.
+    /// How long a stream that has begun may pause before its target may be gone.
     pub gap_wait: Option<Duration>,
 }
 
@@ -225,7 +226,7 @@
         let mut blocks = EventBlocks::default();
         let mut head_pushed = self.context.answer.last_event().is_some();
         loop {
-            let frame = match self.next_frame(&mut body, meter).await {
+            let frame = match self.next_frame(&mut body, meter, report).await {
                 Ok(Some(frame)) => frame,
                 Ok(None) => break,
                 Err(end) => return end,
@@ -274,30 +275,33 @@
         kind.is_none_or(|kind| kind.as_bytes().starts_with(EVENT_STREAM_TYPE))
     }
 
-    /// Get the next piece of a stream; `None` at its end.
+    /// Get the next piece of a stream; `None` at its end. A pause after its first
+    /// event is told, and waited out unless the loop ends the attempt.
     async fn next_frame(
         &self,
         body: &mut Incoming,
         meter: &UsageMeter,
+        report: &AttemptReport,
     ) -> Result<Option<hyper::body::Frame<bytes::Bytes>>, CallEnd> {
+        let carries_on = self.context.answer.last_event().is_some();
+        let has_begun = carries_on || !meter.is_first();
         let wait = match meter.is_first() {
             true => self.routed.first_wait,
             false => self.routed.gap_wait,
         };
-        let next = async {
-            match wait {
-                Some(wait) => timeout(wait, body.frame())
-                    .await
-                    .map_err(|_| "silent stream"),
+        let cause = loop {
+            let next = match wait {
+                Some(wait) => timeout(wait, body.frame()).await,
                 None => Ok(body.frame().await),
+            };
+            match next {
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => return Ok(Some(frame)),
+                Ok(Some(Err(_))) => break "stream cut off",
+                Err(_) if has_begun => report.step(AttemptEvent::Silent),
+                Err(_) => break "silent stream",
             }
         };
-        let cause = match next.await {
-            Ok(None) => return Ok(None),
-            Ok(Some(Ok(frame))) => return Ok(Some(frame)),
-            Ok(Some(Err(_))) => "stream cut off",
-            Err(cause) => cause,
-        };
         self.context.note(Incident::AnswerRejected, cause);
         Err(CallEnd::Broken(meter.usage()))
     }
--- a/bergamotswitch-standin/src/users_target.rs
+++ b/bergamotswitch-standin/src/users_target.rs
@@ -43,6 +43,8 @@
     Mute,
     /// Its stream breaks off in the middle of the event after so many.
     BreakAfter(u32),
+    /// Its stream stands still for so long after so many events.
+    PauseAfter(u32, Duration),
 }
 
 /// A `SeenCall` is one call as a target got it.
@@ -230,7 +232,7 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         TargetMood::Mute => sleep(Duration::from_secs(3_600)).await,
-        TargetMood::BreakAfter(_) => {}
+        TargetMood::BreakAfter(_) | TargetMood::PauseAfter(..) => {}
     }
     let is_stream = !call.field("token-count").is_empty();
     let response = match is_stream {
@@ -289,11 +291,18 @@
         TargetMood::BreakAfter(count) => Some(first + count),
         _ => None,
     };
+    let (paused_at, pause) = match *mood {
+        TargetMood::PauseAfter(count, pause) => (Some(first + count), pause),
+        _ => (None, Duration::ZERO),
+    };
     let pieces = stream::iter(first..=last).then(move |id| {
         // The stream holds the run until it has ended or is dropped.
         let _run = &run;
         async move {
             sleep(gap).await;
+            if paused_at == Some(id) {
+                sleep(pause).await;
+            }
             match broken_at {
                 Some(broken) if id > broken => Err(io::ErrorKind::ConnectionReset.into()),
                 Some(broken) if id == broken => {
--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -115,6 +115,54 @@
     assert_eq!(answer.text(), whole_stream());
 }
 
+/// Longer than a stream may pause before its target is doubted, shorter than a
+/// host's grace.
+const LONG_PAUSE: Duration = Duration::from_millis(2_500);
+
+// Symptom: a stream is cut at a stopping host while its target works on it.
+// Sequence: SIGTERM comes in the middle of the stream; its target makes nothing
+// for some seconds; no other run may begin in the time that is left. Cause: the
+// pause was taken for the end of the run before anybody asked whether another
+// one may follow.
+#[tokio::test]
+async fn pause_in_stop() {
+    let mut site = Site::start(1).await;
+    for engine in &site.engines {
+        engine.expect(&[TargetMood::PauseAfter(3, LONG_PAUSE)]);
+    }
+    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
+    let mut body = response.expect("answer").into_body();
+    let first = body.frame().await.expect("piece").expect("piece");
+    let mut bytes = first.into_data().unwrap_or_default().to_vec();
+    site.hosts[0].child.signal("TERM");
+    while let Some(frame) = body.frame().await {
+        let frame = frame.expect("the stream goes on to its end");
+        bytes.extend(frame.into_data().unwrap_or_default());
+    }
+    assert_eq!(String::from_utf8_lossy(&bytes), whole_stream());
+    assert!(site.hosts[0].ended().await.success());
+}
+
+// Symptom: a stream hangs behind a target that makes nothing any more. Sequence:
+// its target stands still in the middle; another one could carry the stream on.
+// Cause guarded against: waiting for a silent target where another run may follow.
+#[tokio::test]
+async fn pause_carried_on() {
+    let site = Site::start(1).await;
+    for engine in &site.engines {
+        engine.expect(&[TargetMood::PauseAfter(3, Duration::from_secs(3_600))]);
+    }
+    let answer = Call::stream("/draft/1", "r-1").send(site.door()).await;
+    let answer = answer.expect("answer");
+    // The second engine stands still after three more, and no third run may
+    // follow: its caller's deadline ends the stream.
+    assert!(!answer.whole);
+    let six: String = (1..=6).map(event_text).collect();
+    assert_eq!(answer.text(), six);
+    let answer = Call::stream("/draft/1", "r-2").send(site.door()).await;
+    assert_eq!(answer.expect("answer").text(), whole_stream());
+}
+
 // Symptom: the last bytes of a stream are missing after a planned stop.
 // Sequence: SIGTERM comes in the middle of a stream; the run ends, the loop is
 // idle, and the process ends before the bytes have left. Cause: the end of the
