--- a/bergamotswitch-core/src/entry/run_lengths.rs
+++ b/bergamotswitch-core/src/entry/run_lengths.rs
@@ -24,20 +24,11 @@
 const MAX_RULES: usize = 2_048;
 
 /// How many times the longest of recent runs is taken for a bound where a call
-/// tells nothing of its own length. Lengths vary hundredfold: of the 57,000 runs in
-/// the logs of nine days of three fleets one in 35 took longer than the longest of
-/// the 64 before it at its host and rule, one in 330 twice as long, one in 6,300
-/// four times as long.
+/// tells nothing of its own length: lengths vary hundredfold.
 const LENGTH_FACTOR: u32 = 4;
 
 /// How many times the longest of recent times to the first piece is taken for a
 /// bound: it is a target's queue and prompt, whatever the call says of its answer.
-///
-/// This factor and the next were measured together, on 82,750 runs of the long
-/// rules in the logs of 42 plays of three fleets: of 68,947 without slow targets one
-/// in 7,661 took longer than its bound (one in 4,309 with the factor above), of
-/// 13,803 beside a change to slow targets one in 812 (one in 986); 18.5 and 11.3 in
-/// 100 are known to end within 7.4 s (1.7 in 100 both).
 const FIRST_FACTOR: u32 = 3;
 
 /// How many times the most pieces of recent runs, for the output that was guessed,
--- a/bergamotswitch-core/src/node/returns.rs
+++ b/bergamotswitch-core/src/node/returns.rs
@@ -17,8 +17,8 @@
 const FEW_PARTS: usize = 4;
 
 /// From the moment by which a stopping host's answers are whole until its next
-/// process takes callers: the rest of its grace, 0.4 s, and its start. 0.7 s in the
-/// logs of twelve plays of three fleets, and the time until callers hear of it.
+/// process takes callers: the rest of its grace, its start, and the time until
+/// callers hear of it.
 const RETURN_MARGIN: Duration = Duration::from_secs(1);
 
 /// How many times the span of a stop a host that stopped is expected back. One
--- a/bergamotswitch-core/src/pool_owner/followers.rs
+++ b/bergamotswitch-core/src/pool_owner/followers.rs
@@ -14,9 +14,9 @@
 /// earlier one has answered for a while. Were each to give out whole quotas, an
 /// account would get a second full quota through the host that has just
 /// started, and find a burst there when the others turn to it; one would see it
-/// use 1.35 million units in eight seconds where 1.13 million are allowed. A
-/// host asks one owner at a time. So each owner gives out the part that falls
-/// to the hosts that ask it, and the parts of all owners make one quota.
+/// use more than its quota in a window around the start. A host asks one owner
+/// at a time. So each owner gives out the part that falls to the hosts that ask
+/// it, and the parts of all owners make one quota.
 #[derive(Debug, Default)]
 pub(super) struct OwnerFollowers {
     hosts: BTreeSet<HostName>,
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -70,9 +70,9 @@
 /// A bucket begins empty. A new owner does not know what the former one let
 /// pass, unless that one hands its buckets over; with an empty bucket, the use
 /// in any window around the change stays within one burst and the rate over the
-/// window, whatever came before. With a count over the window itself, an account that was over its rate used it
-/// again after all hosts had been killed: 2.72 of 2.57 million tokens allowed
-/// in eight seconds.
+/// window, whatever came before. With a count over the window itself, an
+/// account that was over its rate would use a second window's quota after all
+/// hosts were killed.
 #[derive(Debug)]
 pub struct QuotaBook {
     rates: HashMap<AccountName, QuotaRate>,
--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_routing.rs
@@ -56,10 +56,9 @@
 
 /// A `SlotView` is the targets of a shard as the asks of one moment see them.
 ///
-/// Under overload most events find no free place, or one. Looking at each
-/// target for each kind of ask took an owner of 60 targets 36 us an event, and
-/// a burst then held up every answer of the shard; looking first at those that
-/// have a place takes 12 us (the test `burst_cost`).
+/// Under overload most events find no free slot, or one. An owner that looked at
+/// each target for each kind of ask would fall behind in a burst, and hold up
+/// every answer of the shard; so those that have a slot are looked for first.
 #[derive(Debug)]
 pub(super) struct SlotView<'a> {
     targets: &'a TargetSet,
--- a/bergamotswitch-core/src/pool_owner/tier_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/tier_floor.rs
@@ -7,12 +7,7 @@
 //! tier is not shed while lower work is kept; between those below it they ask
 //! for an order, not for all or nothing. So a tier below the second is owed a
 //! part of the share that the one above it gets served, and goes before it while
-//! it has less. In virtual time (`tier_floors`) 271 of 960 requests of the last
-//! tier are served in place of none, and 636 of 960 of the one above it in place
-//! of 683, with the top tier whole. On 36 heavy days of real processes, three
-//! days on twelve seeds, one kind or size was shut out on one in place of three;
-//! what callers got in worth was 0.491 in place of 0.500 on the mean, which one
-//! day's chance moves by 0.03.
+//! it has less. The test `tier_floors` plays that load.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,9 +19,7 @@
 /// seconds; a longer one would hold a tier's luck of the burst before against it.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// The part of the share above it that a tier is owed, in hundredths. With 50
-/// the same days gave 0.485 and none that shut a kind out, with the owed tier
-/// before the top one too, which rules do not allow.
+/// The part of the share above it that a tier is owed, in hundredths.
 const FLOOR_PERCENT: f64 = 40.0;
 
 /// The least asks that a share is judged by: of fewer, one more or less served
--- a/bergamotswitch-core/src/retry.rs
+++ b/bergamotswitch-core/src/retry.rs
@@ -8,8 +8,8 @@
 const ONE_RETRY: u64 = 1_000;
 
 /// What may be saved up for each first attempt of the last window: one part in
-/// so many of what it earned. With 0.7 of the ratio earned, what is spent in a
-/// window comes to 0.93 of it.
+/// so many of what it earned. What is spent in a window is a third more than
+/// what is earned in it at most.
 const SAVED_PART: u64 = 3;
 
 /// The parts of a host's share of the slack: two may be saved up, one comes in
