--- a/bergamotswitch-core/src/entry/desk/progress.rs
+++ b/bergamotswitch-core/src/entry/desk/progress.rs
@@ -42,6 +42,7 @@
     ) {
         match event {
             AttemptEvent::FirstToken => {
+                self.earn_reconnect(now, &record, &running);
                 running.first_token_at.get_or_insert(now);
                 self.put_back(record, running);
             }
@@ -84,7 +85,7 @@
             ReleaseOutcome::Finished(usage),
             actions,
         );
-        self.budget(now, &record).earn_reconnect();
+        self.earn_reconnect(now, &record, &running);
         if now > record.deadline {
             count_waste(&record, WasteCause::Late, usage.prefill, actions);
         }
@@ -92,6 +93,13 @@
         self.conclude(now, record, first_token, Conclusion::Answered, actions);
     }
 
+    /// Earn a reconnect by an answer that begins, once for each.
+    fn earn_reconnect(&mut self, now: Moment, record: &RequestRecord, running: &RunningAttempt) {
+        if running.first_token_at.is_none() {
+            self.budget(now, record).earn_reconnect();
+        }
+    }
+
     fn not_sent(
         &mut self,
         now: Moment,
--- a/bergamotswitch-core/src/retry.rs
+++ b/bergamotswitch-core/src/retry.rs
@@ -96,8 +96,8 @@
 /// An attempt that reached no target has put no load on any. Where it cost a
 /// retry, a few dead targets would use up the retries of a pool whose other
 /// targets stand idle, and one would see refusals of requests that nobody ran.
-/// So whole answers earn reconnects, which are spent first: a pool that answers
-/// nobody earns none.
+/// So answers that begin earn reconnects, which are spent first: a pool that
+/// answers nobody earns none.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     rate: RetryRate,
@@ -153,7 +153,7 @@
         true
     }
 
-    /// Earn a reconnect by a whole answer.
+    /// Earn a reconnect by an answer.
     pub fn earn_reconnect(&mut self) {
         self.reconnects = (self.reconnects + 1).min(MAX_RECONNECTS);
     }
--- a/bergamotswitch-core/tests/entry_world/engines.rs
+++ b/bergamotswitch-core/tests/entry_world/engines.rs
@@ -52,7 +52,7 @@
         let Some(attempt) = pick(&flights, b) else {
             return;
         };
-        let event = match c % 12 {
+        let event = match c % 13 {
             0 => AttemptEvent::NotSent(NotSentReason::ConnectFailed),
             1 => AttemptEvent::NotSent(NotSentReason::TargetGone),
             2 | 3 => AttemptEvent::Refused,
@@ -61,6 +61,7 @@
             7 => AttemptEvent::Progress(5),
             8 => AttemptEvent::Resumed,
             9 | 10 => AttemptEvent::Broken(usage()),
+            11 => AttemptEvent::Silent,
             _ => AttemptEvent::Finished(usage()),
         };
         self.engine_does(host, attempt, event);
@@ -75,7 +76,10 @@
         let ran = flight.ran;
         let promises = flight.permit.target.as_str() != "t1";
         match event {
-            AttemptEvent::FirstToken | AttemptEvent::Progress(_) | AttemptEvent::Resumed => {
+            AttemptEvent::FirstToken
+            | AttemptEvent::Progress(_)
+            | AttemptEvent::Resumed
+            | AttemptEvent::Silent => {
                 flight.ran = true;
                 self.run_once_more(id, ran);
                 return self.handle(host, EntryEvent::Attempt(attempt, event));
--- a/bergamotswitch-core/tests/fleet_world/engines.rs
+++ b/bergamotswitch-core/tests/fleet_world/engines.rs
@@ -75,6 +75,7 @@
             TargetMode::Slow => &[
                 (1_000, AttemptEvent::FirstToken),
                 (3_000, AttemptEvent::Progress(5)),
+                (4_000, AttemptEvent::Silent),
                 (5_000, AttemptEvent::Resumed),
                 (7_000, finished),
             ],
@@ -92,7 +93,10 @@
     pub(super) fn engine_says(&mut self, host: usize, attempt: AttemptId, event: AttemptEvent) {
         let goes_on = matches!(
             event,
-            AttemptEvent::FirstToken | AttemptEvent::Progress(_) | AttemptEvent::Resumed
+            AttemptEvent::FirstToken
+                | AttemptEvent::Progress(_)
+                | AttemptEvent::Resumed
+                | AttemptEvent::Silent
         );
         let known = match goes_on {
             true => self.hosts[host].flights.contains(&attempt),
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -97,7 +97,10 @@
 /// Get whether an event is an attempt's last one.
 pub fn is_end(event: &AttemptEvent) -> bool {
     match event {
-        AttemptEvent::FirstToken | AttemptEvent::Progress(_) | AttemptEvent::Resumed => false,
+        AttemptEvent::FirstToken
+        | AttemptEvent::Progress(_)
+        | AttemptEvent::Resumed
+        | AttemptEvent::Silent => false,
         AttemptEvent::NotSent(_)
         | AttemptEvent::Refused
         | AttemptEvent::Failed
--- a/bergamotswitch/examples/policies/baseline.rs
+++ b/bergamotswitch/examples/policies/baseline.rs
@@ -274,7 +274,10 @@
         }
         if matches!(
             event,
-            AttemptEvent::FirstToken | AttemptEvent::Progress(_) | AttemptEvent::Resumed
+            AttemptEvent::FirstToken
+                | AttemptEvent::Progress(_)
+                | AttemptEvent::Resumed
+                | AttemptEvent::Silent
         ) {
             return Vec::new();
         }
