Log pauses of streams; call what owners tell of failed targets reports

A pause left a line (701) that named its target while it ended the run; now it is an event of its own (702), also where the target is waited for.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -127,4 +127,6 @@
     ConnectionSilent = 700, Warn, "connection silent, given up";
     /// A target's answer was not whole or not its own.
     AnswerRejected = 701, Error, "answer not whole or crossed";
+    /// A stream that has begun pauses for so long that its target may be gone.
+    StreamPaused = 702, Info, "stream pauses";
 }
--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -162,7 +162,7 @@
         }
         self.shards.set_acting(now, &shard, act, &self.publication);
         if act {
-            self.take_in_told(now, &shard);
+            self.take_in_reports(now, &shard);
         }
         if act && self.was_handed_over(&shard) {
             let actions = self.shards.on_shard(now, &shard, OwnerEvent::HandedOver);
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::exposure::ExposureWatch;
-use super::hand_over::ToldFailed;
+use super::hand_over::FailureReports;
 use super::key_guard::KeyGuards;
 use super::returns::PlannedEnd;
 use super::shard_use::ShardUse;
@@ -119,7 +119,7 @@
     pub(super) shard_use: ShardUse,
     pub(super) exposure: ExposureWatch,
     pub(super) key_guards: KeyGuards,
-    pub(super) told_failed: ToldFailed,
+    pub(super) failure_reports: FailureReports,
     pub(super) roster: Option<Roster>,
     pub(super) register: TargetRegister,
     last_seen: Moment,
@@ -157,7 +157,7 @@
             shard_use: ShardUse::default(),
             exposure: ExposureWatch::default(),
             key_guards: KeyGuards::default(),
-            told_failed: ToldFailed::default(),
+            failure_reports: FailureReports::default(),
             last_seen: now,
             steps: VecDeque::new(),
             actions: Vec::new(),
@@ -351,7 +351,7 @@
         match message {
             // This host may order the shard a moment later.
             OwnerMessage::FailedTargets { shard, targets } => {
-                self.told_failed.note(now, shard, targets);
+                self.failure_reports.note(now, shard, targets);
             }
             _ => self.send_reply(now, host, OwnerReply::NotOwner { shard }),
         }
--- a/bergamotswitch-core/src/node/hand_over.rs
+++ b/bergamotswitch-core/src/node/hand_over.rs
@@ -13,21 +13,21 @@
 use crate::pool::PoolShard;
 use crate::pool_owner::OwnerEvent;
 
-/// How long a tale of failed targets is kept by a host that does not order
+/// How long a report of failed targets is kept by a host that does not order
 /// their shard. One that has just started does so within a second.
 const KEPT: Duration = Duration::from_secs(5);
 
-/// The most shards of which tales are kept.
+/// The most shards of which reports are kept.
 const MAX_SHARDS: usize = 64;
 
-/// A `ToldFailed` is the failed targets of which owners have told a host that did
-/// not order their shards yet.
+/// A `FailureReports` is what owners have told of failed targets to a host that
+/// did not order their shards yet.
 #[derive(Debug, Default)]
-pub(super) struct ToldFailed {
+pub(super) struct FailureReports {
     shards: BTreeMap<PoolShard, (Moment, Vec<FailedTarget>)>,
 }
 
-impl ToldFailed {
+impl FailureReports {
     /// Take note of what an owner tells.
     pub(super) fn note(&mut self, now: Moment, shard: PoolShard, targets: Vec<FailedTarget>) {
         if self.shards.len() >= MAX_SHARDS {
@@ -81,9 +81,9 @@
         }
     }
 
-    /// Let the owner that this host has just become know what it was told.
-    pub(super) fn take_in_told(&mut self, now: Moment, shard: &PoolShard) {
-        let targets = self.told_failed.take(now, shard);
+    /// Let the owner that this host has just become know what was reported.
+    pub(super) fn take_in_reports(&mut self, now: Moment, shard: &PoolShard) {
+        let targets = self.failure_reports.take(now, shard);
         let message = OwnerMessage::FailedTargets {
             shard: shard.clone(),
             targets,
--- a/bergamotswitch-core/src/pool_owner/failed_targets.rs
+++ b/bergamotswitch-core/src/pool_owner/failed_targets.rs
@@ -33,8 +33,8 @@
     }
 
     /// Let the targets that failed others prove themselves before they get
-    /// normal work. Not believed are tales of a target's former run, nor so many
-    /// that most would be out: the teller may be cut off itself.
+    /// normal work. Not believed are reports of a target's former run, nor so many
+    /// that most would be out: the sender may be cut off itself.
     pub(super) fn on_failed_targets(
         &mut self,
         now: Moment,
--- a/bergamotswitch-core/tests/failed_targets.rs
+++ b/bergamotswitch-core/tests/failed_targets.rs
@@ -97,7 +97,7 @@
 
 // Symptom: a target that is back gets nothing. Sequence: it answers again just
 // before its owner stops, which tells the next one that it fails. Cause guarded
-// against: an old tale that keeps work from a sound target.
+// against: an old report that keeps work from a sound target.
 #[test]
 fn back_again() {
     let mut fleet = start();
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -298,7 +298,11 @@
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => return Ok(Some(frame)),
                 Ok(Some(Err(_))) => break "stream cut off",
-                Err(_) if has_begun => report.step(AttemptEvent::Silent),
+                Err(_) if has_begun => {
+                    self.context
+                        .note(Incident::StreamPaused, "no event in time");
+                    report.step(AttemptEvent::Silent);
+                }
                 Err(_) => break "silent stream",
             }
         };
