--- a/bergamotswitch-core/src/entry/desk/reception.rs
+++ b/bergamotswitch-core/src/entry/desk/reception.rs
@@ -162,6 +162,7 @@
             reconnects: 0,
             runs: 0,
             preemptions: 0,
+            begun: false,
             avoid: Vec::new(),
             followed: true,
             submission,
