--- a/bergamotswitch-core/src/entry/desk/asking.rs
+++ b/bergamotswitch-core/src/entry/desk/asking.rs
@@ -180,7 +180,7 @@
         if attempts >= self.options.attempts_per_request {
             return Err(RefusalReason::RetriesExhausted);
         }
-        if !self.may_run_now(now, record) {
+        if !self.may_begin(now, &record.submission, record.deadline) {
             return Err(RefusalReason::Stopping);
         }
         match self.budget(now, record).try_spend(now) {
@@ -201,7 +201,7 @@
         record: &mut RequestRecord,
     ) -> Result<(), RefusalReason> {
         let in_time = now < record.deadline;
-        let fits = in_time && self.may_run_now(now, record);
+        let fits = in_time && self.may_begin(now, &record.submission, record.deadline);
         let spared = fits && record.reconnects < MAX_RECONNECTS;
         if spared && self.budget(now, record).try_reconnect() {
             record.reconnects += 1;
--- a/bergamotswitch-core/src/entry/desk/follow_up.rs
+++ b/bergamotswitch-core/src/entry/desk/follow_up.rs
@@ -71,7 +71,6 @@
             return self.refuse(now, record, refusal, actions);
         }
         record.avoid_target(&running.permit.target);
-        record.begun |= passed_on(&record, &running);
         match self.try_retry(now, &record) {
             Ok(()) => {
                 count_waste(&record, WasteCause::Retry, prefill, actions);
@@ -103,7 +102,6 @@
             return self.put_back(record, running);
         }
         record.avoid_target(&running.permit.target);
-        record.begun = true;
         self.abort_silent(now, &record, &running, actions);
         let life = running.life.rerun();
         self.ask_again(now, record, life, RetryReason::ConnectionBroke, actions);
--- a/bergamotswitch-core/src/entry/desk/reception.rs
+++ b/bergamotswitch-core/src/entry/desk/reception.rs
@@ -162,7 +162,6 @@
             reconnects: 0,
             runs: 0,
             preemptions: 0,
-            begun: false,
             avoid: Vec::new(),
             followed: true,
             submission,
--- a/bergamotswitch-core/src/entry/desk/replies.rs
+++ b/bergamotswitch-core/src/entry/desk/replies.rs
@@ -120,7 +120,7 @@
             let refusal = waiting.life.refuse(RefusalReason::DeadlinePassed);
             return self.refuse(now, record, refusal, actions);
         }
-        if !self.may_run_now(now, &record) {
+        if !self.may_begin(now, &record.submission, record.deadline) {
             give_back(owner, record.shard.clone(), &permit, actions);
             let refusal = self.elsewhere(now, waiting.life.refuse(RefusalReason::Stopping));
             return self.refuse(now, record, refusal, actions);
--- a/bergamotswitch-core/src/entry/desk/stopping.rs
+++ b/bergamotswitch-core/src/entry/desk/stopping.rs
@@ -13,7 +13,7 @@
 use super::aborting::AbortEnd;
 use crate::clock::Moment;
 use crate::entry::attempt::AttemptStage;
-use crate::entry::ledger::{LiveEntry, RequestRecord};
+use crate::entry::ledger::LiveEntry;
 use crate::entry::run_lengths::{CallSize, RunSpan};
 use crate::entry::{EntryAction, Submission};
 use crate::refusal::{Refusal, RefusalReason, WasteCause};
@@ -90,13 +90,6 @@
         span.is_some_and(|span| now.plus(span) <= self.bound.whole_by)
     }
 
-    /// Get whether a run of a request may begin now. An answer that has begun is
-    /// carried on also where it may not end in time: neither a refusal nor when to
-    /// come back would reach its caller, who would see it cut at once.
-    pub(super) fn may_run_now(&self, now: Moment, record: &RequestRecord) -> bool {
-        record.begun || self.may_begin(now, &record.submission, record.deadline)
-    }
-
     /// Get whether the answer of another host's request may still be passed on
     /// through this one: how long it takes is that host's to know.
     pub(super) fn may_forward(&self, now: Moment, submission: &Submission) -> bool {
@@ -131,7 +124,8 @@
             let Some(entry) = self.ledger.take(id) else {
                 continue;
             };
-            let fits = self.may_run_now(now, &entry.record);
+            let deadline = entry.record.deadline;
+            let fits = self.may_begin(now, &entry.record.submission, deadline);
             match entry.stage {
                 AttemptStage::Waiting(waiting) if !fits => {
                     self.withdraw(&entry.record, waiting.asked.as_ref(), actions);
--- a/bergamotswitch-core/src/entry/ledger.rs
+++ b/bergamotswitch-core/src/entry/ledger.rs
@@ -34,8 +34,6 @@
     /// The dispatches that are not proven not to have run.
     pub(super) runs: u16,
     pub(super) preemptions: u16,
-    /// Whether its caller has some of the answer already: no refusal reaches it.
-    pub(super) begun: bool,
     /// Targets that this request already failed on.
     pub(super) avoid: Vec<TargetName>,
     /// Whether a caller follows the answer.
