Believe reports of failed targets only where nothing was seen oneself

Cause: found by reading the change again. A host that orders a shard beside its owner across a partition cannot reach some targets; when it links anew, it told the owner that these fail, and up to half of the targets would have got nothing for up to 30 s, though the owner sees them answer.

Change: an owner believes a report only of targets that have answered it no run yet. owner_failover::failure_reports failed before for such a target.

--- a/bergamotswitch-core/src/pool_owner/failed_targets.rs
+++ b/bergamotswitch-core/src/pool_owner/failed_targets.rs
@@ -32,9 +32,10 @@
         failed.collect()
     }
 
-    /// Let the targets that failed others prove themselves before they get
-    /// normal work. Not believed are reports of a target's former run, nor so many
-    /// that most would be out: the sender may be cut off itself.
+    /// Let the targets that failed another owner prove themselves before they get
+    /// normal work. Not believed are reports of a target that has answered here, of
+    /// a target's former run, nor so many that most would be out: the sender may
+    /// have been cut off from targets that work.
     pub(super) fn on_failed_targets(
         &mut self,
         now: Moment,
@@ -48,6 +49,9 @@
             let Some(load) = self.targets.get_mut(&told.target) else {
                 continue;
             };
+            if load.is_known() {
+                continue;
+            }
             if is_later(load.target().started_at_ms, told.started_at_ms) {
                 continue;
             }
--- a/bergamotswitch-core/tests/owner_failover.rs
+++ b/bergamotswitch-core/tests/owner_failover.rs
@@ -3,6 +3,7 @@
 mod owner_bench;
 
 use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::permit::FailedTarget;
 use owner_bench::*;
 
 const RETENTION: Duration = Duration::from_secs(60);
@@ -202,6 +203,35 @@
     assert_eq!(replies, [OwnerReply::NotOwner { shard }]);
 }
 
+// Symptom: targets that work get nothing for seconds after a partition. Events:
+// a host that orders the shard beside the owner cannot reach some targets; the
+// partition heals, and it tells the owner that these fail. Cause guarded
+// against: a report believed against what the owner sees itself, of a run that
+// is over, or of most targets.
+#[test]
+fn failure_reports() {
+    let mut targets = ["a", "b", "c", "d", "e"].map(|name| target(name, "d", 10_000));
+    targets[1].started_at_ms = Some(2_000);
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &targets);
+    let answered = bench.granted(&ask(1, 0, "x"));
+    let finished = ReleaseOutcome::Finished(usage(ask(1, 0, "x").cost, 100));
+    bench.release(&answered, finished);
+    assert_eq!(answered.target.as_str(), "a");
+    let failed = |name: &str| FailedTarget {
+        target: named(name),
+        started_at_ms: (name == "b").then_some(1_000),
+        probe_in_ms: 5_000,
+    };
+    bench.message(OwnerMessage::FailedTargets {
+        shard: shard(),
+        targets: ["a", "b", "c", "d", "e"].map(failed).to_vec(),
+    });
+    let backed_off = |name: &&str| bench.target_view(name).backed_off;
+    let names = ["a", "b", "c", "d", "e"];
+    let backed_off: Vec<&str> = names.into_iter().filter(backed_off).collect();
+    assert_eq!(backed_off, ["c", "d"]);
+}
+
 #[test]
 fn lost_releases() {
     // Symptom: an owner that has slept grants nothing for half a minute.
