--- /dev/null
+++ b/bergamotswitch-core/tests/quota_fleet/values.rs
@@ -0,0 +1,128 @@
+//! What is published to the fleet, and what its callers ask for.
+
+use std::time::Duration;
+
+use bergamotswitch_core::entry::{CallTerms, Submission};
+use bergamotswitch_core::host::Standing;
+use bergamotswitch_core::pool::PoolKind;
+use bergamotswitch_core::request::TokenCost;
+use bergamotswitch_core::revision::{PublishedValue, ROUTES_VALUE, Revision, ValueName};
+use bergamotswitch_core::route::{
+    AccountQuota, CallerLimits, EngineFacts, KeyedAccount, PoolFacts, PoolSplit, QuotaUnit, Route,
+    RouteBook, RouteWork,
+};
+use bergamotswitch_core::rules::{Tier, Verdict};
+use bergamotswitch_core::target_list::{TargetEntry, TargetList};
+
+use super::{BURST, RATE, UNITS, name};
+
+fn account(text: &str) -> KeyedAccount {
+    KeyedAccount {
+        name: name(text),
+        key_hashes: Vec::new(),
+        tier: None,
+        quota: AccountQuota {
+            unit: QuotaUnit::Tokens,
+            rate: RATE,
+            burst: BURST,
+            plain_tokens: 200,
+        },
+    }
+}
+
+fn routes() -> RouteBook {
+    RouteBook {
+        version: 1,
+        routes: vec![Route {
+            name: name("draft"),
+            host: "a.example".to_owned(),
+            path_prefix: "/".to_owned(),
+            work: RouteWork::Idempotent,
+            timeout_ms: 10_000,
+            first_answer_ms: 800,
+            max_runs: 2,
+            tier: Tier(1),
+            public: false,
+            splits: vec![PoolSplit {
+                pool: name("llm"),
+                weight: 1,
+            }],
+        }],
+        accounts: vec![account("busy"), account("calm"), account("late")],
+        pools: vec![PoolFacts {
+            name: name("llm"),
+            connection_limit: 1_000,
+            engine: Some(EngineFacts {
+                slots: 500,
+                cache_tokens: 1_000_000_000,
+            }),
+        }],
+        limits: CallerLimits::default(),
+    }
+}
+
+fn target_entry(index: usize, slots: u32) -> TargetEntry {
+    TargetEntry {
+        name: name(&format!("t{index}")),
+        pool: name("llm"),
+        domain: name("domain-0"),
+        address: ([10, 1, 0, index as u8], 80).into(),
+        slots,
+        standing: Standing::Live,
+        warming_ms: 0,
+        started_at_ms: None,
+    }
+}
+
+pub(super) fn published(value: &ValueName, (targets, slots): (usize, u32)) -> PublishedValue {
+    let body = match value.as_str() {
+        ROUTES_VALUE => serde_json::to_string(&routes()),
+        _ => serde_json::to_string(&TargetList {
+            targets: (0..targets)
+                .map(|index| target_entry(index, slots))
+                .collect(),
+        }),
+    };
+    PublishedValue {
+        name: value.clone(),
+        revision: Revision(2),
+        body: body.expect("json"),
+    }
+}
+
+pub(super) fn submission(account: &str) -> Submission {
+    Submission {
+        account: name(account),
+        pool: name("llm"),
+        kind: PoolKind::Engine,
+        verdict: Verdict {
+            rule: name("draft"),
+            tier: Tier(1),
+            share: 1,
+            domains: Vec::new(),
+            dispatch_once: false,
+            idempotent: true,
+            preemptible: false,
+            deadline: Duration::from_secs(10),
+        },
+        key: None,
+        holder: None,
+        resubmission: false,
+        fingerprint: 0,
+        cost: TokenCost {
+            prefill: UNITS,
+            decode: 1,
+        },
+        prefixes: Vec::new(),
+        deadline_in: Duration::from_secs(10),
+        streaming: false,
+        terms: CallTerms {
+            max_runs: Some(2),
+            patience: Some(Duration::from_millis(800)),
+            ends_at_deadline: true,
+            quota_units: UNITS,
+            keyed: true,
+            ..CallTerms::default()
+        },
+    }
+}
--- a/bergamotswitch/tests/gateway_streams.rs
+++ b/bergamotswitch/tests/gateway_streams.rs
@@ -21,6 +21,21 @@
 /// grace.
 const STOP_CALLS: usize = 2_000;
 
+/// Stop the host in the middle of a stream, which goes on to its end.
+async fn stop_midway(site: &mut Site) {
+    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
+    let mut body = response.expect("answer").into_body();
+    let first = body.frame().await.expect("piece").expect("piece");
+    let mut bytes = first.into_data().unwrap_or_default().to_vec();
+    site.hosts[0].child.signal("TERM");
+    while let Some(frame) = body.frame().await {
+        let frame = frame.expect("the stream goes on to its end");
+        bytes.extend(frame.into_data().unwrap_or_default());
+    }
+    assert_eq!(String::from_utf8_lossy(&bytes), whole_stream());
+    assert!(site.hosts[0].ended().await.success());
+}
+
 #[tokio::test]
 async fn whole_events() {
     let site = Site::start(1).await;
@@ -130,17 +145,7 @@
     for engine in &site.engines {
         engine.expect(&[TargetMood::PauseAfter(3, LONG_PAUSE)]);
     }
-    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
-    let mut body = response.expect("answer").into_body();
-    let first = body.frame().await.expect("piece").expect("piece");
-    let mut bytes = first.into_data().unwrap_or_default().to_vec();
-    site.hosts[0].child.signal("TERM");
-    while let Some(frame) = body.frame().await {
-        let frame = frame.expect("the stream goes on to its end");
-        bytes.extend(frame.into_data().unwrap_or_default());
-    }
-    assert_eq!(String::from_utf8_lossy(&bytes), whole_stream());
-    assert!(site.hosts[0].ended().await.success());
+    stop_midway(&mut site).await;
 }
 
 // Symptom: a stream hangs behind a target that makes nothing any more. Sequence:
@@ -170,17 +175,7 @@
 #[tokio::test]
 async fn stop_in_stream() {
     let mut site = Site::start(1).await;
-    let response = Call::stream("/draft/1", "r-1").open(site.door()).await;
-    let mut body = response.expect("answer").into_body();
-    let first = body.frame().await.expect("piece").expect("piece");
-    let mut bytes = first.into_data().unwrap_or_default().to_vec();
-    site.hosts[0].child.signal("TERM");
-    while let Some(frame) = body.frame().await {
-        let frame = frame.expect("the stream goes on to its end");
-        bytes.extend(frame.into_data().unwrap_or_default());
-    }
-    assert_eq!(String::from_utf8_lossy(&bytes), whole_stream());
-    assert!(site.hosts[0].ended().await.success());
+    stop_midway(&mut site).await;
 }
 
 // Symptom: a host is still there at the end of its grace, is killed and cuts the
