Believe what hosts tell of keys over what a permit left

Cause: a permit marks its key as held by the host that got it, whatever becomes of it. When a target refused and no retry was left, the owner went on to name that host, and dropped what another host told later, which had run the request under another owner. A third, marked copy was sent to the wrong holder, which asked with its own claim and got a permit.

Change: what a host tells of a key that it keeps or runs replaces the entry; asks that wait under the key are told who holds it.

All other tests of the core pass.

Ruled out: freeing the key when a permit comes back unused: a target's refusal does not always prove that nothing ran, and the owner cannot tell.

--- a/bergamotswitch-core/src/pool_owner/key_table.rs
+++ b/bergamotswitch-core/src/pool_owner/key_table.rs
@@ -110,6 +110,20 @@
         self.bound();
     }
 
+    /// Remember a claim whose holder says itself that it keeps or runs its
+    /// request; get whether another run held the key until now. A permit may
+    /// have been of no use to that one, and the table never hears of it: left
+    /// there, the key would let its next copy run a second time.
+    pub fn hold_told(&mut self, now: Moment, claim: &KeyClaim) -> bool {
+        let held = self.entries.get(&claim.key);
+        let is_other = held.is_some_and(|entry| entry.holder != claim.holder);
+        if is_other && let Some(entry) = self.entries.remove(&claim.key) {
+            self.expiries.remove(&(entry.expires, claim.key));
+        }
+        self.hold(now, claim);
+        is_other
+    }
+
     /// Note that a queued ask ended without a permit. Where it was the only
     /// one and no permit was ever given, the request was not run and the key
     /// is free. While another attempt of it still waits the key stays: freed
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -202,7 +202,9 @@
                 }
             }
             OwnerMessage::Release { release, .. } => self.on_release(now, &release, actions),
-            OwnerMessage::Retell { held, claims, .. } => self.on_retell(now, host, held, &claims),
+            OwnerMessage::Retell { held, claims, .. } => {
+                self.on_retell(now, host, held, &claims, actions);
+            }
             OwnerMessage::NotHeld { permits, .. } => {
                 self.on_not_held(now, &host, &permits, actions);
             }
@@ -236,11 +238,7 @@
             match self.keys.check(now, claim) {
                 KeyVerdict::Clear => {}
                 KeyVerdict::HeldBy(holder) => {
-                    self.counts.keys_known += 1;
-                    let attempt = ask.attempt;
-                    let reply = OwnerReply::KeyKnown { attempt, holder };
-                    actions.push(OwnerAction::Reply(host, reply));
-                    return;
+                    return self.reply_known(host, ask.attempt, holder, actions);
                 }
                 KeyVerdict::Unknown(span) => {
                     let reason = RefusalReason::OutcomeUnknown;
@@ -368,8 +366,20 @@
         actions.push(OwnerAction::Reply(host, reply));
     }
 
+    pub(super) fn reply_known(
+        &mut self,
+        host: HostName,
+        attempt: AttemptId,
+        holder: HostIncarnation,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        self.counts.keys_known += 1;
+        let reply = OwnerReply::KeyKnown { attempt, holder };
+        actions.push(OwnerAction::Reply(host, reply));
+    }
+
     /// Give back what an ask holds that got no permit.
-    fn settle_unused(&mut self, ask: &Ask) {
+    pub(super) fn settle_unused(&mut self, ask: &Ask) {
         if let Some(claim) = &ask.claim {
             self.keys.settle_unused(claim);
         }
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -60,9 +60,12 @@
         host: HostName,
         held: Vec<HeldWork>,
         claims: &[KeyClaim],
+        actions: &mut Vec<OwnerAction>,
     ) {
         for claim in claims {
-            self.keys.hold(now, claim);
+            if self.keys.hold_told(now, claim) {
+                self.drop_copies(claim, actions);
+            }
         }
         // A host that tells again what it holds has followed another owner
         // meanwhile, and what it gave back in that time may not have arrived.
@@ -74,6 +77,20 @@
         }
     }
 
+    /// Tell those whose asks wait under a key that another run holds it.
+    fn drop_copies(&mut self, told: &KeyClaim, actions: &mut Vec<OwnerAction>) {
+        let is_copy = |claim: &KeyClaim| claim.key == told.key && claim.holder != told.holder;
+        let copies = self
+            .queue
+            .find(|queued| queued.ask.claim.as_ref().is_some_and(is_copy));
+        for attempt in copies {
+            if let Some(queued) = self.queue.remove(&attempt) {
+                self.settle_unused(&queued.ask);
+                self.reply_known(queued.host, attempt, told.holder.clone(), actions);
+            }
+        }
+    }
+
     fn take_over(&mut self, now: Moment, host: HostName, work: HeldWork) {
         if self.permits.get(&work.permit).is_some() {
             return;
--- a/bergamotswitch-core/tests/fleet_fuzz.rs
+++ b/bergamotswitch-core/tests/fleet_fuzz.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bergamotswitch_core::entry::{EntryOptions, Fault};
+use bergamotswitch_core::retry::RetryRate;
 use bergamotswitch_core::revision::RevisionOptions;
 use bergamotswitch_draw::any;
 use fleet_world::{FleetEvent, FleetOptions, FleetWorld};
@@ -99,6 +100,26 @@
     assert!(excused(&reach) < RUNS / 8);
 }
 
+// Guards against second runs that retries hide: a request that is not sent once
+// more leaves its key at the owner.
+#[test]
+fn without_retries() {
+    const KEPT_RUNS: [u64; 3] = [330, 1_863, 2_381];
+    let rate = RetryRate {
+        permille: 0,
+        slack: 0,
+        ..RetryRate::default()
+    };
+    let opts = FleetOptions {
+        entry: EntryOptions::default().with_retry_rate(rate),
+        ..FleetOptions::default()
+    };
+    for run in KEPT_RUNS.into_iter().chain(0..RUNS / 10) {
+        let breach = play(opts.clone(), &draw(run)).err();
+        assert_eq!(breach, None, "run {run}");
+    }
+}
+
 // Symptom: a crew alert goes out twice although no path was cut. Sequence: its
 // host has nothing else to do; the shard's owner dies, the next one takes over,
 // and the caller sends the alert unmarked to another host. Cause: a host
--- a/bergamotswitch-core/tests/owner_failover.rs
+++ b/bergamotswitch-core/tests/owner_failover.rs
@@ -21,6 +21,13 @@
     })
 }
 
+fn known(asked: &Ask, host: &str, run: u128) -> OwnerReply {
+    OwnerReply::KeyKnown {
+        attempt: asked.attempt,
+        holder: run_of(host, run),
+    }
+}
+
 #[test]
 fn key_held() {
     // Symptom: an alert goes out twice.
@@ -250,3 +257,39 @@
     let actions = bench.message(not_held(vec![permit.id]));
     assert_eq!(granted_requests(&actions), [2]);
 }
+
+// Guards against a second run under a key that the owner still holds for a copy
+// that was not run.
+#[test]
+fn told_key() {
+    let unrun = [
+        ReleaseOutcome::Unused,
+        ReleaseOutcome::Unreachable,
+        ReleaseOutcome::Refused,
+    ];
+    for outcome in unrun {
+        let mut bench = keyed_bench();
+        let first = with_claim(ask(1, 0, "a"), 5, run_of("entry", 7), false);
+        let permit = bench.granted(&first);
+        bench.release(&permit, outcome);
+        let ran = with_claim(ask(2, 0, "a"), 5, run_of("other", 8), false);
+        retell(&mut bench, ran.claim.into_iter().collect());
+        let again = with_claim(ask(3, 0, "a"), 5, run_of("entry", 7), true);
+        assert_eq!(replies(&bench.ask(&again)), [known(&again, "other", 8)]);
+    }
+}
+
+// Guards against a second run by an ask that waits while another host tells that
+// it has run the request.
+#[test]
+fn told_waiting() {
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &[target("a", "d", 100)]);
+    let permit = bench.granted(&ask(0, 0, "a"));
+    let waiting = with_claim(ask(1, 0, "a"), 5, run_of("entry", 7), false);
+    bench.ask(&waiting);
+    let ran = with_claim(ask(2, 0, "a"), 5, run_of("other", 8), false);
+    let actions = retell(&mut bench, ran.claim.into_iter().collect());
+    assert!(replies(&actions).contains(&known(&waiting, "other", 8)));
+    let actions = bench.release(&permit, ReleaseOutcome::Unused);
+    assert!(granted_requests(&actions).is_empty());
+}
