Let a new owner learn from its hosts what is left of quotas

Callers within their quota got 429 over-quota after their host or their shard's owner stood still for a second or two, or the owner died (stop_grace::waiting_expires, short_grace, long_grace under load).

Causes, each shown in virtual time: a new owner's buckets begin empty, and all that waited asks in the same millisecond; an owner that slept filled its buckets for the time of its sleep and took old messages for followers; a host that slept for longer than the suspicion ceased to act in membership's view alone, without 301, and its order went on; a host alone after a sleep admits from empty buckets too.

Change: entry hosts keep what their callers used beyond their share of the rate, and tell a new owner (message set 3), which fills that host's share up to it. Sleeps give no units. A sleep of under one suspicion time keeps the order until an earlier candidate answers; a longer one ends it with a word.

Ruled out: filling a new owner's buckets by the slack that the users allow: each of several new owners in one window would give it out again. Negative shares: an account that comes through one host would be refused for long, so an empty bucket is the least.

--- a/bergamotswitch-core/src/entry/desk/mod.rs
+++ b/bergamotswitch-core/src/entry/desk/mod.rs
@@ -19,6 +19,7 @@
 use super::ledger::RequestLedger;
 use super::options::{EntryOptions, Fault};
 use super::placement::PoolMap;
+use super::quota_use::QuotaUse;
 use super::run_lengths::RunLengths;
 use super::view::DeskView;
 use super::{EntryAction, EntryEvent, OutcomeQuery, OutcomeView, Reception, Submission};
@@ -44,6 +45,7 @@
     pools: PoolMap,
     owners: BTreeMap<PoolShard, HostName>,
     budgets: BTreeMap<PoolName, RetryBudget>,
+    quota_use: QuotaUse,
     /// The most hosts that there were since this run began.
     host_count: usize,
     counts: DeskCounts,
@@ -72,6 +74,7 @@
             pools: PoolMap::new(opts.domain.clone()),
             owners: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            quota_use: QuotaUse::default(),
             host_count: 1,
             counts: DeskCounts::default(),
             seen_at: Moment::START,
@@ -137,6 +140,7 @@
             EntryEvent::DoorShut => self.bound.is_shut = true,
             EntryEvent::OthersBack(at) => self.bound.others_back = at,
             EntryEvent::Hosts(count) => self.share_budgets(count),
+            EntryEvent::Quotas(rates) => self.quota_use.set_rates(now, rates),
             EntryEvent::CutOff => self.cut_off(now, &mut actions),
             EntryEvent::Tick | EntryEvent::Woke(_) => self.turn_away(now, &mut actions),
         }
--- a/bergamotswitch-core/src/entry/desk/replies.rs
+++ b/bergamotswitch-core/src/entry/desk/replies.rs
@@ -138,6 +138,7 @@
         }
         if record.dispatches == 0 {
             self.budget(now, &record).earn(now);
+            self.note_use(now, &record);
             let tier = record.submission.verdict.tier;
             let waited = now.since(record.accepted_at);
             actions.push(EntryAction::CountWait(tier, waited));
@@ -162,6 +163,18 @@
         actions.push(EntryAction::Start { attempt, permit });
     }
 
+    /// Count a call's units as used, for the next owner of its shard.
+    fn note_use(&mut self, now: Moment, record: &RequestRecord) {
+        let submission = &record.submission;
+        self.quota_use.note(
+            now,
+            &record.shard,
+            &submission.account,
+            submission.terms.quota_units,
+            self.host_count,
+        );
+    }
+
     fn refused_by(
         &mut self,
         now: Moment,
--- a/bergamotswitch-core/src/entry/desk/takeover.rs
+++ b/bergamotswitch-core/src/entry/desk/takeover.rs
@@ -48,6 +48,7 @@
     ) {
         self.owners.insert(shard.clone(), host.clone());
         self.retell(&shard, &host, actions);
+        self.tell_use(now, &shard, &host, actions);
         for id in self.ledger.waiting_ids() {
             let Some(entry) = self.ledger.take(id) else {
                 continue;
@@ -101,6 +102,26 @@
         }
     }
 
+    /// Tell an owner what is used of the accounts' quotas: one that takes over
+    /// from a silent owner has no other way to know.
+    fn tell_use(
+        &mut self,
+        now: Moment,
+        shard: &PoolShard,
+        host: &HostName,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let used = self.quota_use.of_shard(now, shard, self.host_count);
+        if let Some(used) = used {
+            let message = OwnerMessage::QuotaUse {
+                shard: shard.clone(),
+                hosts: u32::try_from(self.host_count).unwrap_or(u32::MAX),
+                used,
+            };
+            actions.push(EntryAction::Send(host.clone(), message));
+        }
+    }
+
     fn held_work(&self, record: &RequestRecord, running: &RunningAttempt) -> HeldWork {
         let submission = &record.submission;
         HeldWork {
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod options;
 mod placement;
+mod quota_use;
 pub mod request_state;
 mod run_lengths;
 mod terms;
@@ -21,6 +22,7 @@
 use crate::incident::Incident;
 use crate::permit::{OwnerMessage, OwnerReply, Permit, Usage};
 use crate::pool::{PoolKind, PoolName, PoolShard, TargetPool};
+use crate::pool_owner::QuotaRate;
 use crate::refusal::{Refusal, RefusalReason, RetryReason, WasteCause};
 use crate::request::{AttemptId, CallerKey, PrefixHash, RequestId, TokenCost};
 use crate::rules::{Tier, Verdict};
@@ -142,7 +144,7 @@
 
 /// An `EntryEvent` is one thing that happens to the entry side. Submissions
 /// come through `EntryDesk::submit`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum EntryEvent {
     /// The last caller that follows a request went away.
     CallerLeft(RequestId),
@@ -173,6 +175,8 @@
     OthersBack(Option<Moment>),
     /// How many hosts there are, this one among them.
     Hosts(usize),
+    /// The quotas of client accounts, after a change.
+    Quotas(Vec<(AccountName, QuotaRate)>),
     /// The planned stop may not last any longer: everything ends now.
     CutOff,
     /// Time has passed.
--- /dev/null
+++ b/bergamotswitch-core/src/entry/quota_use.rs
@@ -0,0 +1,110 @@
+//! Provides what this host's callers used of their accounts' quotas lately, for
+//! an owner that takes over from one that is silent.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::client_account::AccountName;
+use crate::clock::Moment;
+use crate::permit::QuotaLevel;
+use crate::pool::PoolShard;
+use crate::pool_owner::QuotaRate;
+
+/// A `QuotaDebt` is what calls of one account used that has not come back.
+#[derive(Debug)]
+struct QuotaDebt {
+    units: f64,
+    at: Moment,
+}
+
+impl QuotaDebt {
+    /// Let in what has come back since the last time.
+    fn settle(&mut self, now: Moment, rate: f64) {
+        let span = now.since(self.at).as_secs_f64();
+        self.units = (self.units - span * rate).max(0.0);
+        self.at = now;
+    }
+}
+
+/// A `QuotaUse` is what calls of each account used at this host beyond what this
+/// host's share of the account's rate has given back since.
+///
+/// Whatever an owner lets in runs at an entry host. So the uses of all hosts
+/// together are no less than what is missing in the owner's bucket, and its
+/// successor may fill its own one up to them, although the owner is silent.
+#[derive(Debug, Default)]
+pub(super) struct QuotaUse {
+    rates: HashMap<AccountName, QuotaRate>,
+    debts: BTreeMap<PoolShard, HashMap<AccountName, QuotaDebt>>,
+    /// Since when uses are known; what this host's former run let in is not.
+    known_since: Option<Moment>,
+}
+
+impl QuotaUse {
+    /// Put other rates in force.
+    pub(super) fn set_rates(&mut self, now: Moment, rates: Vec<(AccountName, QuotaRate)>) {
+        self.rates = rates.into_iter().collect();
+        let rates = &self.rates;
+        for debts in self.debts.values_mut() {
+            debts.retain(|account, _| rates.contains_key(account));
+        }
+        self.known_since.get_or_insert(now);
+    }
+
+    /// Take note of a call that runs, at one of so many hosts.
+    pub(super) fn note(
+        &mut self,
+        now: Moment,
+        shard: &PoolShard,
+        account: &AccountName,
+        units: u32,
+        hosts: usize,
+    ) {
+        let Some(rate) = self.rates.get(account).filter(|_| units > 0) else {
+            return;
+        };
+        let debts = self.debts.entry(shard.clone()).or_default();
+        let debt = debts.entry(account.clone()).or_insert(QuotaDebt {
+            units: 0.0,
+            at: now,
+        });
+        debt.settle(now, rate.rate / hosts as f64);
+        debt.units = (debt.units + f64::from(units)).min(rate.burst);
+    }
+
+    /// Get what a new owner of the shard has to know; `None` while this host's
+    /// former run may have let in more.
+    pub(super) fn of_shard(
+        &mut self,
+        now: Moment,
+        shard: &PoolShard,
+        hosts: usize,
+    ) -> Option<Vec<QuotaLevel>> {
+        let longest = self.rates.values().map(QuotaRate::fill_time).max()?;
+        if now < self.known_since?.plus(longest) {
+            return None;
+        }
+        let Some(debts) = self.debts.get_mut(shard) else {
+            return Some(Vec::new());
+        };
+        let rates = &self.rates;
+        debts.retain(|account, debt| {
+            let rate = rates.get(account).map_or(f64::MAX, |rate| rate.rate);
+            debt.settle(now, rate / hosts as f64);
+            debt.units > 0.0
+        });
+        let used = debts.iter().map(|(account, debt)| QuotaLevel {
+            account: account.clone(),
+            units: debt.units.ceil() as u64,
+        });
+        Some(used.collect())
+    }
+}
+
+impl QuotaRate {
+    /// Get how long an empty bucket takes to fill.
+    pub(crate) fn fill_time(&self) -> Duration {
+        let seconds = self.burst / self.rate.max(f64::MIN_POSITIVE);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -14,7 +14,7 @@
 /// The newest set of messages that this version knows. A message that is added
 /// begins a set; it is sent only to peers whose hello names that set, so that a
 /// fleet works while its hosts are replaced by newer ones.
-pub const MESSAGE_SET: u16 = 2;
+pub const MESSAGE_SET: u16 = 3;
 
 /// The set that began with the hand-over of quotas.
 const QUOTA_SET: u16 = 1;
@@ -22,6 +22,9 @@
 /// The set that began with the telling of failed targets.
 const FAILED_SET: u16 = 2;
 
+/// The set that began with the telling of quotas' uses.
+const USE_SET: u16 = 3;
+
 /// The largest message in bytes: a published value has up to a megabyte, and
 /// a peer must not make a host allocate without bound.
 pub const MAX_MESSAGE_LEN: usize = 1_200_000;
@@ -59,6 +62,7 @@
         match self {
             LinkMessage::ToOwner(OwnerMessage::QuotaLevels { .. }) => QUOTA_SET,
             LinkMessage::ToOwner(OwnerMessage::FailedTargets { .. }) => FAILED_SET,
+            LinkMessage::ToOwner(OwnerMessage::QuotaUse { .. }) => USE_SET,
             _ => 0,
         }
     }
--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -28,6 +28,9 @@
     pub(super) links: BTreeMap<HostName, EntryHost>,
     pub(super) denials: Vec<Denial>,
     pub(super) acting: BTreeSet<PoolShard>,
+    /// The shards among them that an earlier candidate may have taken over while
+    /// this process slept.
+    pub(super) proving: BTreeSet<PoolShard>,
     pub(super) owners: BTreeMap<PoolShard, OwnerView>,
     pub(super) load_permille: u16,
     pub(super) stop_asked: bool,
@@ -54,6 +57,7 @@
             links: BTreeMap::new(),
             denials: Vec::new(),
             acting: BTreeSet::new(),
+            proving: BTreeSet::new(),
             owners: BTreeMap::new(),
             load_permille: 0,
             stop_asked: false,
@@ -76,7 +80,7 @@
         // A process that slept learns it here at the latest. Otherwise the
         // first tick after the sleep would find every peer silent, and this
         // host would act for shards that others own.
-        self.distrust_after(now, now.since(self.wake_at));
+        self.distrust_after(now, now.since(self.wake_at), &mut actions);
         // Heartbeats and ticks are many and mostly change nothing.
         self.changed |= !matches!(
             event,
@@ -102,7 +106,7 @@
                 self.begin_stop(now, &mut actions);
             }
             MembershipEvent::Tick => {}
-            MembershipEvent::Woke(slept) => self.distrust_after(now, slept),
+            MembershipEvent::Woke(slept) => self.distrust_after(now, slept, &mut actions),
         }
         self.review(now, &mut actions);
         actions
@@ -140,10 +144,21 @@
         self.opts.heartbeat
     }
 
-    /// Get whether a host has said that it stops, or is silent.
-    pub fn is_out(&self, host: &HostName) -> bool {
+    /// Get how long a sleep of this process is after which another host may act
+    /// in its place.
+    pub fn doubt_after(&self) -> Duration {
+        self.opts.suspect_after / 2
+    }
+
+    /// Get whether a host has said that it stops.
+    pub fn is_stopping(&self, host: &HostName) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.stopping)
+    }
+
+    /// Get whether a host is silent.
+    pub fn is_silent(&self, host: &HostName) -> bool {
         let peer = self.peers.get(host);
-        peer.is_some_and(|peer| peer.stopping || peer.reachable == Some(false))
+        peer.is_some_and(|peer| peer.reachable == Some(false))
     }
 
     /// Get the hosts whose word an owner of the shard needs before it runs what
@@ -295,24 +310,38 @@
     /// this host.
     ///
     /// What goes wrong: a paused owner wakes and still counts as owner of
-    /// shards that a later candidate took over, or finds all others silent
+    /// shards that another candidate took over, or finds all others silent
     /// and takes over theirs; two owners would hand out the same slots. One
     /// would notice it by targets that report more work than their owner
-    /// counts. So it stops acting wherever it is not first and proves each
-    /// path anew.
-    fn distrust_after(&mut self, now: Moment, slept: Duration) {
-        if slept < self.opts.suspect_after / 2 {
+    /// counts. So it proves each path anew, and ceases to act wherever it is not
+    /// first. After a sleep in which nobody can have taken over, it goes on
+    /// until an earlier candidate answers: otherwise its shards would have no
+    /// owner until all before it are found out anew.
+    fn distrust_after(
+        &mut self,
+        now: Moment,
+        slept: Duration,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if slept < self.doubt_after() {
             return;
         }
         self.changed = true;
         for peer in self.peers.values_mut() {
             peer.distrust(now);
         }
-        let candidates = &self.candidates;
-        let me = &self.me.host;
+        if slept < self.opts.suspect_after {
+            self.proving.clone_from(&self.acting);
+            return;
+        }
+        let (candidates, me) = (&self.candidates, &self.me.host);
         self.acting.retain(|shard| {
             let first = candidates.get(shard).and_then(|hosts| hosts.first());
-            first == Some(me)
+            let keeps = first == Some(me);
+            if !keeps {
+                actions.push(MembershipAction::Act(shard.clone(), false));
+            }
+            keeps
         });
     }
 
--- a/bergamotswitch-core/src/membership/review.rs
+++ b/bergamotswitch-core/src/membership/review.rs
@@ -131,6 +131,30 @@
             actions.push(MembershipAction::Act(begun.clone(), true));
         }
         self.acting = acting;
+        let proved = self
+            .proving
+            .iter()
+            .filter(|shard| !self.is_proving(now, shard));
+        for shard in proved.cloned().collect::<Vec<_>>() {
+            self.proving.remove(&shard);
+        }
+    }
+
+    /// Get whether it is still open if an earlier candidate acts for a shard.
+    fn is_proving(&self, now: Moment, shard: &PoolShard) -> bool {
+        let mut earlier = self.earlier_states(now, shard);
+        self.acting.contains(shard) && earlier.any(|state| state == CandidateState::Unknown)
+    }
+
+    /// Get the states of the candidates before this host.
+    fn earlier_states(
+        &self,
+        now: Moment,
+        shard: &PoolShard,
+    ) -> impl Iterator<Item = CandidateState> {
+        let hosts = self.candidates.get(shard).into_iter().flatten();
+        let earlier = hosts.take_while(|host| **host != self.me.host);
+        earlier.map(move |host| self.state_of(now, shard, host))
     }
 
     fn should_act(&self, now: Moment, shard: &PoolShard) -> bool {
@@ -138,17 +162,15 @@
         if let Some(since) = self.stopping_since {
             return acting && now < since.plus(self.opts.handover);
         }
-        let hosts = match self.candidates.get(shard) {
-            Some(hosts) => hosts,
-            None => return false,
-        };
-        let place = match hosts.iter().position(|host| *host == self.me.host) {
-            Some(place) => place,
-            None => return false,
-        };
-        let earlier = hosts[..place].iter();
-        let earlier = earlier.map(|host| self.state_of(now, shard, host));
-        shard_view::may_act(earlier, acting)
+        let hosts = self.candidates.get(shard);
+        if !hosts.is_some_and(|hosts| hosts.contains(&self.me.host)) {
+            return false;
+        }
+        let mut earlier = self.earlier_states(now, shard);
+        match self.proving.contains(shard) {
+            true => earlier.all(|state| !state.is_usable()),
+            false => shard_view::may_act(earlier, acting),
+        }
     }
 
     fn review_owners(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
--- a/bergamotswitch-core/src/membership/shard_view.rs
+++ b/bergamotswitch-core/src/membership/shard_view.rs
@@ -23,6 +23,13 @@
     Steady,
 }
 
+impl CandidateState {
+    /// Get whether it answers.
+    pub(super) fn is_usable(self) -> bool {
+        matches!(self, CandidateState::Fresh | CandidateState::Steady)
+    }
+}
+
 /// A `Candidate` is one candidate of a shard in the view of a host.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate<'a> {
@@ -39,7 +46,7 @@
     }
 
     fn is_usable(&self) -> bool {
-        matches!(self.state, CandidateState::Fresh | CandidateState::Steady)
+        self.state.is_usable()
     }
 }
 
--- a/bergamotswitch-core/src/node/carry_out.rs
+++ b/bergamotswitch-core/src/node/carry_out.rs
@@ -164,8 +164,8 @@
         if act {
             self.take_in_reports(now, &shard);
         }
-        if act && self.was_handed_over(&shard) {
-            let actions = self.shards.on_shard(now, &shard, OwnerEvent::HandedOver);
+        if act && let Some(event) = self.succession(&shard) {
+            let actions = self.shards.on_shard(now, &shard, event);
             self.queue_owner(actions);
         }
         if !act && self.stopping && self.membership.owner_of(&shard).is_none() {
@@ -181,12 +181,16 @@
         self.watch_targets();
     }
 
-    /// Get whether this host has followed another owner to its end: that one
-    /// stops or is silent. A host that has just started knows of no owner, and
-    /// may find one beside it.
-    fn was_handed_over(&self, shard: &PoolShard) -> bool {
-        let former = self.exposure.last_owner(shard);
-        former.is_some_and(|host| self.membership.is_out(host))
+    /// Get how this host has followed another owner to its end: that one stops
+    /// or is silent. A host that has just started knows of no owner, and may find
+    /// one beside it.
+    fn succession(&self, shard: &PoolShard) -> Option<OwnerEvent> {
+        let former = self.exposure.last_owner(shard)?;
+        if self.membership.is_stopping(former) {
+            return Some(OwnerEvent::HandedOver);
+        }
+        let is_silent = self.membership.is_silent(former);
+        is_silent.then_some(OwnerEvent::TakenOver)
     }
 
     pub(super) fn watch_targets(&mut self) {
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -241,6 +241,9 @@
     pub(super) fn notice_pause(&mut self, now: Moment) {
         let gap = now.since(self.last_seen);
         self.last_seen = now;
+        if gap >= self.membership.doubt_after() {
+            self.shards.woke(now, gap);
+        }
         if gap <= PAUSE_BOUND {
             return;
         }
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -58,6 +58,10 @@
             self.tell_desk(now, EntryEvent::Pools(pools));
             self.tell_leaving(now);
         }
+        if name.as_str() == ROUTES_VALUE {
+            let rates = self.shards.quota_rates(&self.publication);
+            self.tell_desk(now, EntryEvent::Quotas(rates));
+        }
         if name.as_str() == LIMITS_VALUE {
             self.apply_limits(now);
         }
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -1,5 +1,7 @@
 //! Provides the shards that a host orders now, as owner or degraded.
 
+use std::time::Duration;
+
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName, Standing};
@@ -93,6 +95,13 @@
         }
     }
 
+    /// Tell every owner that this process has slept.
+    pub(super) fn woke(&mut self, now: Moment, slept: Duration) {
+        for owned in self.owned.iter_mut().filter(|owned| !owned.degraded) {
+            owned.owner.woke(now, slept);
+        }
+    }
+
     /// Get whether an order of the pool serves this host alone.
     pub(super) fn is_degraded(&self, pool: &PoolName) -> bool {
         let mut degraded = self.owned.iter().filter(|owned| owned.degraded);
@@ -197,6 +206,11 @@
         actions
     }
 
+    /// Get the quotas that the owners keep.
+    pub(super) fn quota_rates(&self, publication: &Publication) -> Vec<(AccountName, QuotaRate)> {
+        quota_rates(false, publication, &self.opts.quota_tolerance)
+    }
+
     /// Get the engines to poll, where they changed.
     pub(super) fn changed_watch(&mut self, publication: &Publication) -> Option<Vec<PoolTarget>> {
         let mut watched = Vec::new();
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -229,6 +229,17 @@
         /// The targets.
         targets: Vec<FailedTarget>,
     },
+    /// What calls at the sender have used of their accounts' quotas and what has
+    /// not come back since, told to a new owner before the first ask.
+    QuotaUse {
+        /// The shard.
+        shard: PoolShard,
+        /// How many hosts share the buckets in the sender's view: a new owner may
+        /// not know them all yet.
+        hosts: u32,
+        /// What is missing in the sender's share of each bucket.
+        used: Vec<QuotaLevel>,
+    },
 }
 
 /// An `OwnerReply` goes from a shard's owner to an entry host.
@@ -296,6 +307,7 @@
             | OwnerMessage::Retell { shard, .. }
             | OwnerMessage::Following { shard, .. }
             | OwnerMessage::QuotaLevels { shard, .. }
+            | OwnerMessage::QuotaUse { shard, .. }
             | OwnerMessage::FailedTargets { shard, .. }
             | OwnerMessage::NotHeld { shard, .. } => shard,
         }
--- a/bergamotswitch-core/src/pool_owner/followers.rs
+++ b/bergamotswitch-core/src/pool_owner/followers.rs
@@ -24,9 +24,14 @@
     absent: BTreeMap<HostName, Moment>,
     /// When the first of them is counted although it has said nothing.
     first_until: Moment,
+    /// Until when messages may be older than a sleep of this process.
+    stale_until: Moment,
     stopping: bool,
 }
 
+/// How long after a sleep the messages that waited meanwhile are taken in.
+const STALE_TIME: Duration = Duration::from_millis(200);
+
 impl OwnerFollowers {
     /// Take the hosts of the fleet that do not stop. One that was not among
     /// them before may ask another owner, apart from `me`.
@@ -46,9 +51,10 @@
         self.find_first();
     }
 
-    /// Take note that a host asks this owner.
-    pub(super) fn note(&mut self, host: &HostName) {
-        if !self.absent.is_empty() {
+    /// Take note that a host asks this owner. What waited while this process
+    /// slept says nothing of whom the host asks now.
+    pub(super) fn note(&mut self, now: Moment, host: &HostName) {
+        if !self.absent.is_empty() && now >= self.stale_until {
             self.absent.remove(host);
         }
     }
@@ -61,6 +67,20 @@
         }
     }
 
+    /// Take note that all hosts but this one may ask another owner.
+    pub(super) fn lose_all(&mut self, now: Moment, me: &HostName, settle: Duration) {
+        let until = now.plus(settle);
+        let others = self.hosts.iter().filter(|host| *host != me);
+        self.absent = others.map(|host| (host.clone(), until)).collect();
+        self.stale_until = now.plus(STALE_TIME);
+        self.find_first();
+    }
+
+    /// Get whether there are no hosts but the owner's own.
+    pub(super) fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
     /// Count on all hosts at once: the owner before stops or is silent, so all
     /// turn to this one.
     pub(super) fn take_over(&mut self) {
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -16,6 +16,7 @@
 pub mod prefix_table;
 pub mod queue;
 mod quota;
+mod quota_recovery;
 mod release;
 mod release_pace;
 pub mod routing;
@@ -62,8 +63,10 @@
     Prefix(TargetName, PrefixHash, bool),
     /// This run of an entry host is known to be gone.
     HostGone(HostName, Incarnation),
-    /// The owner before this one stops or is silent, and this one takes over.
+    /// The owner before this one stops, and this one takes over.
     HandedOver,
+    /// The owner before this one is silent, and this one takes over.
+    TakenOver,
     /// This host stops, and another one takes over.
     Stopping,
     /// Time has passed.
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -20,6 +20,7 @@
 use super::prefix_table::PrefixTable;
 use super::queue::{AskQueue, Placement, QueuedAsk};
 use super::quota::QuotaBook;
+use super::quota_recovery::QuotaRecovery;
 use super::release_pace::ReleasePace;
 use super::routing::{TargetSet, allowed};
 use super::run_gauge::span_of;
@@ -60,7 +61,9 @@
     pub(super) prefixes: PrefixTable,
     pub(super) costs: CostSample,
     pub(super) quotas: QuotaBook,
-    followers: OwnerFollowers,
+    pub(super) followers: OwnerFollowers,
+    /// What it takes in of its hosts' uses.
+    pub(super) recovery: Option<QuotaRecovery>,
     pub(super) pace: ReleasePace,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
@@ -83,6 +86,7 @@
             costs: CostSample::default(),
             quotas: QuotaBook::default(),
             followers: OwnerFollowers::default(),
+            recovery: Some(QuotaRecovery::new(now)),
             pace: ReleasePace::default(),
             sequence: 0,
             preempt_check_at: now,
@@ -114,7 +118,7 @@
         let waited = asked.is_some_and(|(attempt, _)| self.queue.get(&attempt).is_some());
         match event {
             OwnerEvent::Message(host, message) => {
-                self.note_follower(&host, &message);
+                self.note_follower(now, &host, &message);
                 self.on_message(now, host, message, &mut actions);
             }
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
@@ -139,7 +143,11 @@
                 self.followers.lose(now, &host, self.opts.settle_after);
                 self.drop_run(now, run);
             }
-            OwnerEvent::HandedOver => self.followers.take_over(),
+            OwnerEvent::HandedOver => {
+                self.recovery = None;
+                self.followers.take_over();
+            }
+            OwnerEvent::TakenOver => self.followers.take_over(),
             OwnerEvent::Stopping => self.followers.stop(),
             OwnerEvent::Tick => {}
         }
@@ -156,6 +164,14 @@
         actions
     }
 
+    /// Take note that this process has slept. Another owner may have let calls in
+    /// meanwhile, and the hosts may ask that one now.
+    pub fn woke(&mut self, now: Moment, slept: Duration) {
+        self.quotas.skip(slept);
+        let settle = self.opts.settle_after;
+        self.followers.lose_all(now, &self.me.host, settle);
+    }
+
     /// Take this part of what lies in the quotas' buckets out of them, for the
     /// next owner.
     pub fn hand_over_quotas(&mut self, now: Moment, part: f64) -> Vec<QuotaLevel> {
@@ -176,9 +192,9 @@
 
     /// Take note of a host that asks or tells what it holds: it follows this
     /// owner. A release may come long after it has turned to another one.
-    fn note_follower(&mut self, host: &HostName, message: &OwnerMessage) {
+    fn note_follower(&mut self, now: Moment, host: &HostName, message: &OwnerMessage) {
         if matches!(message, OwnerMessage::Ask(_) | OwnerMessage::Retell { .. }) {
-            self.followers.note(host);
+            self.followers.note(now, host);
         }
     }
 
@@ -209,6 +225,9 @@
                 self.on_not_held(now, &host, &permits, actions);
             }
             OwnerMessage::QuotaLevels { levels, .. } => self.quotas.take_in(now, &levels),
+            OwnerMessage::QuotaUse { hosts, used, .. } => {
+                self.on_quota_use(now, host, hosts, &used);
+            }
             OwnerMessage::FailedTargets { targets, .. } => {
                 self.on_failed_targets(now, &targets, actions);
             }
--- a/bergamotswitch-core/src/pool_owner/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/quota.rs
@@ -62,6 +62,9 @@
     level: f64,
     /// What calls took that wait: it may come back.
     waiting: f64,
+    /// What hosts told to be left, less what was used beyond their shares; what a
+    /// former owner hands over later is a part of it.
+    recovered: f64,
     filled_at: Moment,
 }
 
@@ -120,6 +123,7 @@
             let bucket = QuotaBucket {
                 level: 0.0,
                 waiting: 0.0,
+                recovered: 0.0,
                 filled_at: now,
             };
             self.buckets.entry(account.clone()).or_insert(bucket);
@@ -188,7 +192,8 @@
         levels
     }
 
-    /// Put in what a former owner took out of its buckets, up to a full one.
+    /// Put in what a former owner took out of its buckets, up to a full one. What
+    /// hosts have told to be left is a part of that.
     pub fn take_in(&mut self, now: Moment, levels: &[QuotaLevel]) {
         for QuotaLevel { account, units } in levels {
             let Some(rate) = self.rates.get(account) else {
@@ -196,11 +201,53 @@
             };
             if let Some(bucket) = self.buckets.get_mut(account) {
                 bucket.fill(now, rate, self.part);
-                bucket.level = (bucket.level + *units as f64).min(rate.burst);
+                let known = bucket.recovered.clamp(0.0, *units as f64);
+                bucket.recovered -= known;
+                bucket.level = (bucket.level + *units as f64 - known).min(rate.burst);
             }
         }
     }
 
+    /// Fill a host's share of the buckets, up to what its callers have used. An
+    /// empty bucket counts all shares as used; some of this one has come back in
+    /// the time since.
+    pub fn recover_share(
+        &mut self,
+        now: Moment,
+        elapsed: Duration,
+        hosts: u32,
+        used: &[QuotaLevel],
+    ) {
+        let hosts = f64::from(hosts.max(1));
+        let used = used
+            .iter()
+            .map(|level| (&level.account, level.units as f64));
+        let used: HashMap<&AccountName, f64> = used.collect();
+        for (account, bucket) in &mut self.buckets {
+            let Some(rate) = self.rates.get(account) else {
+                continue;
+            };
+            let missing = rate.burst - elapsed.as_secs_f64() * rate.rate;
+            if missing <= 0.0 {
+                continue;
+            }
+            let used = used.get(account).copied().unwrap_or(0.0);
+            bucket.fill(now, rate, self.part);
+            let before = bucket.recovered.max(0.0);
+            bucket.recovered += missing / hosts - used;
+            // Never less than an empty bucket: that is safe without any word.
+            let gained = bucket.recovered.max(0.0) - before;
+            bucket.level = (bucket.level + gained).min(rate.burst);
+        }
+    }
+
+    /// Leave out the time of a sleep: nothing comes into the buckets for it.
+    pub fn skip(&mut self, slept: Duration) {
+        for bucket in self.buckets.values_mut() {
+            bucket.filled_at = bucket.filled_at.plus(slept);
+        }
+    }
+
     /// Keep what a call took that waits no longer: it runs, or may have run.
     pub fn keep(&mut self, account: &AccountName, units: u32) {
         if let Some(bucket) = self.buckets.get_mut(account) {
--- a/bergamotswitch-core/tests/entry_world/owners.rs
+++ b/bergamotswitch-core/tests/entry_world/owners.rs
@@ -18,6 +18,7 @@
             | OwnerMessage::NotHeld { .. }
             | OwnerMessage::Following { .. }
             | OwnerMessage::QuotaLevels { .. }
+            | OwnerMessage::QuotaUse { .. }
             | OwnerMessage::FailedTargets { .. } => {}
         }
     }
--- /dev/null
+++ b/bergamotswitch-core/tests/host_standstill.rs
@@ -0,0 +1,105 @@
+//! Quotas of client accounts around hosts whose processes stand still for a
+//! second or two.
+
+mod quota_fleet;
+
+use bergamotswitch_core::refusal::RefusalReason;
+use quota_fleet::*;
+
+/// What an account may use in one window over all hosts.
+const ALLOWED: f64 = ((RATE * 8 + BURST) as f64) * (1.0 + OVERAGE);
+
+/// The busy account's calls in each step of 5 ms: four times its quota.
+const BUSY_CALLS: usize = 2;
+
+/// The calm account's calls are this far apart, in milliseconds: half of its
+/// quota.
+const CALM_EVERY_MS: u64 = 20;
+
+/// Standstills that peers hardly notice, that move the order of a shard, and
+/// that the process itself takes for a pause.
+const STANDSTILLS_MS: [u64; 5] = [500, 900, 1_400, 1_900, 3_000];
+
+fn traffic(fleet: &mut QuotaFleet) {
+    fleet.send("busy", BUSY_CALLS);
+    if (fleet.now.as_micros() / 1_000).is_multiple_of(CALM_EVERY_MS) {
+        fleet.send("calm", 1);
+    }
+}
+
+fn assert_quotas(fleet: &QuotaFleet, case: &str) {
+    let refused = fleet.refused("calm", RefusalReason::OverQuota);
+    assert_eq!(refused, 0, "{case}: {:?}", fleet.turns);
+    let (most, begin) = fleet.most_in_window("busy");
+    assert!(
+        most as f64 <= ALLOWED,
+        "{case}: {most} of {ALLOWED} from {begin:?}, {:?}",
+        fleet.turns
+    );
+}
+
+/// Let one host of a fleet stand still for a while and go on.
+fn stand_still(fleet: &mut QuotaFleet, index: usize, span_ms: u64) {
+    fleet.freeze(index);
+    fleet.pass(Duration::from_millis(span_ms), traffic);
+    fleet.thaw(index);
+    fleet.pass(Duration::from_secs(8), traffic);
+}
+
+// Guards against 429 for accounts within their quota when an owner is late.
+#[test]
+fn late_owner() {
+    for span_ms in STANDSTILLS_MS {
+        let mut fleet = QuotaFleet::start(Duration::from_millis(5));
+        fleet.pass(Duration::from_secs(4), traffic);
+        let owner = fleet.owner();
+        stand_still(&mut fleet, owner, span_ms);
+        assert_quotas(&fleet, &format!("owner late by {span_ms} ms"));
+    }
+}
+
+// Guards against 429 for accounts within their quota when a host that owns
+// nothing is late.
+#[test]
+fn late_entry() {
+    for span_ms in STANDSTILLS_MS {
+        let mut fleet = QuotaFleet::start(Duration::from_millis(5));
+        fleet.pass(Duration::from_secs(4), traffic);
+        let entry = (fleet.owner() + 1) % HOSTS;
+        stand_still(&mut fleet, entry, span_ms);
+        assert_quotas(&fleet, &format!("host late by {span_ms} ms"));
+    }
+}
+
+// Guards against 429 for accounts within their quota when the host that has
+// taken a shard over is late in turn.
+#[test]
+fn late_successor() {
+    for span_ms in STANDSTILLS_MS {
+        let mut fleet = QuotaFleet::start(Duration::from_millis(5));
+        fleet.pass(Duration::from_secs(4), traffic);
+        let first = fleet.owner();
+        fleet.freeze(first);
+        fleet.pass(Duration::from_millis(1_400), traffic);
+        let second = fleet.owner();
+        fleet.thaw(first);
+        stand_still(&mut fleet, second, span_ms);
+        assert_quotas(&fleet, &format!("successor late by {span_ms} ms"));
+    }
+}
+
+// Guards against 429 for accounts within their quota after the death of an
+// owner, and against more than their quota.
+#[test]
+fn lost_owner() {
+    for back_ms in [300, 1_000, 5_000] {
+        let mut fleet = QuotaFleet::start(Duration::from_millis(5));
+        fleet.pass(Duration::from_secs(4), traffic);
+        let owner = fleet.owner();
+        fleet.end(owner);
+        fleet.pass(Duration::from_millis(back_ms), traffic);
+        fleet.restart(owner);
+        fleet.pass(Duration::from_secs(8), traffic);
+        assert_quotas(&fleet, &format!("owner back after {back_ms} ms"));
+    }
+}
--- a/bergamotswitch-core/tests/membership_faults.rs
+++ b/bergamotswitch-core/tests/membership_faults.rs
@@ -107,6 +107,38 @@
     assert!(!fleet.nodes[&order[1]].notes.iter().any(unreachable));
 }
 
+// Guards against an owner that goes on, or ends without a word to the rest of its
+// host, after a sleep in which another one has taken over.
+#[test]
+fn sleeper_ends() {
+    let (mut fleet, order) = settled(8);
+    fleet.kill(&order[0]);
+    fleet.run(secs(4));
+    fleet.pause(&order[1]);
+    fleet.run(secs(4));
+    let changes = fleet.nodes[&order[1]].act_changes;
+    fleet.resume(&order[1], secs(4));
+    assert!(fleet.nodes[&order[1]].machine.acts_for().is_empty());
+    assert_eq!(fleet.nodes[&order[1]].act_changes, changes + 1);
+}
+
+// Guards against a shard without an owner after a sleep that nobody noticed.
+#[test]
+fn short_sleep() {
+    let (mut fleet, order) = settled(8);
+    fleet.kill(&order[0]);
+    fleet.run(secs(4));
+    let changes = fleet.nodes[&order[1]].act_changes;
+    fleet.pause(&order[1]);
+    fleet.run(Duration::from_millis(1_100));
+    fleet.resume(&order[1], Duration::from_millis(1_100));
+    for _ in 0..40 {
+        fleet.run(Duration::from_millis(100));
+        assert_eq!(fleet.owners_of(&shard(0)), vec![order[1].clone()]);
+    }
+    assert_eq!(fleet.nodes[&order[1]].act_changes, changes);
+}
+
 #[test]
 fn sleep_unannounced() {
     // Symptom: after a pause every peer is reported silent.
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -70,15 +70,31 @@
     run: HostIncarnation,
     started_at: Moment,
     wanted: BTreeSet<usize>,
+    /// What waits for a process that stands still.
+    held: Option<Vec<Parcel>>,
 }
 
 enum Parcel {
+    Call(usize, &'static str, Moment),
     Letter(usize, usize, LinkMessage),
     Gossip(usize, Box<RosterMessage>),
     Value(usize, PublishedValue),
     Attempt(usize, AttemptId, AttemptEvent),
 }
 
+impl Parcel {
+    /// Get the host whose process takes the parcel.
+    fn receiver(&self) -> usize {
+        match self {
+            Parcel::Letter(_, to, _)
+            | Parcel::Call(to, ..)
+            | Parcel::Gossip(to, _)
+            | Parcel::Value(to, _)
+            | Parcel::Attempt(to, ..) => *to,
+        }
+    }
+}
+
 /// A `QuotaFleet` is the fleet, its network and what its callers have seen.
 pub struct QuotaFleet {
     pub now: Moment,
@@ -235,6 +251,7 @@
             run,
             started_at: self.now,
             wanted: BTreeSet::new(),
+            held: None,
         }
     }
 
@@ -246,16 +263,37 @@
             self.dial();
             self.deliver();
             for index in 0..HOSTS {
-                let own = self.own_time(index);
-                let core = self.hosts[index].core.as_ref();
-                if core.is_some_and(|core| core.next_wake() <= own) {
-                    self.tell(index, NodeEvent::Tick);
-                }
+                self.tick(index);
             }
             each(self);
         }
     }
 
+    fn tick(&mut self, index: usize) {
+        let own = self.own_time(index);
+        let host = &self.hosts[index];
+        let due = host
+            .core
+            .as_ref()
+            .is_some_and(|core| core.next_wake() <= own);
+        if due && host.held.is_none() {
+            self.tell(index, NodeEvent::Tick);
+        }
+    }
+
+    /// Let a host's process stand still: what is sent to it waits.
+    pub fn freeze(&mut self, index: usize) {
+        self.hosts[index].held = Some(Vec::new());
+    }
+
+    /// Let a host's process go on, with all that waits for it.
+    pub fn thaw(&mut self, index: usize) {
+        let run = self.hosts[index].run.incarnation;
+        for parcel in self.hosts[index].held.take().unwrap_or_default() {
+            self.hand_over(run, parcel);
+        }
+    }
+
     /// Get the host that orders the shard, as most see it: the last to begin.
     pub fn owner(&self) -> usize {
         let owns = |index: &usize| {
@@ -311,29 +349,39 @@
         for _ in 0..HOSTS {
             self.next_host = (self.next_host + 1) % HOSTS;
             let index = self.next_host;
-            let own = self.own_time(index);
-            let Some(core) = self.hosts[index].core.as_mut() else {
-                continue;
-            };
-            if !core.is_ready(own) {
-                continue;
+            if let Some(held) = &mut self.hosts[index].held {
+                held.push(Parcel::Call(index, account, self.now));
+                return;
             }
-            let (reception, actions) = core.submit(own, submission(account));
-            if let Reception::Accepted(id) = reception {
-                let record = CallRecord {
-                    account,
-                    sent_at: self.now,
-                    ran_at: None,
-                    refusal: None,
-                };
-                self.calls.insert(id, record);
-                self.carry_out(index, actions);
+            if self.submit(index, account, self.now) {
                 return;
             }
-            self.carry_out(index, actions);
         }
     }
 
+    /// Hand a call to a host; get whether it took it.
+    fn submit(&mut self, index: usize, account: &'static str, sent_at: Moment) -> bool {
+        let own = self.own_time(index);
+        let core = self.hosts[index].core.as_mut();
+        let Some(core) = core.filter(|core| core.is_ready(own)) else {
+            return false;
+        };
+        let (reception, actions) = core.submit(own, submission(account));
+        let Reception::Accepted(id) = reception else {
+            self.carry_out(index, actions);
+            return false;
+        };
+        let record = CallRecord {
+            account,
+            sent_at,
+            ran_at: None,
+            refusal: None,
+        };
+        self.calls.insert(id, record);
+        self.carry_out(index, actions);
+        true
+    }
+
     /// Get the most units of an account that were both sent and run in one
     /// window, over all hosts, and where it began.
     pub fn most_in_window(&self, account: &str) -> (u64, Moment) {
@@ -379,12 +427,20 @@
                 return;
             }
             let (run, parcel) = entry.remove();
-            self.hand_over(run, parcel);
+            let host = &mut self.hosts[parcel.receiver()];
+            match &mut host.held {
+                Some(held) if host.run.incarnation == run => held.push(parcel),
+                _ => self.hand_over(run, parcel),
+            }
         }
     }
 
     fn hand_over(&mut self, run: Incarnation, parcel: Parcel) {
         let (to, event) = match parcel {
+            Parcel::Call(to, account, sent_at) => {
+                self.submit(to, account, sent_at);
+                return;
+            }
             Parcel::Letter(from, to, message) => {
                 if !self.links.contains(&(from.min(to), from.max(to))) {
                     return;
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -54,6 +54,8 @@
     QuotaLevels = "quota-levels", LinkMessage::ToOwner(OwnerMessage::QuotaLevels { .. }),
     /// Targets that fail an owner.
     FailedTargets = "failed-targets", LinkMessage::ToOwner(OwnerMessage::FailedTargets { .. }),
+    /// What is used of the quotas, told to a new owner.
+    QuotaUse = "quota-use", LinkMessage::ToOwner(OwnerMessage::QuotaUse { .. }),
     /// A permit.
     Granted = "granted", LinkMessage::FromOwner(OwnerReply::Granted { .. }),
     /// A refused wish.
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -145,6 +145,18 @@
     })
 }
 
+fn quota_use() -> LinkMessage {
+    let used = QuotaLevel {
+        account: "equipo-recuperacion".try_into().unwrap(),
+        units: 81_250,
+    };
+    LinkMessage::ToOwner(OwnerMessage::QuotaUse {
+        shard: shard(),
+        hosts: 195,
+        used: vec![used],
+    })
+}
+
 #[test]
 fn frame_round_trip() {
     let messages = [
@@ -155,6 +167,7 @@
         marks(),
         quota_levels(),
         failed_targets(),
+        quota_use(),
     ];
     for message in messages {
         let frame = codec::encode(&message).unwrap();
--- /dev/null
+++ b/bergamotswitch/tests/host_late.rs
@@ -0,0 +1,70 @@
+//! Hosts whose processes stand still for a second or two under calls: what
+//! callers within their quota are told.
+
+mod users;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::task::JoinSet;
+use users::{Call, Site, SiteOptions, until};
+
+/// Longer than half of the time after which a host is suspected, and longer than
+/// all of it.
+const STANDSTILLS: [Duration; 2] = [Duration::from_millis(1_200), Duration::from_millis(2_200)];
+/// More than the engines run at once, so that most of them wait.
+const CALLS_PER_HOST: usize = 20;
+/// Longer than all of them take.
+const NO_HURRY: Duration = Duration::from_secs(60);
+
+async fn busy_site() -> Site {
+    Site::start_with(SiteOptions {
+        hosts: 3,
+        gap: Duration::from_millis(50),
+        aim: Duration::from_secs(10),
+        timeout: NO_HURRY,
+        ..SiteOptions::default()
+    })
+    .await
+}
+
+/// Send calls to each host that an account within its quota may send.
+fn send_calls(site: &Site, name: &str) -> JoinSet<(String, StatusCode)> {
+    let mut calls = JoinSet::new();
+    for (at, host) in site.hosts.iter().enumerate() {
+        for number in 0..CALLS_PER_HOST {
+            let (id, door) = (format!("{name}-{at}-{number}"), host.callers);
+            let call = Call::stream("/draft/1", &id).with("deadline-ms", "30000");
+            calls.spawn(async move {
+                let answer = call.send(door).await.expect("answer");
+                (id, answer.status)
+            });
+        }
+    }
+    calls
+}
+
+fn runs_at(site: &Site) -> usize {
+    site.engines.iter().map(|engine| engine.seen().len()).sum()
+}
+
+// Guards against 429 for an account within its quota after its host, or the owner
+// of its calls' shard, stood still.
+#[tokio::test]
+async fn within_quota() {
+    let site = busy_site().await;
+    for late in 0..site.hosts.len() {
+        for span in STANDSTILLS {
+            let before = runs_at(&site);
+            let name = format!("late-{late}-{}", span.as_millis());
+            let calls = send_calls(&site, &name);
+            until("engines run", async || runs_at(&site) > before).await;
+            site.hosts[late].child.signal("STOP");
+            tokio::time::sleep(span).await;
+            site.hosts[late].child.signal("CONT");
+            for (id, status) in calls.join_all().await {
+                assert_ne!(status, StatusCode::TOO_MANY_REQUESTS, "{id}");
+            }
+        }
+    }
+}
