Tell the loop of a link anew where only the peer had lost the former one

The same loss was left where only the peer closes: this host took the peer's next connection as the same link, with no event, and what it had written to the first one was gone: releases, asks, keys.

Evidence: peer_links::dialled_again, a peer that dials twice with one run: no second event within 20 s before; now at once.

Change: a session of the same run that can only have been dialled because the peer lost the link is told as a link; both ends dialling at once is not.

--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -315,6 +315,65 @@
     desk.begin(bounded, "t0");
 }
 
+/// Get a call as above of another rule.
+fn of_rule(rule: &str, likely: u32) -> Submission {
+    let mut submission = sized(likely);
+    submission.verdict.rule = name(rule);
+    submission
+}
+
+// Guards against a guess that is believed because those of another rule were right.
+#[test]
+fn other_guesses() {
+    let mut desk = TestDesk::new(EntryOptions::default());
+    for _ in 0..MANY_RUNS {
+        learn_one(&mut desk, of_rule("other", 400), Duration::from_secs(1), 50);
+        learn_one(
+            &mut desk,
+            of_rule("rule", 40),
+            Duration::from_millis(100),
+            5,
+        );
+    }
+    stop(&mut desk, LEFT);
+    desk.begin(of_rule("other", 400), "t0");
+    turned_away(&mut desk, of_rule("rule", 400));
+}
+
+// Guards against a guess that is believed by a host that has seen few runs.
+#[test]
+fn early_guesses() {
+    for runs in [0, 1, 8, 15] {
+        let mut desk = TestDesk::new(EntryOptions::default());
+        for _ in 0..runs {
+            learn_one(&mut desk, sized(40), Duration::from_millis(100), 5);
+        }
+        stop(&mut desk, LEFT);
+        turned_away(&mut desk, sized(40));
+    }
+}
+
+// Guards against runs that are cut where several callers guess a third of what
+// their answers take.
+#[test]
+fn wrong_guesses() {
+    for wrong in [1, 4, MANY_RUNS] {
+        let mut desk = TestDesk::new(EntryOptions::default());
+        for _ in 0..MANY_RUNS {
+            learn_one(&mut desk, sized(400), Duration::from_secs(1), 50);
+        }
+        for _ in 0..wrong {
+            learn_one(&mut desk, sized(400), Duration::from_secs(3), 150);
+        }
+        // Three seconds and the first piece's time would do; it may be twice
+        // as wrong again.
+        stop(&mut desk, Duration::from_secs(5));
+        turned_away(&mut desk, sized(400));
+        desk.event(EntryEvent::WholeBy(desk.now.plus(LEFT)));
+        desk.begin(sized(400), "t0");
+    }
+}
+
 // Symptom: answers are cut at the end of a grace although recent runs fit it.
 // Sequence: whole runs take three seconds; a target fails 64 times at once, or
 // as many callers leave; a stop begins with two seconds left. Cause: runs that
--- a/bergamotswitch-net/src/link/registry.rs
+++ b/bergamotswitch-net/src/link/registry.rs
@@ -160,6 +160,7 @@
             None => Arc::new(SendQueue::new(self.opts.send_queue_bytes)),
         };
         let yielded = same_run.map(|link| link.session);
+        let lost = same_run.is_some_and(|link| self.is_lost(link, role));
         state.sessions += 1;
         let link = ActiveLink {
             session: state.sessions,
@@ -176,6 +177,9 @@
         match (former, yielded) {
             (Some(former), Some(_)) => {
                 former.order.send_replace(SessionOrder::Yield);
+                if lost {
+                    self.tell(LinkEvent::Up(run.clone()));
+                }
             }
             (Some(former), None) => {
                 former.order.send_replace(SessionOrder::Close);
@@ -224,22 +228,28 @@
         }
     }
 
+    /// Get whether a new session says that the peer has lost `link`. What this
+    /// host sent over it since may be lost, too, so its loop has to hear of a link
+    /// anew: otherwise asks, releases and keys would be missing at the peer until
+    /// they are sent again in their turn.
+    ///
+    /// A host dials only while it has no link. So it lost this one where it
+    /// dialled that as well, and where the new session comes later than any
+    /// attempt which began before `link` was up.
+    fn is_lost(&self, link: &ActiveLink, role: LinkRole) -> bool {
+        role == link.role || link.since.elapsed() > self.opts.dial_bound()
+    }
+
     /// Get whether a new session of the same run takes the place of `link`.
     fn replaces(&self, link: &ActiveLink, role: LinkRole) -> bool {
-        // The same side dialled again, so it has given up the former one.
-        if role == link.role {
+        // This host still waits for a PING over one that the peer has lost.
+        if self.is_lost(link, role) {
             return true;
         }
         // Both sides dialled: each must keep the same one of the two, or each
         // closes the one that the other keeps, and no link stays.
         let dialler_preferred = self.me.run.host < link.run.host;
-        if (role == LinkRole::Dialler) == dialler_preferred {
-            return true;
-        }
-        // A host dials only while it has no link. So a session that comes
-        // later than any attempt which began before `link` was up says that
-        // the peer has lost that one, while this host still waits for a PING.
-        link.since.elapsed() > self.opts.dial_bound()
+        (role == LinkRole::Dialler) == dialler_preferred
     }
 
     fn unregister(&self, host: &HostName, session: u64) {
--- a/bergamotswitch-net/tests/peer_links.rs
+++ b/bergamotswitch-net/tests/peer_links.rs
@@ -448,6 +448,22 @@
     assert_eq!(a.hub.counters().dropped, 1);
 }
 
+// Guards against messages that are lost unseen with a connection that the peer has
+// given up before this host.
+#[tokio::test]
+async fn dialled_again() {
+    let mut a = host("a", 1);
+    let c = host("c", 3);
+    a.hub.set_roster(&list(&[&a, &c]), KEY);
+    let mut sessions = Vec::new();
+    for _ in 0..2 {
+        let mut peer = RawPeer::connect(&a, "c", 3).await;
+        sessions.push(peer.prove(KEY).await);
+        a.expect(LinkEvent::Up(c.run.clone())).await;
+    }
+    a.expect_quiet().await;
+}
+
 #[tokio::test]
 async fn unread_peer() {
     // Symptom: a host's memory grows until it dies. Sequence: a peer stays
