Keep reports of failed targets when one of them is told again

Callers of a fleet of many shards would have met a wave of refusals after a change of owner: a host that held reports of 64 shards dropped all of them with the next one, also where it only renewed one. Found by reading; no run of a fleet showed it.

Change: a renewed report takes its own place, and one of a further shard that of the oldest.

many_shards::renewed_report failed before; further_report, the case of one shard more, was not run on the former code in its final form. failed_targets passes.

--- a/bergamotswitch-core/src/node/hand_over.rs
+++ b/bergamotswitch-core/src/node/hand_over.rs
@@ -30,12 +30,20 @@
 impl FailureReports {
     /// Take note of what an owner tells.
     pub(super) fn note(&mut self, now: Moment, shard: PoolShard, targets: Vec<FailedTarget>) {
-        if self.shards.len() >= MAX_SHARDS {
-            self.shards.clear();
+        let is_new = !self.shards.contains_key(&shard);
+        if is_new && self.shards.len() >= MAX_SHARDS {
+            self.drop_oldest();
         }
         self.shards.insert(shard, (now, targets));
     }
 
+    fn drop_oldest(&mut self) {
+        let told = self.shards.iter().min_by_key(|(_, (told_at, _))| *told_at);
+        if let Some(shard) = told.map(|(shard, _)| shard.clone()) {
+            self.shards.remove(&shard);
+        }
+    }
+
     /// Take out what was told of a shard lately, with the time until the next
     /// probes as it is now.
     fn take(&mut self, now: Moment, shard: &PoolShard) -> Vec<FailedTarget> {
