Let each test program claim its ports

Cause: test programs that run at the same time drew from one range of ports, spread by process id alone. A host that is down for 0.2 s leaves its port open to them, and the next host that is started there keeps it.

Change: a test program claims blocks of a hundred ports by a lock on a file, which ends with the program; within its own it draws in turn. host_start::claimed_ports checks that two pools share none; it has no counterpart on the former code, which had no claims.

--- a/bergamotswitch/tests/host_start.rs
+++ b/bergamotswitch/tests/host_start.rs
@@ -3,10 +3,12 @@
 
 mod users;
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use users::ports::PortPool;
 use users::{HostAddresses, SiteOptions, free_address, try_start_at};
 
 /// The ports that are taken in turn, and the threads that start processes
@@ -36,6 +38,20 @@
     assert!(try_start(HostAddresses::free()).is_ok());
 }
 
+// Guards against hosts that end at their restart because another test program took
+// their port while they were down.
+#[test]
+fn claimed_ports() {
+    const DRAWS: usize = 300;
+    let mut pools = [PortPool::new(), PortPool::new()];
+    let [first, second] = pools.each_mut().map(|pool| {
+        let drawn = (0..DRAWS).map(|_| pool.draw().port());
+        drawn.collect::<BTreeSet<u16>>()
+    });
+    assert_eq!(first.len(), DRAWS);
+    assert!(first.is_disjoint(&second));
+}
+
 // Symptom: as above, and hosts that find a port taken which nobody uses.
 // Sequence: a test listens on a port for a moment, to see whether it is free;
 // another thread starts a process, which has a copy of the listening socket
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -6,12 +6,12 @@
 
 #[path = "../host_child/mod.rs"]
 pub mod host_child;
+pub mod ports;
 
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bergamotswitch_standin::users_store::UsersStore;
@@ -23,10 +23,11 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use self::host_child::HostChild;
+pub use self::ports::free_address;
 
 /// Long enough for a busy machine; no test waits this long in good health.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -34,9 +35,6 @@
 pub const HOST: &str = "notices.example";
 /// The key of the one account.
 pub const KEY: &str = "key-of-the-account";
-/// The ports of hosts, and how far those of two test programs lie apart.
-const PORTS: std::ops::Range<u16> = 10_000..32_000;
-const PORT_STEP: u32 = 997;
 /// The tries to start a host on free ports.
 const START_TRIES: usize = 5;
 /// How long a host that is looked at may take to answer.
@@ -464,31 +462,6 @@
     std::fs::rename(&draft, path).expect("settings file");
 }
 
-/// Get an address that is free now, below the ports that the system picks for
-/// outgoing connections: a host that is down for a moment would find its port
-/// taken by one of these when it starts again.
-///
-/// To listen on it to see whether it is free would take it: a process that
-/// another test starts at that moment has a copy of the socket until it runs
-/// its own program, and the host finds somebody listening. A socket that is
-/// bound alone, and may be shared, keeps nobody from listening.
-pub fn free_address() -> SocketAddr {
-    static TAKEN: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let count = TAKEN.fetch_add(1, Ordering::Relaxed);
-        let place = std::process::id()
-            .wrapping_mul(PORT_STEP)
-            .wrapping_add(count);
-        let port = PORTS.start + (place % PORTS.len() as u32) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let socket = TcpSocket::new_v4().expect("socket");
-        socket.set_reuseaddr(true).expect("shared socket");
-        if socket.bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 pub async fn pause() {
     tokio::time::sleep(Duration::from_millis(20)).await;
 }
