--- a/bergamotswitch-core/src/roster/machine.rs
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +27,8 @@
     record: MemberRecord,
     /// When newer news of it came last.
     heard_at: Moment,
+    /// How much of this host's own sleep counted for it since then.
+    excused: Duration,
     /// When it was first heard to stop; absent once it takes callers again.
     left_at: Option<Moment>,
 }
@@ -114,15 +117,18 @@
     /// others' silence, it would be alone when it wakes: one would see it act as
     /// owner beside the owner, and refuse what waits there, until their next
     /// messages. What a round is late beyond its whole interval counts for nobody.
-    /// A host that is always that late, for want of a processor, so notices others'
-    /// ends later.
+    /// A host that is always that late, for want of a processor, notices others'
+    /// ends later, after twice the time at most.
     fn discount_sleep(&mut self, now: Moment) {
         let slept = now.since(self.awake_until());
         if slept.is_zero() {
             return;
         }
+        let silent_after = self.silent_after();
         for member in self.members.values_mut() {
-            member.heard_at = member.heard_at.plus(slept).min(now);
+            let excused = slept.min(silent_after.saturating_sub(member.excused));
+            member.excused += excused;
+            member.heard_at = member.heard_at.plus(excused).min(now);
         }
         self.round_at = now;
     }
@@ -244,8 +250,12 @@
     }
 
     fn is_heard(&self, now: Moment, member: &KnownMember) -> bool {
-        let silent_after = self.opts.silent_after(self.members.len() + 1);
-        now.min(self.awake_until()).since(member.heard_at) < silent_after
+        now.min(self.awake_until()).since(member.heard_at) < self.silent_after()
+    }
+
+    /// Get the time after which a silent host of this fleet is not counted on.
+    fn silent_after(&self) -> Duration {
+        self.opts.silent_after(self.members.len() + 1)
     }
 
     fn own_stamp(&self, now: Moment) -> u64 {
@@ -312,6 +322,7 @@
             member.record.stamp = stamp;
             member.record.flags = mark.flags;
             member.heard_at = now;
+            member.excused = Duration::ZERO;
             member.note_leaving(now);
         }
         true
@@ -332,6 +343,7 @@
         let mut member = KnownMember {
             record,
             heard_at: now,
+            excused: Duration::ZERO,
             left_at,
         };
         member.note_leaving(now);
--- a/bergamotswitch-core/tests/roster_rounds.rs
+++ b/bergamotswitch-core/tests/roster_rounds.rs
@@ -223,6 +223,28 @@
     }
 }
 
+// Guards against a host that goes on to count on a dead one for as long as its own
+// rounds are late.
+#[test]
+fn late_rounds() {
+    // Twice the silence of eight hosts, and one round.
+    const NOTICED_WITHIN: Duration = Duration::from_millis(2 * 2_300);
+    for late_ms in [700, 1_200, 3_000] {
+        let late = Duration::from_millis(late_ms);
+        let mut crowd = Crowd::new(8);
+        crowd.run(Duration::from_secs(3));
+        crowd.rosters.remove(&2);
+        let rounds = NOTICED_WITHIN.as_millis().div_ceil(late.as_millis()) + 1;
+        for _ in 0..rounds {
+            crowd.asleep = Some(1);
+            crowd.run(late);
+            crowd.wake();
+            crowd.run(Duration::from_millis(20));
+        }
+        assert_eq!(crowd.known(1), 7, "rounds {late_ms} ms late");
+    }
+}
+
 // Symptom: callers are sent to a host that is gone by one that gets too little
 // of a processor. Sequence: each of its rounds comes half a second late; another
 // host dies. Cause: what it slept must not hide that the others go on.
