Count a young host's share as used; leave short sleeps of owners alone

Read again as a newcomer: a host that had just started told nothing of quotas until the slowest of all buckets had time to fill, so one account with a small rate kept it silent for long. Now it counts its share of those buckets alone as used. And an owner on a crowded host, whose loop is some tenths of a second late, would have lost the units of that time although nobody can have taken over: only a sleep of a suspicion's length counts (no run showed the loss; by reading).

Split off: the ends of asks without a permit (refusing), what a roster knows of a host (known_member), the set-up of the quota fleet; retry_unsent and retry_unrun share their end.

--- a/bergamotswitch-core/src/entry/desk/follow_up.rs
+++ b/bergamotswitch-core/src/entry/desk/follow_up.rs
@@ -30,10 +30,8 @@
     ) {
         record.avoid_target(&running.permit.target);
         let life = running.life.unrun(NotRunProof::of_unsent(sent));
-        match self.try_reconnect(now, &mut record) {
-            Ok(()) => self.ask_again(now, record, life, reason, actions),
-            Err(refusal) => self.exhaust(now, record, life, refusal, actions),
-        }
+        let spent = self.try_reconnect(now, &mut record);
+        self.follow(now, record, life, spent.map(|()| reason), actions);
     }
 
     /// Follow up an attempt that is proven not to have run.
@@ -48,8 +46,21 @@
     ) {
         record.avoid_target(&running.permit.target);
         let life = running.life.unrun(proof);
-        match self.try_retry(now, &record) {
-            Ok(()) => self.ask_again(now, record, life, reason, actions),
+        let spent = self.try_retry(now, &record);
+        self.follow(now, record, life, spent.map(|()| reason), actions);
+    }
+
+    /// Ask again where a retry was spent, for the reason of that retry; else give up.
+    fn follow(
+        &mut self,
+        now: Moment,
+        record: RequestRecord,
+        life: WaitingLife,
+        spent: Result<RetryReason, RefusalReason>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match spent {
+            Ok(reason) => self.ask_again(now, record, life, reason, actions),
             Err(refusal) => self.exhaust(now, record, life, refusal, actions),
         }
     }
--- a/bergamotswitch-core/src/entry/quota_use.rs
+++ b/bergamotswitch-core/src/entry/quota_use.rs
@@ -30,8 +30,8 @@
 /// host's share of the account's rate has given back since.
 ///
 /// Whatever an owner lets in runs at an entry host. So the uses of all hosts
-/// together are no less than what is missing in the owner's bucket, and its
-/// successor may fill its own one up to them, although the owner is silent.
+/// together are no less than what is missing in the owner's bucket, and tell its
+/// successor how much is left, although the owner is silent.
 #[derive(Debug, Default)]
 pub(super) struct QuotaUse {
     rates: HashMap<AccountName, QuotaRate>,
@@ -72,32 +72,36 @@
         debt.units = (debt.units + f64::from(units)).min(rate.burst);
     }
 
-    /// Get what a new owner of the shard has to know; `None` while this host's
-    /// former run may have let in more.
+    /// Get what a new owner of the shard has to know; `None` before any quota is
+    /// known. Where this host's former run may have let in more, its whole share of
+    /// a bucket counts as used.
     pub(super) fn of_shard(
         &mut self,
         now: Moment,
         shard: &PoolShard,
         hosts: usize,
     ) -> Option<Vec<QuotaLevel>> {
-        let longest = self.rates.values().map(QuotaRate::fill_time).max()?;
-        if now < self.known_since?.plus(longest) {
-            return None;
+        let age = now.since(self.known_since?);
+        let mut debts = self.debts.get_mut(shard);
+        let mut used = Vec::new();
+        for (account, rate) in &self.rates {
+            let debt = debts.as_mut().and_then(|debts| debts.get_mut(account));
+            let units = match debt {
+                _ if age < rate.fill_time() => rate.burst / hosts as f64,
+                None => continue,
+                Some(debt) => {
+                    debt.settle(now, rate.rate / hosts as f64);
+                    debt.units
+                }
+            };
+            if units > 0.0 {
+                used.push(QuotaLevel {
+                    account: account.clone(),
+                    units: units.ceil() as u64,
+                });
+            }
         }
-        let Some(debts) = self.debts.get_mut(shard) else {
-            return Some(Vec::new());
-        };
-        let rates = &self.rates;
-        debts.retain(|account, debt| {
-            let rate = rates.get(account).map_or(f64::MAX, |rate| rate.rate);
-            debt.settle(now, rate / hosts as f64);
-            debt.units > 0.0
-        });
-        let used = debts.iter().map(|(account, debt)| QuotaLevel {
-            account: account.clone(),
-            units: debt.units.ceil() as u64,
-        });
-        Some(used.collect())
+        Some(used)
     }
 }
 
--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -144,10 +144,10 @@
         self.opts.heartbeat
     }
 
-    /// Get how long a sleep of this process is after which another host may act
-    /// in its place.
-    pub fn doubt_after(&self) -> Duration {
-        self.opts.suspect_after / 2
+    /// Get the time without an answer after which another host may act in this
+    /// one's place.
+    pub fn suspect_after(&self) -> Duration {
+        self.opts.suspect_after
     }
 
     /// Get whether a host has said that it stops.
@@ -323,7 +323,7 @@
         slept: Duration,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if slept < self.doubt_after() {
+        if slept < self.opts.suspect_after / 2 {
             return;
         }
         self.changed = true;
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -241,7 +241,9 @@
     pub(super) fn notice_pause(&mut self, now: Moment) {
         let gap = now.since(self.last_seen);
         self.last_seen = now;
-        if gap >= self.membership.doubt_after() {
+        // The sleep may have begun just after the last event, or a tick before
+        // the next one was due.
+        if gap + TICK_INTERVAL >= self.membership.suspect_after() {
             self.shards.woke(now, gap);
         }
         if gap <= PAUSE_BOUND {
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 mod quota;
 mod quota_recovery;
+mod refusing;
 mod release;
 mod release_pace;
 pub mod routing;
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -9,8 +9,7 @@
 use crate::permit::{Ask, OwnerMessage, OwnerReply, QuotaLevel};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
-use crate::request::{AttemptId, TokenCost};
-use crate::rules::Tier;
+use crate::request::TokenCost;
 
 use super::cost_sample::CostSample;
 use super::followers::OwnerFollowers;
@@ -334,75 +333,4 @@
         });
         span_of(sum_ms / f64::from(count.max(1)))
     }
-
-    fn expire_asks(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
-        while let Some(attempt) = self.queue.expired(now) {
-            let queued = self.queue.get(&attempt);
-            let tier = queued.map_or(Tier(0), |queued| queued.ask.tier);
-            let reason = match queued.is_some_and(|queued| now < queued.plan.run_until) {
-                true => RefusalReason::Overloaded,
-                false => RefusalReason::DeadlinePassed,
-            };
-            let retry_after = self.drain_time(now, tier);
-            self.refuse_queued(&attempt, reason, retry_after, actions);
-        }
-    }
-
-    /// Refuse an ask that waits. It was not run under a permit of this owner.
-    pub(super) fn refuse_queued(
-        &mut self,
-        attempt: &AttemptId,
-        reason: RefusalReason,
-        retry_after: Duration,
-        actions: &mut Vec<OwnerAction>,
-    ) {
-        if let Some(queued) = self.queue.remove(attempt) {
-            self.settle_unused(&queued.ask);
-            self.queue.note_fate(self.now, queued.ask.tier, false);
-            let retry_after = match queued.ask.patience_ms {
-                Some(_) => queued.plan.come_back_in(self.now, attempt).max(retry_after),
-                None => retry_after,
-            };
-            self.refuse(queued.host, *attempt, reason, retry_after, actions);
-        }
-    }
-
-    fn refuse(
-        &mut self,
-        host: HostName,
-        attempt: AttemptId,
-        reason: RefusalReason,
-        retry_after: Duration,
-        actions: &mut Vec<OwnerAction>,
-    ) {
-        *self.counts.refusals.entry(reason).or_default() += 1;
-        let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
-        let reply = OwnerReply::Refused {
-            attempt,
-            reason,
-            retry_after_ms,
-        };
-        actions.push(OwnerAction::Reply(host, reply));
-    }
-
-    pub(super) fn reply_known(
-        &mut self,
-        host: HostName,
-        attempt: AttemptId,
-        holder: HostIncarnation,
-        actions: &mut Vec<OwnerAction>,
-    ) {
-        self.counts.keys_known += 1;
-        let reply = OwnerReply::KeyKnown { attempt, holder };
-        actions.push(OwnerAction::Reply(host, reply));
-    }
-
-    /// Give back what an ask holds that got no permit.
-    pub(super) fn settle_unused(&mut self, ask: &Ask) {
-        if let Some(claim) = &ask.claim {
-            self.keys.settle_unused(claim);
-        }
-        let units = ask.quota_units;
-        self.quotas.give_back(self.now, &ask.account, units);
-    }
 }
--- a/bergamotswitch-core/src/roster/machine.rs
+++ b/bergamotswitch-core/src/roster/machine.rs
@@ -6,6 +6,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::known_member::KnownMember;
 use super::{MemberFlags, MemberMark, MemberRecord, RosterAction, RosterMessage, RosterOptions};
 use crate::clock::Moment;
 use crate::host::{EntryHost, HostList, HostName, Standing};
@@ -21,31 +22,6 @@
 /// it, two halves of a fleet that a cut has parted would never meet again.
 const ROUNDS_PER_REUNION: u64 = 4;
 
-/// A `KnownMember` is what this host knows of another.
-#[derive(Debug)]
-struct KnownMember {
-    record: MemberRecord,
-    /// When newer news of it came last.
-    heard_at: Moment,
-    /// How much of this host's own sleep counted for it since then.
-    excused: Duration,
-    /// When it was first heard to stop; absent once it takes callers again.
-    left_at: Option<Moment>,
-}
-
-impl KnownMember {
-    /// Take in when it began to stop, from its state as told now.
-    fn note_leaving(&mut self, now: Moment) {
-        let flags = self.record.flags;
-        match (flags.leaving, flags.ready) {
-            (true, _) => self.left_at = self.left_at.or(Some(now)),
-            (false, true) => self.left_at = None,
-            // It starts: it is not back yet.
-            (false, false) => {}
-        }
-    }
-}
-
 /// A `Roster` is the fleet's hosts as this host has heard of them.
 #[derive(Debug)]
 pub struct Roster {
@@ -126,9 +102,7 @@
         }
         let silent_after = self.silent_after();
         for member in self.members.values_mut() {
-            let excused = slept.min(silent_after.saturating_sub(member.excused));
-            member.excused += excused;
-            member.heard_at = member.heard_at.plus(excused).min(now);
+            member.excuse(now, slept, silent_after);
         }
         self.round_at = now;
     }
@@ -142,7 +116,7 @@
     /// silence is no evidence against them.
     pub fn woke(&mut self, now: Moment) {
         for member in self.members.values_mut() {
-            member.heard_at = now;
+            member.hear(now);
         }
         self.round_at = now;
     }
@@ -321,8 +295,7 @@
         if stamp > member.record.stamp {
             member.record.stamp = stamp;
             member.record.flags = mark.flags;
-            member.heard_at = now;
-            member.excused = Duration::ZERO;
+            member.hear(now);
             member.note_leaving(now);
         }
         true
--- a/bergamotswitch-core/src/roster/mod.rs
+++ b/bergamotswitch-core/src/roster/mod.rs
@@ -9,6 +9,7 @@
 //! long from a hundred hosts on; no two hosts need a connection for it, and news
 //! reaches all in a few rounds.
 
+mod known_member;
 mod machine;
 mod message;
 mod options;
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+mod setup;
 mod values;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,20 +13,15 @@
 use bergamotswitch_core::entry::{
     AttemptEvent, Conclusion, EntryOptions, NotSentReason, Reception,
 };
-use bergamotswitch_core::host::{EntryHost, HostIncarnation, HostName, Incarnation, Standing};
+use bergamotswitch_core::host::{HostIncarnation, Incarnation};
 use bergamotswitch_core::link::{LinkEvent, LinkMessage};
-use bergamotswitch_core::membership::MembershipOptions;
-use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent, NodeOptions, RosterSetup};
-use bergamotswitch_core::permit::Usage;
-use bergamotswitch_core::pool::PoolShard;
-use bergamotswitch_core::pool_owner::{OwnerOptions, QuotaTolerance};
-use bergamotswitch_core::publication::FleetLimits;
+use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent};
 use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::request::{AttemptId, RequestId};
-use bergamotswitch_core::revision::{
-    PublishedValue, ROUTES_VALUE, RevisionOptions, TARGETS_VALUE, ValueName,
-};
-use bergamotswitch_core::roster::{RosterMessage, RosterOptions};
+use bergamotswitch_core::revision::PublishedValue;
+use bergamotswitch_core::roster::RosterMessage;
+use setup::{host_entry, index_of, options, usage};
+pub use setup::{name, shard};
 use values::{published, submission};
 
 /// The hosts of the fleet.
@@ -124,74 +120,6 @@
     next_host: usize,
 }
 
-pub fn name<T: TryFrom<String>>(text: &str) -> T {
-    T::try_from(text.to_owned()).ok().expect("a name")
-}
-
-pub fn shard() -> PoolShard {
-    PoolShard {
-        pool: name("llm"),
-        domain: None,
-    }
-}
-
-fn host_entry(index: usize) -> EntryHost {
-    EntryHost {
-        name: name(&format!("host-{index}")),
-        domain: name(&format!("domain-{}", index % 3)),
-        caller_address: ([10, 0, 0, index as u8], 80).into(),
-        link_address: ([10, 0, 0, index as u8], 81).into(),
-        capacity: 1_000,
-        standing: Standing::Live,
-    }
-}
-
-fn index_of(host: &HostName) -> usize {
-    let number = host.as_str().trim_start_matches("host-");
-    number.parse().expect("a host of the fleet")
-}
-
-fn options(index: usize, now: Moment, entry: EntryOptions) -> NodeOptions {
-    let limits = FleetLimits::default();
-    let membership = MembershipOptions::default()
-        .with_heartbeat(Duration::from_millis(200))
-        .with_suspect_after(Duration::from_millis(700))
-        .with_yield_after(Duration::from_secs(2))
-        .with_gone_after(Duration::from_millis(1_500))
-        .with_handover(Duration::from_millis(400));
-    let values = [ROUTES_VALUE, TARGETS_VALUE].map(name::<ValueName>);
-    NodeOptions {
-        entry: entry.with_re_ask_interval(Duration::from_millis(500)),
-        owner: OwnerOptions::default().with_quota_tolerance(QuotaTolerance {
-            window: WINDOW,
-            part: OVERAGE * BURST_PART,
-        }),
-        revision: RevisionOptions::default()
-            .with_values(values.to_vec())
-            .with_read_fallback(Duration::from_millis(250)),
-        roster: Some(RosterSetup {
-            host: host_entry(index),
-            seeds: (0..HOSTS).map(|at| host_entry(at).link_address).collect(),
-            started_at_ms: 1_000_000 + now.as_micros() / 1_000,
-            options: RosterOptions::default(),
-        }),
-        limits: Some(limits),
-        ..NodeOptions::default()
-    }
-    .with_membership(membership)
-}
-
-fn usage() -> Usage {
-    let run = RUN_SPAN.as_millis() as u32;
-    Usage {
-        prefill: UNITS,
-        decode: 1,
-        first_token_ms: run / 2,
-        elapsed_ms: run,
-        ..Usage::default()
-    }
-}
-
 impl QuotaFleet {
     /// Start a fleet whose messages take this long, and let it settle.
     pub fn start(latency: Duration) -> Self {
--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -53,6 +53,7 @@
     let (calls, served) = (outcome.at_stops, outcome.served_at_stops);
     println!("  {served} of {calls} served that were sent to stopping hosts");
     if count > 0 {
+        println!("  the test stood still for up to {:?}", outcome.stood_still);
         println!("  faults: {:#?}", outcome.faults);
         for problem in outcome.problems.iter().take(10) {
             println!("  {problem}");
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod judge;
 mod plan;
+mod standstill;
 mod stops;
 mod work;
 
@@ -21,6 +22,7 @@
 use crate::users::{self, HostProcess, KEY, SiteOptions, start_host_with};
 use callers::{CallRecord, SECOND_KEY, run_caller};
 use plan::{RunPlan, SiteFault, TimedFault};
+use standstill::StandstillWatch;
 use stops::HostStop;
 
 /// The targets of a run: two of each service. A stream has so many events, one
@@ -118,6 +120,8 @@
     pub at_stops: usize,
     pub served_at_stops: usize,
     pub problems: Vec<String>,
+    /// The longest time for which the test got no processor.
+    pub stood_still: Duration,
     pub faults: Vec<String>,
 }
 
@@ -201,6 +205,7 @@
 
     async fn run(self: Rc<Self>, faults: Vec<TimedFault>) -> RunOutcome {
         self.all_ready("at the start").await;
+        let watch = StandstillWatch::begin();
         let texts = faults.iter().map(|fault| format!("{fault:?}")).collect();
         let callers: Vec<_> = (0..CALLERS_PER_HOST * self.hosts.len() as u64)
             .map(|number| spawn_local(run_caller(Rc::clone(&self), number)))
@@ -241,6 +246,7 @@
             at_stops: at_stops.len(),
             served_at_stops: served(&at_stops),
             problems,
+            stood_still: watch.longest(),
             faults: texts,
         }
     }
