--- a/bergamotswitch-core/tests/fleet/mod.rs
+++ b/bergamotswitch-core/tests/fleet/mod.rs
@@ -13,6 +13,7 @@
     Membership, MembershipAction, MembershipEvent, MembershipOptions,
 };
 pub use bergamotswitch_core::pool::PoolShard;
+use bergamotswitch_core::rendezvous;
 
 const LATENCY: Duration = Duration::from_millis(1);
 const REDIAL: Duration = Duration::from_millis(200);
@@ -50,6 +51,26 @@
     }
 }
 
+/// Get the index of a host by its name.
+pub fn index_of(name: &HostName) -> usize {
+    name.as_str().trim_start_matches("host-").parse().unwrap()
+}
+
+/// Get the hosts in their order as candidates of the shard.
+pub fn order(count: usize) -> Vec<HostName> {
+    let names: Vec<_> = (0..count).map(host).collect();
+    rendezvous::rank(&shard(0), names.iter())
+}
+
+/// Start a fleet that uses one shard, and run it until all hosts know the owner. Get
+/// its hosts in their order as candidates.
+pub fn converged(count: usize) -> (Fleet, Vec<HostName>) {
+    let mut fleet = Fleet::start(count, &[shard(0)]);
+    fleet.handle_all(MembershipEvent::Using(shard(0), true));
+    fleet.run(secs(10));
+    (fleet, order(count))
+}
+
 pub struct Node {
     pub membership: Membership,
     pub run: HostIncarnation,
@@ -57,6 +78,8 @@
     pub terminated: Vec<HostName>,
     pub log_actions: Vec<MembershipAction>,
     pub owner_changes: usize,
+    /// How often the host found no candidate reachable.
+    pub ownerless_reports: usize,
     pub acting_changes: usize,
     pub sent: usize,
     pub received: usize,
@@ -106,6 +129,7 @@
             terminated: Vec::new(),
             log_actions: Vec::new(),
             owner_changes: 0,
+            ownerless_reports: 0,
             acting_changes: 0,
             sent: 0,
             received: 0,
@@ -140,10 +164,15 @@
                     self.deliveries
                         .insert((now.plus(LATENCY), self.counter), delivery);
                 }
-                MembershipAction::OwnerChanged(..) => node.owner_changes += 1,
+                MembershipAction::OwnerChanged(_, owner) => {
+                    node.owner_changes += 1;
+                    node.ownerless_reports += usize::from(owner.is_none());
+                }
                 MembershipAction::Act(..) => node.acting_changes += 1,
                 MembershipAction::HostTerminated(host, _) => node.terminated.push(host),
-                action @ MembershipAction::LogIncident(..) => node.log_actions.push(action),
+                action @ (MembershipAction::LogIncident(..) | MembershipAction::LogDenial(..)) => {
+                    node.log_actions.push(action);
+                }
             }
         }
         self.schedule_wake(name);
--- a/bergamotswitch-core/tests/membership_faults.rs
+++ b/bergamotswitch-core/tests/membership_faults.rs
@@ -4,25 +4,8 @@
 mod fleet;
 
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::rendezvous;
 use fleet::*;
 
-fn order(count: usize) -> Vec<HostName> {
-    let names: Vec<_> = (0..count).map(host).collect();
-    rendezvous::rank(&shard(0), names.iter())
-}
-
-fn converged(count: usize) -> (Fleet, Vec<HostName>) {
-    let mut fleet = Fleet::start(count, &[shard(0)]);
-    fleet.handle_all(MembershipEvent::Using(shard(0), true));
-    fleet.run(secs(10));
-    (fleet, order(count))
-}
-
-fn index_of(name: &HostName) -> usize {
-    name.as_str().trim_start_matches("host-").parse().unwrap()
-}
-
 /// Check that each of the hosts sees `owner` as the acting owner.
 fn assert_viewed(fleet: &Fleet, hosts: &[HostName], owner: &HostName) {
     for name in hosts {
