Log a peer that denies the ownership of a shard

A failed run of resubmission::owner_forgets showed 205 on the host that ran the report a second time, in the millisecond of its 401, but not why it counted the next owner out: the hypotheses were a denial by that host from before the loss, and none at all. Event 403 names the peer and the shard, once until the denial has expired.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -108,6 +108,8 @@
     PeerUnreachable = 401, Warn, "peer unreachable";
     /// The set of usable hosts has changed.
     HostsChanged = 402, Info, "set of usable hosts changed";
+    /// A peer that this host considered the owner of a shard does not act for it.
+    OwnershipDenied = 403, Info, "peer does not act as owner of shard";
     /// A new revision of a published value is in force.
     RevisionAdopted = 500, Info, "revision in force";
     /// A revision was rejected; the last valid one stays in force.
--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -102,7 +102,9 @@
             // Only heartbeats confirm both directions of a path; other traffic
             // may keep flowing one way.
             MembershipEvent::Traffic(_) => return actions,
-            MembershipEvent::NotOwner(host, shard) => self.handle_denial(now, host, shard),
+            MembershipEvent::NotOwner(host, shard) => {
+                self.handle_denial(now, host, shard, &mut actions)
+            }
             MembershipEvent::Load(permille) => self.load_permille = permille,
             MembershipEvent::Stop => {
                 self.stop_requested = true;
@@ -295,10 +297,19 @@
         }
     }
 
-    fn handle_denial(&mut self, now: Moment, host: HostName, shard: PoolShard) {
+    fn handle_denial(
+        &mut self,
+        now: Moment,
+        host: HostName,
+        shard: PoolShard,
+        actions: &mut Vec<MembershipAction>,
+    ) {
         let mut denials = self.denials.iter();
         let index = denials.position(|denial| denial.matches(&host, &shard));
         let earlier = index.map(|index| self.denials.swap_remove(index));
+        if earlier.is_none() {
+            actions.push(MembershipAction::LogDenial(host.clone(), shard.clone()));
+        }
         let denial = Denial::new(now, host, shard, earlier.as_ref(), &self.opts);
         self.denials.push(denial);
     }
--- a/bergamotswitch-core/src/membership/mod.rs
+++ b/bergamotswitch-core/src/membership/mod.rs
@@ -87,4 +87,6 @@
     HostTerminated(HostName, Incarnation),
     /// Log an incident of a host.
     LogIncident(Incident, HostName),
+    /// Log that a host does not act as owner of a shard.
+    LogDenial(HostName, PoolShard),
 }
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -134,6 +134,11 @@
                 let text = format!("peer={host}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
+            MembershipAction::LogDenial(host, shard) => {
+                let text = format!("peer={host} shard={shard}");
+                let incident = Incident::OwnershipDenied;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
         }
     }
 
