Restart the denials of a shard when its owner is lost

Cause: a candidate that denied ownership counts as unavailable from two to four seconds after its denial. A denial from the start of the hosts, given while another host was the owner, so left no candidate at the moment at which that owner was lost, and the host admitted on its own although the next owner acted.

A denial says that another host is the owner; with the loss of that owner it says nothing any more. Its time starts again, so the peer is tried again at each heartbeat for one suspicion timeout, as after a denial that follows the loss. Alone stays alone: all_lost and cut_from_owner pass before and after.

--- a/bergamotswitch-core/src/membership/reconcile.rs
+++ b/bergamotswitch-core/src/membership/reconcile.rs
@@ -175,7 +175,30 @@
         }
     }
 
+    /// Restart the denials for each shard whose owner has been lost. A peer that denied
+    /// ownership while that owner was alive may act by now, or will once it detects the
+    /// loss as well.
+    fn restart_denials(&mut self, now: Moment) {
+        let mut denials = std::mem::take(&mut self.denials);
+        for denial in &mut denials {
+            let lost = self.lost_owner(now, &denial.shard);
+            if lost.is_some_and(|lost| *lost != denial.host) {
+                denial.restart(now);
+            }
+        }
+        self.denials = denials;
+    }
+
+    /// Get the last known owner of a shard if it is no longer available.
+    fn lost_owner(&self, now: Moment, shard: &PoolShard) -> Option<&HostName> {
+        let owner = self.owners.get(shard).and_then(OwnerView::host)?;
+        let is_candidate = self.candidates.get(shard)?.contains(owner);
+        let is_available = self.state_of(now, shard, owner) != CandidateState::Unavailable;
+        (!is_candidate || !is_available).then_some(owner)
+    }
+
     fn update_owners(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
+        self.restart_denials(now);
         let mut owners = BTreeMap::new();
         for shard in &self.used_shards {
             let before = self.owners.get(shard).cloned().unwrap_or_default();
--- a/bergamotswitch-core/src/membership/shard_view.rs
+++ b/bergamotswitch-core/src/membership/shard_view.rs
@@ -179,6 +179,12 @@
         self.host == *host && self.shard == *shard
     }
 
+    /// Count the denial as a new one from `now` on, except that the peer may be tried
+    /// again at once.
+    pub(super) fn restart(&mut self, now: Moment) {
+        self.since = now;
+    }
+
     /// Record that the peer is being tried again.
     pub(super) fn retry(&mut self) {
         self.retrying = true;
