Wait for the next owner after a pause instead of admitting alone

Cause: a host that had lost a shard during its own pause ceased to act and reported that no owner is reachable, while the paths to the candidates were only not known yet. It admitted with its fraction of the quotas and refused what had waited in its sockets, 30 us after it woke. A candidate whose denial is from before the pause counted as unavailable in the same way.

An unknown path is bounded by the suspicion timeout, so calls wait that long at most before a host that is truly alone admits by itself. Stopping hosts begin at once, as before (on_acting_change).

--- a/bergamotswitch-core/src/membership/reconcile.rs
+++ b/bergamotswitch-core/src/membership/reconcile.rs
@@ -107,13 +107,15 @@
     /// denied ownership is skipped for a while. A denial is no reason to act in
     /// its place while the path to it works: it takes over itself once it
     /// detects the failure of the earlier candidate, and two owners would then
-    /// dispatch for the shard, each without the other's keys.
+    /// dispatch for the shard, each without the other's keys. Nor is it one while
+    /// the state of the path is not known, as after a pause of this process.
     fn lookup_state(&self, now: Moment, shard: &PoolShard, host: &HostName) -> CandidateState {
         let mut denials = self.denials.iter();
         let denial = denials.find(|denial| denial.matches(host, shard));
         let denied = denial.and_then(|denial| denial.state(now, &self.opts));
         match (denied, self.state_of(now, shard, host)) {
             (Some(denied), CandidateState::Reachable | CandidateState::Stable) => denied,
+            (Some(_), CandidateState::Unknown) => CandidateState::Denied,
             (Some(_), _) => CandidateState::Unavailable,
             (None, state) => state,
         }
@@ -225,10 +227,10 @@
             None => return OwnerView::NoHost,
         };
         let after = shard_view::choose(&self.view(now, shard, hosts), before);
-        // This host knows that it does not act, so it need not keep that view
-        // until the state of the next candidate is known.
+        // This host has ceased to act, and the state of another candidate is not known
+        // yet. That candidate may have taken over while this process was paused.
         match after.host() == Some(&self.identity.host) && !self.acting.contains(shard) {
-            true => OwnerView::NoHost,
+            true => OwnerView::Unknown,
             false => after,
         }
     }
--- a/bergamotswitch-core/tests/degraded_mode.rs
+++ b/bergamotswitch-core/tests/degraded_mode.rs
@@ -88,3 +88,35 @@
     run_with_denials(&mut fleet, Duration::from_millis(7_200));
     assert_eq!(ownerless_reports(&fleet, asking), 1);
 }
+
+// Guards against a host that gives up a shard after its own pause and admits requests
+// on its own, although the host that took the shard over runs.
+#[test]
+fn own_pause() {
+    for paused_ms in [1_100, 1_900, 2_200, 5_000] {
+        for age_ms in [0, 700, 1_500, 3_500] {
+            let (mut fleet, order) = converged(3);
+            let [first, paused, last] = order.as_slice() else {
+                panic!("three hosts");
+            };
+            fleet.kill(first);
+            fleet.run(secs(4));
+            assert_eq!(fleet.view(paused, &shard(0)).as_ref(), Some(paused));
+            fleet.handle(paused, MembershipEvent::NotOwner(last.clone(), shard(0)));
+            fleet.run(Duration::from_millis(age_ms));
+            fleet.pause(paused);
+            fleet.run(Duration::from_millis(paused_ms / 2));
+            // The first candidate acts as soon as it has started.
+            fleet.add(index_of(first), 2, &[shard(0)], list(0..3));
+            fleet.handle(first, MembershipEvent::Using(shard(0), true));
+            fleet.run(Duration::from_millis(paused_ms / 2));
+            fleet.resume(paused, Duration::from_millis(paused_ms));
+            run_with_denials(&mut fleet, TAKEOVER);
+            let reports = ownerless_reports(&fleet, paused);
+            assert_eq!(
+                reports, 0,
+                "paused for {paused_ms} ms, denied {age_ms} ms before"
+            );
+        }
+    }
+}
