Give up shards for good after a pause of the suspicion timeout

Callers may see two owners of one shard, until a host that woke hears from its peers.

Cause: the host judges a pause at its first event twice, by its last scheduled wake-up and by the pause that the process reports. Where only the second reaches the suspicion timeout, the mark 'keeps acting until an earlier candidate answers' of the first was left, and the host took its shards again in the event in which it gave them up.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -359,6 +359,8 @@
             self.unconfirmed.clone_from(&self.acting);
             return;
         }
+        // The time since the last scheduled wake-up may have shown a shorter pause.
+        self.unconfirmed.clear();
         let (candidates, own_name) = (&self.candidates, &self.identity.host);
         self.acting.retain(|shard| {
             let first = candidates.get(shard).and_then(|hosts| hosts.first());
--- a/bergamotswitch-core/tests/membership_faults.rs
+++ b/bergamotswitch-core/tests/membership_faults.rs
@@ -347,3 +347,20 @@
     assert_eq!(fleet.owners_of(&shard(0)), vec![paused.clone()]);
     assert_viewed(&fleet, &order, paused);
 }
+
+// Guards against an owner that ceases after a pause and acts again at once, although
+// another host has taken over.
+#[test]
+fn ceases_for_good() {
+    for pause_ms in [2_050, 2_200, 2_450, 2_600, 3_000] {
+        let (mut fleet, order) = converged(8);
+        fleet.kill(&order[0]);
+        fleet.run(secs(4));
+        let pause = Duration::from_millis(pause_ms);
+        fleet.pause(&order[1]);
+        fleet.run(pause);
+        fleet.resume(&order[1], pause);
+        let acting = fleet.nodes[&order[1]].membership.acting_shards();
+        assert!(acting.is_empty(), "after {pause_ms} ms");
+    }
+}
