Drop the denials of owners after a pause of the process

Callers may see work admitted beside the owner's. Seen in given_up::passed_deadline, 'no end of the answer' after 30 s as in its entry: calls that should wait behind a full pool ran at once, on a host that admitted on its own.

Cause: a candidate that denies ownership is tried again at each heartbeat for one suspicion timeout, and counts as unavailable after that. A host that was paused in this time tried nobody, and found all candidates unavailable when it woke.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -355,6 +355,9 @@
         for peer in self.peers.values_mut() {
             peer.reset_path(now);
         }
+        // A denial from before the pause may be outdated, and its time has passed
+        // without another attempt.
+        self.denials.clear();
         if paused_for < self.opts.suspect_after {
             self.unconfirmed.clone_from(&self.acting);
             return;
--- a/bergamotswitch-core/tests/degraded_mode.rs
+++ b/bergamotswitch-core/tests/degraded_mode.rs
@@ -57,6 +57,21 @@
     }
 }
 
+// Guards against a host that admits requests on its own because the only candidate left
+// has denied ownership and is not yet watched.
+#[test]
+fn two_stops() {
+    let (mut fleet, order) = converged(8);
+    let (next, asking) = (&order[2], &order[4]);
+    fleet.handle(asking, MembershipEvent::NotOwner(next.clone(), shard(0)));
+    for name in &order[..2] {
+        fleet.handle(name, MembershipEvent::Stop);
+    }
+    run_with_denials(&mut fleet, TAKEOVER);
+    assert_eq!(ownerless_reports(&fleet, asking), 0);
+    assert_eq!(fleet.view(asking, &shard(0)).as_ref(), Some(next));
+}
+
 // Guards against a host that waits for an owner forever: it cannot reach the owner, and
 // the other candidates, which can, keep denying ownership.
 #[test]
@@ -89,6 +104,30 @@
     assert_eq!(ownerless_reports(&fleet, asking), 1);
 }
 
+// Guards against a host that counts its own pause as time for which all candidates deny
+// ownership, and admits requests on its own when it wakes.
+#[test]
+fn denied_before_pause() {
+    for asking in [2, 4] {
+        for paused_ms in (1_000..6_000).step_by(250) {
+            let (mut fleet, order) = converged(8);
+            let asking = &order[asking];
+            for candidate in order[..3].iter().filter(|name| *name != asking) {
+                fleet.handle(
+                    asking,
+                    MembershipEvent::NotOwner(candidate.clone(), shard(0)),
+                );
+            }
+            fleet.pause(asking);
+            fleet.run(Duration::from_millis(paused_ms));
+            fleet.resume(asking, Duration::from_millis(paused_ms));
+            run_with_denials(&mut fleet, TAKEOVER);
+            assert_eq!(ownerless_reports(&fleet, asking), 0, "{paused_ms} ms");
+            assert_eq!(fleet.view(asking, &shard(0)).as_ref(), Some(&order[0]));
+        }
+    }
+}
+
 // Guards against a host that gives up a shard after its own pause and admits requests
 // on its own, although the host that took the shard over runs.
 #[test]
