Keep renewed permit requests in the queue

Cause: after a pause a host withdraws its permit requests and sends them again as new attempts. The owner judged each as a new request behind the whole queue, with an estimated speed that had fallen as the runs in flight took longer than predicted.

A permit request that an owner accepted before, and of which no attempt has failed, is not judged again. Its waiting time, the limits of the queue and its deadline hold as before. Ruled out: the end of its waiting time (give_up_at), as the queue's expiry was not used.

--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -66,6 +66,14 @@
     pub quota_units: u32,
 }
 
+impl PermitRequest {
+    /// Get whether an earlier permit request of the same call was withdrawn, as after a
+    /// pause of its host, and no attempt has failed.
+    pub fn is_renewed(&self) -> bool {
+        self.attempt.attempt > 0 && self.avoid.is_empty()
+    }
+}
+
 /// A `PermitId` identifies a permit among those of all owner incarnations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PermitId {
--- a/bergamotswitch-core/src/pool_owner/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/dispatch.rs
@@ -284,7 +284,8 @@
 
     /// Refuse a new request if the ones queued before it would take far longer
     /// than its deadline; get whether it was refused. If lower-tier requests
-    /// are queued it is kept, since those are shed first.
+    /// are queued it is kept, since those are shed first. So is a renewed
+    /// request: an owner accepted it before, and it is not the last in the queue.
     pub(super) fn shed_infeasible(
         &mut self,
         now: Moment,
@@ -294,6 +295,9 @@
         let Some(queued) = self.queue.get(attempt) else {
             return false;
         };
+        if queued.request.is_renewed() {
+            return false;
+        }
         let tier = queued.request.tier;
         if let Some(wait) = self.predicted_slot_wait(now, tier) {
             let lower_kept = self.queue.requests_through(tier) < self.queue.len();
--- a/bergamotswitch-core/tests/queue_order.rs
+++ b/bergamotswitch-core/tests/queue_order.rs
@@ -273,3 +273,32 @@
     let report = with_deadline(permit_request(3, 0, "dawn"), 20_000);
     assert!(preempted(&bench.request_permit(&report)).is_empty());
 }
+
+// Guards against refusing a queued request as overloaded because its host was paused
+// and requests its permit again: the runs in flight have taken longer than predicted
+// meanwhile.
+#[test]
+fn requested_again() {
+    const WAITED: Duration = Duration::from_secs(5);
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &[target("t", "d", 100)]);
+    let limited = |sequence| PermitRequest {
+        first_answer_ms: Some(5_000),
+        ..permit_request(sequence, 0, "a")
+    };
+    bench.granted(&limited(0));
+    for sequence in 1..=16 {
+        assert!(refusals(&bench.request_permit(&limited(sequence))).is_empty());
+    }
+    bench.tick_after(WAITED.as_millis() as u64);
+    for sequence in 1..=16 {
+        let mut again = limited(sequence);
+        bench.message(withdrawal(again.attempt));
+        again.attempt.attempt = 1;
+        again.waited_ms = WAITED.as_millis() as u32;
+        again.deadline_ms -= again.waited_ms;
+        let refused = refusals(&bench.request_permit(&again));
+        assert!(refused.is_empty(), "request {sequence}: {refused:?}");
+    }
+    // A new request would come last, and is refused at once.
+    assert_eq!(refusals(&bench.request_permit(&limited(17))).len(), 1);
+}
