Restore reasons and figures of comments that the wording removed

Only facts of the old comments; the figures that follow from constants (2.3, 4 and 5.1 s; 350 ms; a sixth) were checked against them. No code changes.

--- a/bergamotswitch-core/src/entry/answer_cache.rs
+++ b/bergamotswitch-core/src/entry/answer_cache.rs
@@ -67,7 +67,7 @@
     /// Evict one outcome that exceeds the maximum age, count or memory.
     pub(super) fn evict(&mut self, now: Moment, options: &EntryOptions) -> Option<EvictedAnswer> {
         // The limit on bytes keeps long answers from exhausting the memory of
-        // the process.
+        // the process, which would end with all of its requests.
         let excess =
             self.answers.len() > options.max_kept_answers || self.bytes > options.max_kept_bytes;
         let expired = |id: &RequestId| self.ended_at(*id).plus(options.answer_retention) <= now;
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -73,7 +73,8 @@
         self.actions.push(NodeAction::Published(name));
     }
 
-    /// Apply the published limits to every state machine, without a restart.
+    /// Apply the published limits to every state machine, without a restart: a limit that
+    /// operators tighten in an overload has to bind the running hosts.
     fn apply_limits(&mut self, now: Moment) {
         let limits = &self.publication.limits;
         self.opts = std::mem::take(&mut self.opts).with_limits(limits);
--- a/bergamotswitch-core/src/node/shard_use.rs
+++ b/bergamotswitch-core/src/node/shard_use.rs
@@ -14,7 +14,8 @@
 /// exchange of heartbeats with its owner after short idle times.
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
 
-/// The maximum number of shards whose owners are monitored before the first request.
+/// The maximum number of shards whose owners are monitored before the first request. Of
+/// nine models in eight failure domains, a host monitors the nine of its own domain.
 const MAX_WARM_SHARDS: usize = 16;
 
 /// A `ShardUse` is the shards for which a host has, recently had, or expects requests.
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -32,9 +32,9 @@
 
 /// The time from the release of a slot to the arrival of the next request, in
 /// milliseconds. Requests for this much of a target's work may wait there
-/// beyond its batch, so that slots of short runs do not stay idle. With long
-/// runs this gives none: they would wait at a slow target longer than in the
-/// queue.
+/// beyond its batch, so that slots of short runs do not stay idle: with runs of
+/// 30 ms a sixth would. With long runs this gives none: they would wait at a
+/// slow target longer than in the queue.
 const REFILL_MS: f64 = 6.0;
 
 /// The run time assumed without samples, that of plain calls, in milliseconds.
--- a/bergamotswitch-core/src/roster/options.rs
+++ b/bergamotswitch-core/src/roster/options.rs
@@ -11,7 +11,8 @@
 
 /// The time without an update after which a host does not count as live: a
 /// base, plus a part for each doubling of the fleet, since updates need more
-/// rounds in a larger one.
+/// rounds in a larger one. This gives 2.3 s for 8 hosts, 4 s for 81 and 5.1 s
+/// for 380; with 2 s, a fleet of 81 kept losing hosts that were running.
 const SILENT_BASE: Duration = Duration::from_millis(800);
 const SILENT_PER_DOUBLING: Duration = Duration::from_millis(500);
 
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -43,8 +43,8 @@
 const START_TIMEOUT_DIVISOR: u32 = 3;
 
 /// The longest gap between events of a stream that may be retried; after it the
-/// attempt counts as failed. It exceeds the gaps of slow targets and is below
-/// the callers' own timeout.
+/// attempt counts as failed. It exceeds the gaps of slow targets (300 ms) and is
+/// below the callers' own timeout (2 s).
 const STREAM_GAP_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The retry delay of callers refused because there was no memory for their
--- a/bergamotswitch-net/src/link/codec.rs
+++ b/bergamotswitch-net/src/link/codec.rs
@@ -84,7 +84,9 @@
 /// Encode a message as one frame, compressed if that makes it shorter.
 ///
 /// Large published values such as the target list are sent to every host when a
-/// fleet starts, and uncompressed would saturate the links of the senders.
+/// fleet starts, and uncompressed would saturate the links of the senders. The
+/// list of 3,000 targets has some 400 KB, and 34 KB compressed: uncompressed, a
+/// sender with fifty peers would need 16 s at 10 Mbit/s.
 ///
 /// # Errors
 ///
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -35,15 +35,16 @@
 /// The interval at which a host queries its relays, the peers from which it receives
 /// the routes, for how long ago their routes were known to be the newest. It has to be
 /// short enough that a host two hops from one that reads the store can confirm its
-/// routes before keys are no longer trusted.
+/// routes before keys are no longer trusted: it knows their age to within 2.4 s, and
+/// keys are trusted for up to five.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(600);
 
 /// How long a starting host waits for peers before it reads the store itself.
 const READ_FALLBACK: Duration = Duration::from_millis(250);
 
 /// The interval and the burst of the read budget for the store. While values
-/// change continuously, every watch ends early; a smaller budget would leave the
-/// routes stale.
+/// change continuously, every watch ends early, after 80 ms in a storm of changes;
+/// a slower pace left the routes 2.5 s old.
 const READ_BUDGET: (Duration, u32) = (Duration::from_millis(50), 40);
 
 /// The shortest and the longest backoff after a failed read. A change has to be in
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -29,7 +29,8 @@
 
 /// The wait of a watch of the routes. A completed watch confirms the routes as
 /// of the moment it was sent, so this bounds the age of the known API keys,
-/// which are trusted for at most five seconds.
+/// which are trusted for at most five seconds. Each watch is one read call: two
+/// readers in each of three failure domains make six a second.
 const ROUTES_WAIT: Duration = Duration::from_millis(1_000);
 
 /// The wait of a watch of the targets. It is short because a deregistered target
--- a/bergamotswitch-net/src/target_client/options.rs
+++ b/bergamotswitch-net/src/target_client/options.rs
@@ -69,8 +69,9 @@
             // Allows for one SYN retransmission, which is sent after a second.
             connect_timeout: Duration::from_millis(1_500),
             // A request sent over an unresponsive connection never arrives, but
-            // is not retried, since it may have run. A new connection costs one
-            // round trip.
+            // is not retried, since it may have run. Even a reuse within two seconds
+            // lost 3 or 4 of 60 answers over three silences; new connections lost
+            // none, and cost one round trip each.
             idle_reuse: Duration::ZERO,
             max_idle_per_target: 8,
             liveness: true,
--- a/bergamotswitch-net/src/target_client/stream_resume.rs
+++ b/bergamotswitch-net/src/target_client/stream_resume.rs
@@ -18,7 +18,7 @@
 /// The number of refused connections and unknown requests after which the stream
 /// counts as lost. Unlike a network partition, a closed port means that the
 /// process with the stream has ended, so a longer wait only delays the next
-/// attempt. The backoff still leaves time for a request in flight.
+/// attempt. Four span 350 ms, which leaves time for a request in flight.
 const MAX_DENIALS: u32 = 4;
 
 impl EngineCall<'_> {
