--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -67,8 +67,8 @@
 }
 
 impl PermitRequest {
-    /// Get whether an earlier permit request of the same call was withdrawn, as after a
-    /// pause of its host, and no attempt has failed.
+    /// Get whether this is a later attempt of a call that avoids no target, as after a
+    /// pause of its host.
     pub fn is_renewed(&self) -> bool {
         self.attempt.attempt > 0 && self.avoid.is_empty()
     }
