Follow the host that reports to act for a shard

Cause: a host decided by rank alone whether it acts. A first candidate acted as soon as it started or woke, and the one that had taken over went on until the first had been reachable for five seconds.

Change: hosts report the shards that they act for, with terms (message set 6). A candidate that starts or wakes follows whoever acts, takes over after the loss of the owner, or back from a later candidate after five seconds of a whole path. Towards hosts that report nothing the former rules hold. A heartbeat after a silence is answered at once.

Ruled out: lost messages, the order of hosts, and the order of events on waking (the virtual plays fail alike in all of them).

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -110,6 +110,8 @@
     HostsChanged = 402, Info, "set of usable hosts changed";
     /// A peer that this host considered the owner of a shard does not act for it.
     OwnershipDenied = 403, Info, "peer does not act as owner of shard";
+    /// A peer acts for a shard for which this host acts as well.
+    OwnershipContested = 404, Warn, "peer acts as owner of the same shard";
     /// A new revision of a published value is in force.
     RevisionAdopted = 500, Info, "revision in force";
     /// A revision was rejected; the last valid one stays in force.
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -4,6 +4,7 @@
 
 use crate::host::HostIncarnation;
 use crate::permit::{OwnerMessage, OwnerReply};
+use crate::pool::PoolShard;
 use crate::quarantine::CrashReport;
 use crate::revision::RevisionMessage;
 
@@ -15,7 +16,7 @@
 /// The newest message set that this release supports. Each added message opens a
 /// new set and is sent only to peers whose handshake announces that set, so that
 /// hosts of different releases work together during a rolling upgrade.
-pub const MESSAGE_SET: u16 = 5;
+pub const MESSAGE_SET: u16 = 6;
 
 /// The message set that added [`OwnerMessage::QuotaLevels`].
 const QUOTA_LEVELS_SET: u16 = 1;
@@ -32,6 +33,9 @@
 /// The message set that added [`OwnerMessage::TargetLimits`].
 const TARGET_LIMITS_SET: u16 = 5;
 
+/// The message set that added [`LinkMessage::Ownership`].
+const OWNERSHIP_SET: u16 = 6;
+
 /// The maximum size of a message in bytes. It leaves room for a published value
 /// of up to a megabyte and bounds what a peer can make a host allocate.
 pub const MAX_MESSAGE_LEN: usize = 1_200_000;
@@ -50,6 +54,17 @@
     pub load_permille: u16,
 }
 
+/// A `ShardTerm` is the term in which a host acts as owner of a shard. Of two hosts that
+/// act for a shard, the one with the higher term continues, in the same term the candidate
+/// that is ranked later.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardTerm {
+    /// The shard.
+    pub shard: PoolShard,
+    /// The number of the term.
+    pub term: u64,
+}
+
 /// A `LinkMessage` is one message between two entry hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkMessage {
@@ -63,6 +78,9 @@
     Revision(RevisionMessage),
     /// Reports of calls whose runs crashed their targets.
     Crashes(Vec<CrashReport>),
+    /// All shards for which the sender acts as owner. It is the first message over a
+    /// link, and is sent again whenever they change.
+    Ownership(Vec<ShardTerm>),
 }
 
 impl LinkMessage {
@@ -74,6 +92,7 @@
             LinkMessage::ToOwner(OwnerMessage::QuotaUse { .. }) => QUOTA_USE_SET,
             LinkMessage::Crashes(_) => CRASHES_SET,
             LinkMessage::ToOwner(OwnerMessage::TargetLimits { .. }) => TARGET_LIMITS_SET,
+            LinkMessage::Ownership(_) => OWNERSHIP_SET,
             _ => 0,
         }
     }
--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -5,13 +5,14 @@
 
 use super::candidates::candidates;
 use super::options::MembershipOptions;
+use super::ownership::ActingTerm;
 use super::peer::{PathChange, Peer, PeerView};
 use super::shard_view::{Denial, OwnerView};
 use super::{KeyQuorum, MembershipAction, MembershipEvent};
 use crate::clock::Moment;
 use crate::host::{EntryHost, HostIncarnation, HostList, HostName, Standing};
 use crate::incident::Incident;
-use crate::link::Heartbeat;
+use crate::link::{Heartbeat, ShardTerm};
 use crate::pool::PoolShard;
 
 /// A `Membership` is one host's view of its peers and of the owners of shards.
@@ -27,10 +28,12 @@
     pub(super) peers: BTreeMap<HostName, Peer>,
     pub(super) links: BTreeMap<HostName, EntryHost>,
     pub(super) denials: Vec<Denial>,
-    pub(super) acting: BTreeSet<PoolShard>,
-    /// The shards in `acting` that an earlier candidate may have taken over
-    /// while this process was paused.
-    pub(super) unconfirmed: BTreeSet<PoolShard>,
+    /// The shards that this host acts for, with their terms.
+    pub(super) acting: BTreeMap<PoolShard, ActingTerm>,
+    /// The shards last reported to peers.
+    pub(super) reported: Vec<ShardTerm>,
+    /// The highest known term of each shard.
+    pub(super) highest_terms: BTreeMap<PoolShard, u64>,
     pub(super) owners: BTreeMap<PoolShard, OwnerView>,
     pub(super) load_permille: u16,
     pub(super) stop_requested: bool,
@@ -56,8 +59,9 @@
             peers: BTreeMap::new(),
             links: BTreeMap::new(),
             denials: Vec::new(),
-            acting: BTreeSet::new(),
-            unconfirmed: BTreeSet::new(),
+            acting: BTreeMap::new(),
+            reported: Vec::new(),
+            highest_terms: BTreeMap::new(),
             owners: BTreeMap::new(),
             load_permille: 0,
             stop_requested: false,
@@ -91,6 +95,8 @@
             MembershipEvent::Hosts(list) => self.handle_hosts(now, list, &mut actions),
             MembershipEvent::Shards(shards) => {
                 self.shards = shards.into_iter().collect();
+                self.highest_terms
+                    .retain(|shard, _| self.shards.contains(shard));
                 self.rank_candidates();
             }
             MembershipEvent::Using(shard, used) => self.handle_use(shard, used),
@@ -99,6 +105,9 @@
             MembershipEvent::Heartbeat(host, heartbeat) => {
                 self.handle_heartbeat(now, host, &heartbeat, &mut actions)
             }
+            MembershipEvent::Ownership(host, terms) => {
+                self.record_ownership(&host, terms, &mut actions)
+            }
             // Only heartbeats confirm both directions of a path; other traffic
             // may keep flowing one way.
             MembershipEvent::Traffic(_) => return actions,
@@ -146,7 +155,7 @@
 
     /// Get the acting owner of a shard that this host uses or acts for.
     pub fn owner_of(&self, shard: &PoolShard) -> Option<&HostName> {
-        if self.acting.contains(shard) && !self.used_shards.contains(shard) {
+        if self.acting.contains_key(shard) && !self.used_shards.contains(shard) {
             return Some(&self.identity.host);
         }
         self.owners.get(shard).and_then(OwnerView::host)
@@ -191,7 +200,7 @@
 
     /// Get the shards for which this host acts as owner.
     pub fn acting_shards(&self) -> Vec<PoolShard> {
-        self.acting.iter().cloned().collect()
+        self.acting.keys().cloned().collect()
     }
 
     fn handle_hosts(&mut self, now: Moment, list: HostList, actions: &mut Vec<MembershipAction>) {
@@ -244,6 +253,8 @@
             return;
         }
         let replaced = peer.link_up(now, remote.incarnation);
+        let report = self.ownership_report();
+        actions.push(MembershipAction::SendOwnership(remote.host.clone(), report));
         if let Some(replaced) = replaced {
             self.denials.retain(|denial| denial.host != remote.host);
             self.clear_owner(&remote.host);
@@ -282,9 +293,18 @@
             None => return,
         };
         let before = peer.state();
-        let change = peer.record_heartbeat(now, heartbeat);
-        self.changed |= peer.state() != before;
+        let was_late = !peer.is_answering(now, &self.opts);
+        let change = peer.record_heartbeat(now, heartbeat, &self.opts);
+        let is_back = was_late && peer.is_answering(now, &self.opts);
+        self.changed |= is_back || peer.state() != before;
         let answer = peer.answer(heartbeat);
+        // A candidate that was paused detects the loss of the owner later than this host.
+        if is_back {
+            let denials = self.denials.iter_mut();
+            denials
+                .filter(|denial| denial.host == host)
+                .for_each(|denial| denial.restart(now));
+        }
         if change == Some(PathChange::Reachable) {
             actions.push(MembershipAction::LogIncident(
                 Incident::PeerReachable,
@@ -337,11 +357,10 @@
     /// A paused owner would otherwise still act for shards that another
     /// candidate took over, or find all peers unreachable and take over their
     /// shards; two owners would grant the same slots. Each path has to be
-    /// confirmed again, and this host ceases to act wherever it is not the
-    /// first candidate. After a pause shorter than the suspicion timeout
-    /// no other host can have taken over, so it keeps acting until an earlier
-    /// candidate answers; otherwise its shards would have no owner until all
-    /// earlier candidates are known again.
+    /// confirmed again, and this host ceases to act until the other candidates
+    /// have answered. After a pause shorter than the suspicion timeout no other
+    /// host can have taken over, so it keeps acting; otherwise its shards would
+    /// have no owner meanwhile.
     fn invalidate_after_pause(
         &mut self,
         now: Moment,
@@ -358,21 +377,9 @@
         // A denial from before the pause may be outdated, and its time has passed
         // without another attempt.
         self.denials.clear();
-        if paused_for < self.opts.suspect_after {
-            self.unconfirmed.clone_from(&self.acting);
-            return;
+        if paused_for >= self.opts.suspect_after {
+            self.cease_after_pause(actions);
         }
-        // The time since the last scheduled wake-up may have shown a shorter pause.
-        self.unconfirmed.clear();
-        let (candidates, own_name) = (&self.candidates, &self.identity.host);
-        self.acting.retain(|shard| {
-            let first = candidates.get(shard).and_then(|hosts| hosts.first());
-            let keeps = first == Some(own_name);
-            if !keeps {
-                actions.push(MembershipAction::Act(shard.clone(), false));
-            }
-            keeps
-        });
     }
 
     fn live_hosts(&self) -> impl Iterator<Item = &EntryHost> {
--- a/bergamotswitch-core/src/membership/mod.rs
+++ b/bergamotswitch-core/src/membership/mod.rs
@@ -9,10 +9,15 @@
 //! heartbeat or in one with sequence 0. A path counts as working while the peer
 //! acknowledges new heartbeats, so a path that fails in one direction is
 //! detected at both ends.
+//!
+//! Hosts report the shards for which they act, with a term for each. A candidate
+//! that starts, or resumes after a pause, waits for the reports of the others and
+//! follows a host that acts already.
 
 mod candidates;
 mod machine;
 mod options;
+mod ownership;
 mod peer;
 mod reconcile;
 mod shard_view;
@@ -25,7 +30,7 @@
 
 use crate::host::{EntryHost, HostIncarnation, HostList, HostName, Incarnation};
 use crate::incident::Incident;
-use crate::link::Heartbeat;
+use crate::link::{Heartbeat, ShardTerm};
 use crate::pool::PoolShard;
 
 /// A `KeyQuorum` is the set of hosts that have to respond before an owner
@@ -54,6 +59,8 @@
     LinkDown(HostIncarnation),
     /// A heartbeat of a peer arrived.
     Heartbeat(HostName, Heartbeat),
+    /// A peer reported all shards that it acts for.
+    Ownership(HostName, Vec<ShardTerm>),
     /// Another message of a peer arrived.
     Traffic(HostName),
     /// A peer reported that it does not act as the shard's owner.
@@ -77,11 +84,15 @@
     Disconnect(HostName),
     /// Send a heartbeat.
     Send(HostName, Heartbeat),
+    /// Report all shards that this host acts for.
+    SendOwnership(HostName, Vec<ShardTerm>),
     /// The acting owner of a shard, as seen by this host, has changed; `None`
     /// if no candidate is reachable.
     OwnerChanged(PoolShard, Option<HostName>),
     /// Begin (`true`) or cease (`false`) to act as owner of a shard.
     Act(PoolShard, bool),
+    /// A peer reports that it acts for a shard for which this host acts as well.
+    Contested(HostName, PoolShard),
     /// This incarnation of a host has terminated: a newer one connected, or the
     /// host was removed from the host list and is unreachable.
     HostTerminated(HostName, Incarnation),
--- a/bergamotswitch-core/src/membership/peer.rs
+++ b/bergamotswitch-core/src/membership/peer.rs
@@ -1,7 +1,7 @@
 //! Provides the state of one peer: its incarnation, and whether both directions
 //! of the path to it work.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -10,11 +10,16 @@
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::link::Heartbeat;
+use crate::pool::PoolShard;
 
 /// The number of earlier incarnations that are remembered, so that a delayed
 /// link of one of them is not taken for a newer incarnation.
 const RETIRED_INCARNATIONS: usize = 4;
 
+/// The time within which heartbeats arrive and are answered over a path that works, in
+/// heartbeat intervals.
+const ANSWER_HEARTBEATS: u32 = 2;
+
 /// A `PeerView` is the state of one peer as reported to operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct PeerView {
@@ -72,14 +77,20 @@
     pub(super) incarnation: Option<Incarnation>,
     retired: VecDeque<Incarnation>,
     pub(super) connected: bool,
-    /// Whether the first heartbeat over the current link is still outstanding.
-    awaiting_first: bool,
+    /// Whether the next heartbeat of the peer is answered at once: the first one over a
+    /// link, or after a silence.
+    answers_next: bool,
     pub(super) watched: Option<WatchRate>,
     pub(super) stopping: bool,
     pub(super) load_permille: u16,
+    /// The shards that the peer acts for, with their terms; `None` if it has not
+    /// reported them, as before the first message, or by an earlier release.
+    pub(super) terms: Option<BTreeMap<PoolShard, u64>>,
     pub(super) reachable: Option<bool>,
     /// When `reachable` last changed.
     pub(super) since: Moment,
+    /// When the last heartbeat of the peer was received.
+    heard_at: Moment,
     /// Since when an answer is outstanding: when the oldest unanswered
     /// heartbeat was sent, or when the link or the watch changed.
     unanswered_since: Option<Moment>,
@@ -122,7 +133,7 @@
     /// there was another one.
     pub(super) fn link_up(&mut self, now: Moment, incarnation: Incarnation) -> Option<Incarnation> {
         self.connected = true;
-        self.awaiting_first = true;
+        self.answers_next = true;
         self.sent_at = None;
         let earlier = self.incarnation.replace(incarnation);
         let replaced = match earlier {
@@ -134,6 +145,7 @@
         self.answered = 0;
         self.heard = 0;
         self.stopping = false;
+        self.terms = None;
         self.reset_path(now);
         self.retired.push_back(replaced);
         if self.retired.len() > RETIRED_INCARNATIONS {
@@ -153,12 +165,16 @@
         &mut self,
         now: Moment,
         heartbeat: &Heartbeat,
+        opts: &MembershipOptions,
     ) -> Option<PathChange> {
         // An answer has no sequence. A lower one than before comes from a peer that
         // has forgotten this host meanwhile and counts from the start again.
         if heartbeat.sequence > 0 {
             self.heard = heartbeat.sequence;
         }
+        let limit = opts.heartbeat.saturating_mul(ANSWER_HEARTBEATS);
+        self.answers_next |= now >= self.heard_at.plus(limit);
+        self.heard_at = now;
         self.stopping = heartbeat.stopping;
         self.load_permille = heartbeat.load_permille;
         // Heartbeats that do not acknowledge new ones of this host indicate a
@@ -278,17 +294,17 @@
 
     /// Get the sequence to acknowledge in an immediate answer to the heartbeat,
     /// if one is needed. A peer that receives heartbeats at the regular
-    /// interval needs one only for the first heartbeat over a link; without it
-    /// no request could go to a new owner before the next heartbeat. An answer
-    /// (sequence 0) is never answered, which would loop forever.
+    /// interval needs one only for the first heartbeat over a link or after a
+    /// silence; without it no request could go to a new owner before the next
+    /// heartbeat. An answer (sequence 0) is never answered, which would loop
+    /// forever.
     pub(super) fn answer(&mut self, heartbeat: &Heartbeat) -> Option<u64> {
-        let first = std::mem::take(&mut self.awaiting_first);
-        let mutual = self.connected && self.watched == Some(WatchRate::Candidate) && !first;
-        match heartbeat.sequence {
-            0 => None,
-            _ if mutual => None,
-            _ => Some(self.heard),
+        if heartbeat.sequence == 0 {
+            return None;
         }
+        let answers = std::mem::take(&mut self.answers_next);
+        let is_mutual = self.connected && self.watched == Some(WatchRate::Candidate);
+        (answers || !is_mutual).then_some(self.heard)
     }
 
     /// Get the last sequence received.
@@ -296,6 +312,19 @@
         self.heard
     }
 
+    /// Get whether the peer has been reachable for long enough that ownership may fail
+    /// back, and still answers. A link that has just failed again is not stable.
+    pub(super) fn is_stable(&self, now: Moment, opts: &MembershipOptions) -> bool {
+        self.has_been(true, now, opts.failback_after) && self.is_answering(now, opts)
+    }
+
+    /// Get whether heartbeats to the peer are answered without delay.
+    pub(super) fn is_answering(&self, now: Moment, opts: &MembershipOptions) -> bool {
+        let limit = opts.heartbeat.saturating_mul(ANSWER_HEARTBEATS);
+        self.unanswered_since
+            .is_none_or(|since| now < since.plus(limit))
+    }
+
     /// Get whether the peer's reachability has been `state` for at least
     /// `span`.
     pub(super) fn has_been(&self, state: bool, now: Moment, span: Duration) -> bool {
--- a/bergamotswitch-core/src/membership/reconcile.rs
+++ b/bergamotswitch-core/src/membership/reconcile.rs
@@ -2,12 +2,13 @@
 //! reachability of peers, the shards this host acts for, the owners of the
 //! shards it uses, and the peers it watches.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use super::MembershipAction;
 use super::machine::Membership;
+use super::ownership::ReportedOwnership;
 use super::peer::{PathChange, WatchRate};
-use super::shard_view::{self, Candidate, CandidateState, OwnerView};
+use super::shard_view::{self, Candidate, CandidateState, Denial, OwnerView};
 use crate::clock::Moment;
 use crate::host::{EntryHost, HostName, Standing};
 use crate::incident::Incident;
@@ -19,7 +20,7 @@
         self.check_peers(now, actions);
         if self.changed || now >= self.recheck_at {
             self.changed = false;
-            self.denials.retain(|denial| now < denial.until);
+            self.update_denials(now);
             self.drop_terminated(now, actions);
             self.update_acting(now, actions);
             // Watches depend on the chosen owners: when an owner is
@@ -67,9 +68,14 @@
         });
     }
 
-    fn state_of(&self, now: Moment, shard: &PoolShard, host: &HostName) -> CandidateState {
+    pub(super) fn state_of(
+        &self,
+        now: Moment,
+        shard: &PoolShard,
+        host: &HostName,
+    ) -> CandidateState {
         if *host == self.identity.host {
-            return match self.acting.contains(shard) {
+            return match self.acting.contains_key(shard) {
                 true => CandidateState::Stable,
                 false => CandidateState::Unavailable,
             };
@@ -77,9 +83,7 @@
         match self.peers.get(host) {
             None => CandidateState::Unknown,
             Some(peer) if peer.stopping => CandidateState::Unavailable,
-            Some(peer) if peer.has_been(true, now, self.opts.failback_after) => {
-                CandidateState::Stable
-            }
+            Some(peer) if peer.is_stable(now, &self.opts) => CandidateState::Stable,
             Some(peer) => match peer.reachable {
                 Some(true) => CandidateState::Reachable,
                 Some(false) => CandidateState::Unavailable,
@@ -99,6 +103,7 @@
             .map(|host| Candidate {
                 host,
                 state: self.lookup_state(now, shard, host),
+                term: self.term_of(shard, host),
             })
             .collect()
     }
@@ -112,8 +117,13 @@
     fn lookup_state(&self, now: Moment, shard: &PoolShard, host: &HostName) -> CandidateState {
         let mut denials = self.denials.iter();
         let denial = denials.find(|denial| denial.matches(host, shard));
-        let denied = denial.and_then(|denial| denial.state(now, &self.opts));
-        match (denied, self.state_of(now, shard, host)) {
+        let denied = match self.is_idle(shard, host) {
+            true => denial.map(|denial| denial.idle_state(now, &self.opts)),
+            false => denial.and_then(|denial| denial.state(now, &self.opts)),
+        };
+        let state = self.state_of(now, shard, host);
+        match (denied, state) {
+            _ if state.is_usable() && self.term_of(shard, host).is_some() => state,
             (Some(denied), CandidateState::Reachable | CandidateState::Stable) => denied,
             (Some(_), CandidateState::Unknown) => CandidateState::Denied,
             (Some(_), _) => CandidateState::Unavailable,
@@ -121,60 +131,26 @@
         }
     }
 
-    fn update_acting(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        let mut acting = BTreeSet::new();
-        for shard in &self.shards {
-            if self.should_act(now, shard) {
-                acting.insert(shard.clone());
-            }
-        }
-        for ended in self.acting.difference(&acting) {
-            actions.push(MembershipAction::Act(ended.clone(), false));
-        }
-        for begun in acting.difference(&self.acting) {
-            actions.push(MembershipAction::Act(begun.clone(), true));
-        }
-        self.acting = acting;
-        let confirmed = self
-            .unconfirmed
-            .iter()
-            .filter(|shard| !self.is_unconfirmed(now, shard));
-        for shard in confirmed.cloned().collect::<Vec<_>>() {
-            self.unconfirmed.remove(&shard);
-        }
+    fn is_idle(&self, shard: &PoolShard, host: &HostName) -> bool {
+        self.reported_ownership(shard, host) == ReportedOwnership::Idle
     }
 
-    /// Get whether an earlier candidate of a shard may be acting for it.
-    fn is_unconfirmed(&self, now: Moment, shard: &PoolShard) -> bool {
-        let mut earlier = self.earlier_states(now, shard);
-        self.acting.contains(shard) && earlier.any(|state| state == CandidateState::Unknown)
-    }
-
-    /// Get the states of the candidates ranked before this host.
-    fn earlier_states(
-        &self,
-        now: Moment,
-        shard: &PoolShard,
-    ) -> impl Iterator<Item = CandidateState> {
-        let hosts = self.candidates.get(shard).into_iter().flatten();
-        let earlier = hosts.take_while(|host| **host != self.identity.host);
-        earlier.map(move |host| self.state_of(now, shard, host))
-    }
-
-    fn should_act(&self, now: Moment, shard: &PoolShard) -> bool {
-        let acting = self.acting.contains(shard);
-        if let Some(since) = self.stopping_since {
-            return acting && now < since.plus(self.opts.handover);
-        }
-        let hosts = self.candidates.get(shard);
-        if !hosts.is_some_and(|hosts| hosts.contains(&self.identity.host)) {
-            return false;
-        }
-        let mut earlier = self.earlier_states(now, shard);
-        match self.unconfirmed.contains(shard) {
-            true => earlier.all(|state| !state.is_usable()),
-            false => shard_view::may_act(earlier, acting),
+    /// Count a candidate that reports that it does not act as one that denies
+    /// ownership, for as long as it does.
+    fn update_denials(&mut self, now: Moment) {
+        let mut denials = std::mem::take(&mut self.denials);
+        denials.retain(|denial| now < denial.until || self.is_idle(&denial.shard, &denial.host));
+        for shard in &self.used_shards {
+            for host in self.candidates.get(shard).into_iter().flatten() {
+                let is_known = denials.iter().any(|denial| denial.matches(host, shard));
+                if !is_known && self.is_idle(shard, host) {
+                    let denial = Denial::new(now, host.clone(), shard.clone(), None, &self.opts);
+                    denials.push(denial);
+                }
+            }
         }
+        denials.retain(|denial| self.term_of(&denial.shard, &denial.host).is_none());
+        self.denials = denials;
     }
 
     /// Restart the denials for each shard whose owner has been lost. A peer that denied
@@ -195,7 +171,8 @@
     fn lost_owner(&self, now: Moment, shard: &PoolShard) -> Option<&HostName> {
         let owner = self.owners.get(shard).and_then(OwnerView::host)?;
         let is_candidate = self.candidates.get(shard)?.contains(owner);
-        let is_available = self.state_of(now, shard, owner) != CandidateState::Unavailable;
+        let is_available = self.state_of(now, shard, owner) != CandidateState::Unavailable
+            && !self.is_idle(shard, owner);
         (!is_candidate || !is_available).then_some(owner)
     }
 
@@ -229,7 +206,7 @@
         let after = shard_view::choose(&self.view(now, shard, hosts), before);
         // This host has ceased to act, and the state of another candidate is not known
         // yet. That candidate may have taken over while this process was paused.
-        match after.host() == Some(&self.identity.host) && !self.acting.contains(shard) {
+        match after.host() == Some(&self.identity.host) && !self.acting.contains_key(shard) {
             true => OwnerView::Unknown,
             false => after,
         }
@@ -303,6 +280,7 @@
     fn send_heartbeats(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
         let user_interval = self.opts.user_interval(self.live_count);
         let stopping = self.stopping_since.is_some();
+        let report = self.ownership_report();
         for (host, peer) in &mut self.peers {
             let counters = match peer.next_heartbeat(now, &self.opts, user_interval) {
                 Some(counters) => counters,
@@ -314,6 +292,13 @@
                 stopping,
                 load_permille: self.load_permille,
             };
+            // Earlier reports may be lost with the path.
+            if peer.reachable != Some(true) {
+                actions.push(MembershipAction::SendOwnership(
+                    host.clone(),
+                    report.clone(),
+                ));
+            }
             actions.push(MembershipAction::Send(host.clone(), heartbeat));
         }
     }
@@ -338,7 +323,8 @@
             .stopping_since
             .map(|since| since.plus(self.opts.handover))
             .filter(|at| *at > now);
-        let next = peers.chain(denials).chain(handover).min();
+        let terms = self.next_term_end().filter(|at| *at > now);
+        let next = peers.chain(denials).chain(handover).chain(terms).min();
         next.unwrap_or(Moment::NEVER)
     }
 }
--- a/bergamotswitch-core/src/membership/shard_view.rs
+++ b/bergamotswitch-core/src/membership/shard_view.rs
@@ -2,6 +2,7 @@
 //! may act, which one acts, and which ones to watch.
 
 use super::options::MembershipOptions;
+use super::ownership::precedence;
 use crate::clock::Moment;
 use crate::host::HostName;
 
@@ -38,6 +39,8 @@
 pub(super) struct Candidate<'a> {
     pub(super) host: &'a HostName,
     pub(super) state: CandidateState,
+    /// The term in which it reports to act.
+    pub(super) term: Option<u64>,
 }
 
 impl Candidate<'_> {
@@ -75,22 +78,11 @@
     }
 }
 
-/// Get whether a candidate acts, given the states of the candidates ranked
-/// before it.
-///
-/// To take over, all earlier candidates have to be unavailable; once acting,
-/// the candidate goes on until one of them is stable. If both used the same
-/// condition, a flapping link would move ownership each time, and after each
-/// move all users have to request their permits again.
-pub(super) fn may_act(mut earlier: impl Iterator<Item = CandidateState>, acting: bool) -> bool {
-    match acting {
-        true => earlier.all(|state| state != CandidateState::Stable),
-        false => earlier.all(|state| state == CandidateState::Unavailable),
-    }
-}
-
 /// Get the acting owner, given the previous one.
 pub(super) fn choose(candidates: &[Candidate<'_>], current: &OwnerView) -> OwnerView {
+    if let Some(acting) = reported_owner(candidates, current) {
+        return OwnerView::Host(acting.host.clone());
+    }
     let first = candidates.iter().find(|c| !c.is_skipped());
     let kept = candidates
         .iter()
@@ -110,6 +102,20 @@
     }
 }
 
+/// Get the reachable candidate that reports to act. Of several, it is the current owner,
+/// which ceases once another one supersedes it; else the one that supersedes the others.
+fn reported_owner<'a>(
+    candidates: &'a [Candidate<'a>],
+    current: &OwnerView,
+) -> Option<&'a Candidate<'a>> {
+    let acting = candidates.iter().enumerate().filter_map(|(rank, c)| {
+        let term = c.term.filter(|_| c.is_usable())?;
+        Some((Some(c.host) == current.host(), precedence(term, rank), c))
+    });
+    let chosen = acting.max_by_key(|(is_current, precedence, _)| (*is_current, *precedence));
+    chosen.map(|(_, _, c)| c)
+}
+
 /// Get the owner where every remaining candidate has denied ownership.
 fn choose_denied(candidates: &[Candidate<'_>]) -> OwnerView {
     let in_state = |state| candidates.iter().find(move |c| c.state == state);
@@ -154,6 +160,9 @@
 /// A denial expires after this many suspicion timeouts.
 const DENIAL_RETENTION: u32 = 2;
 
+/// The fraction of a heartbeat interval within which a new owner's report arrives.
+const REPORT_FRACTION: u32 = 4;
+
 impl Denial {
     /// Create a denial received now, given an earlier one of the same peer.
     pub(super) fn new(
@@ -212,6 +221,22 @@
         })
     }
 
+    /// Get the state of a peer that reports that it does not act. It needs no other
+    /// attempt, because it reports when it begins to.
+    pub(super) fn idle_state(&self, now: Moment, opts: &MembershipOptions) -> CandidateState {
+        match now < self.idle_until(opts) {
+            true => CandidateState::Denied,
+            false => CandidateState::Unavailable,
+        }
+    }
+
+    /// Get until when an idle peer may still be about to act: it detects the loss of the
+    /// owner within the suspicion timeout, and its report takes a moment.
+    fn idle_until(&self, opts: &MembershipOptions) -> Moment {
+        let report_time = opts.heartbeat / REPORT_FRACTION;
+        self.since.plus(opts.suspect_after + report_time)
+    }
+
     fn retries_at(&self, opts: &MembershipOptions) -> Moment {
         self.at.plus(opts.heartbeat)
     }
@@ -221,6 +246,7 @@
         let changes = [
             self.retries_at(opts),
             self.since.plus(opts.suspect_after),
+            self.idle_until(opts),
             self.until,
         ];
         let later = changes.into_iter().filter(|at| *at > now);
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -121,6 +121,15 @@
                 let message = LinkMessage::Heartbeat(heartbeat);
                 self.actions.push(NodeAction::Send(host, message));
             }
+            MembershipAction::SendOwnership(host, terms) => {
+                let message = LinkMessage::Ownership(terms);
+                self.actions.push(NodeAction::Send(host, message));
+            }
+            MembershipAction::Contested(host, shard) => {
+                let text = format!("peer={host} shard={shard}");
+                let incident = Incident::OwnershipContested;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
             MembershipAction::OwnerChanged(shard, owner) => self.on_owner_change(now, shard, owner),
             MembershipAction::Act(shard, act) => self.on_acting_change(now, shard, act),
             MembershipAction::HostTerminated(host, incarnation) => {
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -347,6 +347,10 @@
                 self.notify_membership(now, MembershipEvent::Heartbeat(host, heartbeat));
                 return;
             }
+            LinkMessage::Ownership(terms) => {
+                self.notify_membership(now, MembershipEvent::Ownership(host, terms));
+                return;
+            }
             LinkMessage::ToOwner(message) => self.on_owner_message(now, host.clone(), message),
             LinkMessage::FromOwner(OwnerReply::NotOwner { shard }) => {
                 self.notify_membership(now, MembershipEvent::NotOwner(host.clone(), shard));
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -74,8 +74,7 @@
     /// calls of accounts within their quota, and would send work to failed targets,
     /// which look idle to it.
     pub(super) fn hand_over(&mut self, now: Moment, shard: &PoolShard, fraction: f64) {
-        let next = self.membership.owner_of(shard).cloned();
-        let Some(next) = next.filter(|next| *next != self.identity.host) else {
+        let Some(next) = self.membership.successor_of(now, shard).cloned() else {
             return;
         };
         self.send_failed_targets(now, shard.clone(), &next);
--- a/bergamotswitch-core/tests/fleet/mod.rs
+++ b/bergamotswitch-core/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 pub use bergamotswitch_core::host::{
     EntryHost, HostIncarnation, HostList, HostName, Incarnation, Standing,
 };
-pub use bergamotswitch_core::link::Heartbeat;
+pub use bergamotswitch_core::link::{Heartbeat, ShardTerm};
 pub use bergamotswitch_core::membership::{
     Membership, MembershipAction, MembershipEvent, MembershipOptions,
 };
@@ -65,7 +65,12 @@
 /// Start a fleet that uses one shard, and run it until all hosts know the owner. Get
 /// its hosts in their order as candidates.
 pub fn converged(count: usize) -> (Fleet, Vec<HostName>) {
-    let mut fleet = Fleet::start(count, &[shard(0)]);
+    converged_with(count, BTreeSet::new())
+}
+
+/// Start a fleet as `converged` does, with some hosts of an earlier release.
+pub fn converged_with(count: usize, earlier_release: BTreeSet<HostName>) -> (Fleet, Vec<HostName>) {
+    let mut fleet = Fleet::start_with(count, &[shard(0)], earlier_release);
     fleet.handle_all(MembershipEvent::Using(shard(0), true));
     fleet.run(secs(10));
     (fleet, order(count))
@@ -87,12 +92,18 @@
     wake_at: Moment,
 }
 
+#[derive(Clone, Debug)]
+enum Payload {
+    Heartbeat(Heartbeat),
+    Ownership(Vec<ShardTerm>),
+}
+
 #[derive(Clone, Debug)]
 struct Delivery {
     from: HostName,
     to: HostName,
     run: Incarnation,
-    heartbeat: Heartbeat,
+    payload: Payload,
 }
 
 #[derive(Default)]
@@ -100,6 +111,8 @@
     pub now: Moment,
     pub nodes: BTreeMap<HostName, Node>,
     pub cuts: BTreeSet<(HostName, HostName)>,
+    /// The hosts of an earlier release, which do not report the shards they act for.
+    pub earlier_release: BTreeSet<HostName>,
     links: BTreeSet<(HostName, HostName)>,
     deliveries: BTreeMap<(Moment, u64), Delivery>,
     wakes: BTreeSet<(Moment, HostName)>,
@@ -110,7 +123,19 @@
 impl Fleet {
     /// Start `count` hosts that have the same host list and shards.
     pub fn start(count: usize, shards: &[PoolShard]) -> Self {
-        let mut fleet = Fleet::default();
+        Fleet::start_with(count, shards, BTreeSet::new())
+    }
+
+    /// Start a fleet with some hosts of an earlier release.
+    pub fn start_with(
+        count: usize,
+        shards: &[PoolShard],
+        earlier_release: BTreeSet<HostName>,
+    ) -> Self {
+        let mut fleet = Fleet {
+            earlier_release,
+            ..Fleet::default()
+        };
         for index in 0..count {
             fleet.add(index, 1, shards, list(0..count));
         }
@@ -144,6 +169,7 @@
     pub fn handle(&mut self, name: &HostName, event: MembershipEvent) {
         let now = self.now;
         let node = self.nodes.get_mut(name).unwrap();
+        let mut sent = Vec::new();
         for action in node.membership.handle(now, event) {
             match action {
                 MembershipAction::Connect(entry) => {
@@ -154,27 +180,40 @@
                 }
                 MembershipAction::Send(to, heartbeat) => {
                     node.sent += 1;
-                    self.counter += 1;
-                    let delivery = Delivery {
-                        from: name.clone(),
-                        to,
-                        run: node.run.incarnation,
-                        heartbeat,
-                    };
-                    self.deliveries
-                        .insert((now.plus(LATENCY), self.counter), delivery);
+                    sent.push((to, Payload::Heartbeat(heartbeat)));
+                }
+                MembershipAction::SendOwnership(to, _)
+                    if [name, &to]
+                        .iter()
+                        .any(|end| self.earlier_release.contains(*end)) => {}
+                MembershipAction::SendOwnership(to, terms) => {
+                    node.sent += 1;
+                    sent.push((to, Payload::Ownership(terms)));
                 }
                 MembershipAction::OwnerChanged(_, owner) => {
                     node.owner_changes += 1;
                     node.ownerless_reports += usize::from(owner.is_none());
                 }
                 MembershipAction::Act(..) => node.acting_changes += 1,
+                MembershipAction::Contested(..) => {}
                 MembershipAction::HostTerminated(host, _) => node.terminated.push(host),
                 action @ (MembershipAction::LogIncident(..) | MembershipAction::LogDenial(..)) => {
                     node.log_actions.push(action);
                 }
             }
         }
+        let run = node.run.incarnation;
+        for (to, payload) in sent {
+            self.counter += 1;
+            let delivery = Delivery {
+                from: name.clone(),
+                to,
+                run,
+                payload,
+            };
+            self.deliveries
+                .insert((now.plus(LATENCY), self.counter), delivery);
+        }
         self.schedule_wake(name);
     }
 
@@ -231,6 +270,10 @@
         self.handle(name, MembershipEvent::ProcessResumed(slept));
     }
 
+    pub fn is_paused(&self, name: &HostName) -> bool {
+        self.nodes[name].paused
+    }
+
     pub fn cut(&mut self, from: &HostName, to: &HostName) {
         self.cuts.insert((from.clone(), to.clone()));
     }
@@ -291,7 +334,12 @@
         };
         match open {
             true => {
-                let event = MembershipEvent::Heartbeat(delivery.from, delivery.heartbeat);
+                let event = match delivery.payload {
+                    Payload::Heartbeat(heartbeat) => {
+                        MembershipEvent::Heartbeat(delivery.from, heartbeat)
+                    }
+                    Payload::Ownership(terms) => MembershipEvent::Ownership(delivery.from, terms),
+                };
                 self.handle(&delivery.to, event);
             }
             // Messages to a paused process wait in its socket.
--- a/bergamotswitch-core/tests/membership_faults.rs
+++ b/bergamotswitch-core/tests/membership_faults.rs
@@ -298,7 +298,20 @@
 // denial must not act itself.
 #[test]
 fn early_detection() {
-    let (mut fleet, order) = converged(3);
+    let earlier_release: BTreeSet<HostName> = order(3).into_iter().collect();
+    let asked = asked_after_loss(earlier_release);
+    assert!(
+        asked >= 2,
+        "asked again while the next one may be about to act"
+    );
+    // A candidate that reports that it does not act is not asked at all.
+    assert_eq!(asked_after_loss(BTreeSet::new()), 0);
+}
+
+/// Kill the owner when the last candidate has lost it already, and get how often that
+/// candidate asks the next one, which does not act yet.
+fn asked_after_loss(earlier_release: BTreeSet<HostName>) -> usize {
+    let (mut fleet, order) = converged_with(3, earlier_release);
     let [owner, next, last] = order.as_slice() else {
         panic!("three hosts");
     };
@@ -317,12 +330,9 @@
             fleet.kill(owner);
         }
     }
-    assert!(
-        asked >= 2,
-        "asked again while the next one may be about to act"
-    );
     assert_eq!(fleet.owners_of(&shard(0)), std::slice::from_ref(next));
     assert_viewed(&fleet, &order[1..], next);
+    asked
 }
 
 /// Guards against a host that is paused until the others have forgotten it, and then
--- a/bergamotswitch-core/tests/owner_choice.rs
+++ b/bergamotswitch-core/tests/owner_choice.rs
@@ -81,10 +81,10 @@
 #[test]
 fn not_owner_reply() {
     // Guards against permit requests sent to a reachable candidate that has replied
-    // that it is not the owner, because its host list is older.
-    let shards = [shard(0)];
-    let mut fleet = Fleet::start(8, &shards);
+    // that it is not the owner, because its host list is older. It belongs to an earlier
+    // release, which does not report the shards it acts for.
     let order = ranked(8, 0);
+    let mut fleet = Fleet::start_with(8, &[shard(0)], order.iter().cloned().collect());
     fleet.handle(&order[5], MembershipEvent::Using(shard(0), true));
     fleet.run(secs(3));
     assert_eq!(fleet.view(&order[5], &shard(0)), Some(order[0].clone()));
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -86,6 +86,8 @@
     Confirmed = "confirmed", LinkMessage::Revision(RevisionMessage::Confirmed { .. }),
     /// Reports of calls whose runs crashed their targets.
     Crashes = "crashes", LinkMessage::Crashes(_),
+    /// The shards for which the sender acts as owner.
+    Ownership = "ownership", LinkMessage::Ownership(_),
 }
 
 /// A `KindCount` is the traffic of one message kind in one direction.
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -2,7 +2,7 @@
 
 use bergamotswitch_core::call_signature::CallSignature;
 use bergamotswitch_core::host::{HostIncarnation, Incarnation};
-use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN};
+use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN, ShardTerm};
 use bergamotswitch_core::permit::{
     FailedTarget, KeyClaim, OwnerMessage, OwnerReply, Permit, PermitId, PermitRequest, QuotaLevel,
     Release, ReleaseOutcome, TargetLimit, Usage,
@@ -188,6 +188,13 @@
     }])
 }
 
+fn ownership() -> LinkMessage {
+    LinkMessage::Ownership(vec![ShardTerm {
+        shard: shard(),
+        term: 3,
+    }])
+}
+
 #[test]
 fn frame_round_trip() {
     let messages = [
@@ -201,6 +208,7 @@
         quota_use(),
         crashes(),
         target_limits(),
+        ownership(),
     ];
     for message in messages {
         let frame = codec::encode(&message).unwrap();
