Hold reports with a key until other hosts have reported theirs

Cause: a new owner took the keys that it knew for all. The guard that waits for other hosts' keys held calls of plain services alone, and a holder that woke reported its keys only once it had found the dead owner silent itself, two seconds later.

Change: the guard holds reports too, until each host that is not known to be lost has reported or confirmed that it follows, 14 heartbeats for each at most. Calls without a key and calls of a gateway wait for nothing.

Ruled out: two owners as the only cause.

A report that is sent again while its holder is still lost runs twice, as before.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -187,10 +187,7 @@
     /// request with an idempotency key.
     pub fn key_quorum(&self, shard: &PoolShard) -> KeyQuorum {
         let candidates = self.candidates.get(shard).cloned().unwrap_or_default();
-        let is_lost = |host: &EntryHost| {
-            let peer = self.peers.get(&host.name);
-            peer.is_some_and(|peer| peer.reachable == Some(false))
-        };
+        let is_lost = |host: &EntryHost| self.peers.get(&host.name).is_some_and(Peer::is_lost);
         let awaited = self.live_hosts().filter(|host| !is_lost(host));
         KeyQuorum {
             candidates,
@@ -294,6 +291,7 @@
         };
         let before = peer.state();
         let was_late = !peer.is_answering(now, &self.opts);
+        let was_lost = peer.is_lost();
         let change = peer.record_heartbeat(now, heartbeat, &self.opts);
         let is_back = was_late && peer.is_answering(now, &self.opts);
         self.changed |= is_back || peer.state() != before;
@@ -305,6 +303,9 @@
                 .filter(|denial| denial.host == host)
                 .for_each(|denial| denial.restart(now));
         }
+        if was_lost {
+            actions.push(MembershipAction::HeardAgain);
+        }
         if change == Some(PathChange::Reachable) {
             actions.push(MembershipAction::LogIncident(
                 Incident::PeerReachable,
--- a/bergamotswitch-core/src/membership/mod.rs
+++ b/bergamotswitch-core/src/membership/mod.rs
@@ -39,7 +39,7 @@
 pub struct KeyQuorum {
     /// The shard's candidates, of which a majority has to follow the owner.
     pub candidates: Vec<HostName>,
-    /// The live hosts not known to be unreachable, which have to report their
+    /// The live hosts not known to be lost, which have to report their
     /// keys.
     pub awaited: Vec<HostName>,
 }
@@ -91,6 +91,8 @@
     OwnerChanged(PoolShard, Option<HostName>),
     /// Begin (`true`) or cease (`false`) to act as owner of a shard.
     Act(PoolShard, bool),
+    /// A peer that was lost has sent a heartbeat.
+    HeardAgain,
     /// A peer reports that it acts for a shard for which this host acts as well.
     Contested(HostName, PoolShard),
     /// This incarnation of a host has terminated: a newer one connected, or the
--- a/bergamotswitch-core/src/membership/peer.rs
+++ b/bergamotswitch-core/src/membership/peer.rs
@@ -312,6 +312,13 @@
         self.heard
     }
 
+    /// Get whether the peer is unreachable and has not sent a heartbeat since it became so.
+    /// A peer that resumes after a pause sends heartbeats before both directions of the
+    /// path are confirmed.
+    pub(super) fn is_lost(&self) -> bool {
+        self.reachable == Some(false) && self.heard_at < self.since
+    }
+
     /// Get whether the peer has been reachable for long enough that ownership may fail
     /// back, and still answers. A link that has just failed again is not stable.
     pub(super) fn is_stable(&self, now: Moment, opts: &MembershipOptions) -> bool {
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -125,10 +125,12 @@
                 let message = LinkMessage::Ownership(terms);
                 self.actions.push(NodeAction::Send(host, message));
             }
+            MembershipAction::HeardAgain => self.await_reports(),
             MembershipAction::Contested(host, shard) => {
                 let text = format!("peer={host} shard={shard}");
                 let incident = Incident::OwnershipContested;
                 self.actions.push(NodeAction::LogIncident(incident, text));
+                self.key_guards.reset_shard(&shard);
             }
             MembershipAction::OwnerChanged(shard, owner) => self.on_owner_change(now, shard, owner),
             MembershipAction::Act(shard, act) => self.on_acting_change(now, shard, act),
@@ -196,13 +198,14 @@
             true => Vec::new(),
             false => self.shards.waiting_hosts(&shard),
         };
-        waiting.extend(self.update_guard(now, &shard, act));
+        waiting.extend(self.update_guard(&shard, act));
         if !act {
             self.hand_over(now, &shard, 1.0);
         }
         self.shards.set_acting(now, &shard, act, &self.publication);
         if act {
             self.apply_failure_reports(now, &shard);
+            self.reports_changed.insert(shard.clone());
         }
         if act && let Some(event) = self.takeover_event(&shard) {
             let actions = self.shards.notify_shard(now, &shard, event);
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -1,7 +1,7 @@
 //! Provides the event loop of a host's state machines: an action of one state machine
 //! is delivered to another one, or returned to the caller as a [`NodeAction`].
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::link::{LinkEvent, LinkMessage};
 use crate::membership::{Membership, MembershipAction, MembershipEvent, MembershipOptions};
 use crate::permit::{OwnerMessage, OwnerReply};
+use crate::pool::PoolShard;
 use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions};
 use crate::publication::{FleetLimits, Publication};
 use crate::revision::{RevisionAction, RevisionEvent, RevisionOptions, RevisionReplica};
@@ -122,6 +123,8 @@
     pub(super) shard_use: ShardUse,
     pub(super) exposure: ExposureTracker,
     pub(super) key_guards: KeyGuards,
+    /// The owned shards for which reports of keys have arrived since the last review.
+    pub(super) reports_changed: BTreeSet<PoolShard>,
     pub(super) failure_reports: FailureReports,
     pub(super) roster: Option<Roster>,
     pub(super) register: TargetRegister,
@@ -170,6 +173,7 @@
             shard_use: ShardUse::default(),
             exposure: ExposureTracker::default(),
             key_guards: KeyGuards::default(),
+            reports_changed: BTreeSet::new(),
             failure_reports: FailureReports::default(),
             last_event_at: now,
             queue: VecDeque::new(),
@@ -248,6 +252,8 @@
         self.run_queue(now);
         self.track_use(now);
         self.run_queue(now);
+        self.review_reported_guards(now);
+        self.run_queue(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -272,7 +278,7 @@
             .push(NodeAction::LogIncident(Incident::PauseDetected, text));
         self.notify_roster_of_pause(now);
         self.notify_membership(now, MembershipEvent::ProcessResumed(gap));
-        self.key_guards.reset(now);
+        self.key_guards.reset();
         self.notify_revisions(now, RevisionEvent::ProcessResumed(gap));
         self.notify_entry(now, EntryEvent::ProcessResumed(gap));
         self.run_queue(now);
--- a/bergamotswitch-core/src/node/key_guard.rs
+++ b/bergamotswitch-core/src/node/key_guard.rs
@@ -1,14 +1,16 @@
-//! Provides the quorum check of a shard's owner before it starts keyed requests that
-//! must not run twice.
+//! Provides the check of a shard's owner before it starts keyed requests that must not
+//! run twice.
+//!
+//! A new owner knows only the keys that other hosts report to it. It therefore holds
+//! keyed requests until every host that is not known to be lost has reported, or
+//! a timeout has passed.
 //!
 //! Two hosts may act as owner of one shard for some seconds, after a pause, a network
 //! partition or a wrong suspicion. For most work this only exceeds a limit. A
 //! non-repeatable call of a plain service, sent to both owners with the same
-//! idempotency key, would run once under each.
-//!
-//! The owner therefore holds such calls until a majority of the shard's candidates has
-//! followed it for a while. Each host follows one owner at a time, so no second owner
-//! can have a majority.
+//! idempotency key, would run once under each. The owner holds such calls until a
+//! majority of the shard's candidates has followed it for a while as well. Each host
+//! follows one owner at a time, so no second owner can have a majority.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -34,6 +36,17 @@
 /// ten intervals; the rest is left for the report.
 const KEY_REPORT_TIMEOUT_HEARTBEATS: u32 = 14;
 
+/// A `GuardKind` is the condition under which an owner starts keyed requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GuardKind {
+    /// All hosts have reported their keys. In a partitioned fleet requests continue in
+    /// every part.
+    Reports,
+    /// All hosts have reported their keys, and a majority of the candidates has followed
+    /// for long enough that no other owner has one.
+    Quorum,
+}
+
 /// A `HeldRequest` is a permit request that is held until the owner has a stable
 /// quorum.
 #[derive(Debug)]
@@ -46,7 +59,7 @@
 /// A `KeyGuard` is the quorum state of one owned shard.
 #[derive(Debug)]
 pub(super) struct KeyGuard {
-    created_at: Moment,
+    kind: GuardKind,
     /// The number of the last poll.
     round: u64,
     round_started_at: Option<Moment>,
@@ -55,41 +68,49 @@
     followers: BTreeMap<HostName, Moment>,
     /// The hosts that have reported their keys to this owner.
     reported: BTreeSet<HostName>,
+    /// The hosts whose reports are outstanding, with the start of the wait for each.
+    outstanding: BTreeMap<HostName, Moment>,
+    /// Whether the wait for reports is over.
+    is_reported: bool,
     /// The start of the current uninterrupted quorum.
     quorum_since: Option<Moment>,
     held: BTreeMap<AttemptId, HeldRequest>,
 }
 
 impl KeyGuard {
-    fn new(now: Moment) -> Self {
+    fn new(kind: GuardKind) -> Self {
         KeyGuard {
-            created_at: now,
+            kind,
             round: 0,
             round_started_at: None,
             followers: BTreeMap::new(),
             reported: BTreeSet::new(),
+            outstanding: BTreeMap::new(),
+            is_reported: false,
             quorum_since: None,
             held: BTreeMap::new(),
         }
     }
 
-    /// Reset the quorum after a pause in which another host may have taken over. Held
-    /// permit requests are kept.
-    fn reset(&mut self, now: Moment) {
+    /// Reset the guard after another host has or may have acted as owner. Held permit
+    /// requests are kept.
+    fn reset(&mut self) {
         let held = std::mem::take(&mut self.held);
         *self = KeyGuard {
             round: self.round,
             held,
-            ..KeyGuard::new(now)
+            ..KeyGuard::new(self.kind)
         };
     }
 
-    /// Record a host as follower if it answered the current poll.
+    /// Record a host as follower if it answered the current poll. It has reported its
+    /// keys, which a host does before anything else when it turns to an owner.
     fn record_follower(&mut self, host: &HostName, round: u64) {
         if let Some(started_at) = self.round_started_at
             && round == self.round
         {
             self.followers.insert(host.clone(), started_at);
+            self.reported.insert(host.clone());
         }
     }
 
@@ -119,13 +140,8 @@
         let follows = |host: &&HostName| *host == own_name || self.followers.contains_key(*host);
         let follower_count = quorum.candidates.iter().filter(follows).count();
         let majority = follower_count * 2 > quorum.candidates.len();
-        let timed_out = now
-            >= self
-                .created_at
-                .plus(heartbeat_interval * KEY_REPORT_TIMEOUT_HEARTBEATS);
-        let mut others = quorum.awaited.iter().filter(|host| *host != own_name);
-        let reported = timed_out || others.all(|host| self.reported.contains(host));
-        match majority && reported {
+        self.review_reports(now, heartbeat_interval, own_name, quorum);
+        match majority && self.is_reported {
             true => {
                 self.quorum_since.get_or_insert(now);
             }
@@ -133,6 +149,34 @@
         }
     }
 
+    /// Update the outstanding reports. The wait for a host begins anew when it is
+    /// reachable again.
+    fn review_reports(
+        &mut self,
+        now: Moment,
+        heartbeat_interval: Duration,
+        own_name: &HostName,
+        quorum: &KeyQuorum,
+    ) {
+        let others = quorum.awaited.iter().filter(|host| *host != own_name);
+        let outstanding = others.filter(|host| !self.reported.contains(*host));
+        let former = std::mem::take(&mut self.outstanding);
+        self.outstanding = outstanding
+            .map(|host| (host.clone(), former.get(host).copied().unwrap_or(now)))
+            .collect();
+        let timeout = heartbeat_interval * KEY_REPORT_TIMEOUT_HEARTBEATS;
+        let mut waits = self.outstanding.values();
+        self.is_reported = waits.all(|since| now >= since.plus(timeout));
+    }
+
+    /// Get whether the owner may start keyed requests.
+    fn is_open(&self, now: Moment, heartbeat_interval: Duration) -> bool {
+        match self.kind {
+            GuardKind::Reports => self.is_reported,
+            GuardKind::Quorum => self.has_stable_quorum(now, heartbeat_interval),
+        }
+    }
+
     fn has_stable_quorum(&self, now: Moment, heartbeat_interval: Duration) -> bool {
         let settled = self
             .quorum_since
@@ -140,6 +184,15 @@
         settled.is_some_and(|settled| now >= settled)
     }
 
+    /// Get the hosts to poll: the candidates, whose majority is required, or the hosts
+    /// whose reports are outstanding.
+    fn polled_hosts(&self, quorum: KeyQuorum) -> Vec<HostName> {
+        match self.kind {
+            GuardKind::Reports => self.outstanding.keys().cloned().collect(),
+            GuardKind::Quorum => quorum.candidates,
+        }
+    }
+
     /// Take the held permit requests, with their remaining times as of now.
     fn release(&mut self, now: Moment) -> Vec<(HostName, PermitRequest)> {
         let held = std::mem::take(&mut self.held);
@@ -173,26 +226,28 @@
 }
 
 impl KeyGuards {
-    /// Start or stop guarding a shard, and get the hosts whose permit requests were
-    /// held.
-    pub(super) fn set_acting(
-        &mut self,
-        now: Moment,
-        shard: &PoolShard,
-        act: bool,
-    ) -> Vec<HostName> {
-        let former = match act {
-            true => self.guards.insert(shard.clone(), KeyGuard::new(now)),
-            false => self.guards.remove(shard),
+    /// Start guarding a shard, or stop if `kind` is `None`, and get the hosts whose permit
+    /// requests were held.
+    fn set_kind(&mut self, shard: &PoolShard, kind: Option<GuardKind>) -> Vec<HostName> {
+        let former = match kind {
+            Some(kind) => self.guards.insert(shard.clone(), KeyGuard::new(kind)),
+            None => self.guards.remove(shard),
         };
         let held = former.map(|former| former.held).unwrap_or_default();
         held.into_values().map(|held| held.host).collect()
     }
 
     /// Reset all guards.
-    pub(super) fn reset(&mut self, now: Moment) {
+    pub(super) fn reset(&mut self) {
         for guard in self.guards.values_mut() {
-            guard.reset(now);
+            guard.reset();
+        }
+    }
+
+    /// Reset the guard of a shard for which another host acts as well.
+    pub(super) fn reset_shard(&mut self, shard: &PoolShard) {
+        if let Some(guard) = self.guards.get_mut(shard) {
+            guard.reset();
         }
     }
 
@@ -209,7 +264,7 @@
         };
         match message {
             OwnerMessage::PermitRequest(request)
-                if request.claim.is_some() && !guard.has_stable_quorum(now, heartbeat_interval) =>
+                if request.claim.is_some() && !guard.is_open(now, heartbeat_interval) =>
             {
                 let held = HeldRequest {
                     host: host.clone(),
@@ -244,66 +299,105 @@
         host: &HostName,
         message: OwnerMessage,
     ) -> Option<OwnerMessage> {
-        let guarded = matches!(&message, OwnerMessage::PermitRequest(request) if request.claim.is_some())
-            && self.is_guarded(message.shard());
-        // A host in degraded mode knows only its own keys, and several hosts may be
-        // degraded at once. The permit request is dropped: the entry side repeats
-        // it, or refuses the request as not run at its deadline.
-        if guarded && self.shards.is_degraded_shard(message.shard()) {
-            return None;
+        if let OwnerMessage::PermitRequest(request) = &message
+            && let Some(claim) = &request.claim
+        {
+            let shard = &request.shard;
+            let kind = self.guard_kind(shard);
+            // A host in degraded mode knows only its own keys, and several hosts may be
+            // degraded at once. The permit request is dropped: the entry side repeats
+            // it, or refuses the request as not run at its deadline.
+            if kind == Some(GuardKind::Quorum) && self.shards.is_degraded_shard(shard) {
+                return None;
+            }
+            // The owner answers a known key without the other hosts' reports.
+            if kind == Some(GuardKind::Reports) && self.shards.knows_key(shard, claim) {
+                return Some(message);
+            }
         }
         let heartbeat_interval = self.membership.heartbeat_interval();
-        self.key_guards
-            .filter(now, host, message, heartbeat_interval)
+        let shard = message.shard().clone();
+        let may_settle = matches!(
+            message,
+            OwnerMessage::Resync { .. } | OwnerMessage::OwnerConfirmed { .. }
+        );
+        let passed = self
+            .key_guards
+            .filter(now, host, message, heartbeat_interval);
+        if may_settle {
+            self.reports_changed.insert(shard);
+        }
+        passed
     }
 
-    /// Get whether keyed requests of a shard are held until the owner has a quorum.
+    /// Get how the keyed requests of a shard are guarded; `None` if they are not.
     ///
-    /// This holds for plain services, whose effects cannot be undone. Requests to
-    /// engines continue in every part of a partitioned fleet, and are deduplicated by
-    /// key within the part. Callers of a gateway have no idempotency keys.
-    fn is_guarded(&self, shard: &PoolShard) -> bool {
-        let pool = self.publication.pools.pool(&shard.pool);
-        !self.publication.uses_routes && pool.is_some_and(|pool| pool.kind == PoolKind::Plain)
+    /// The effects of calls to plain services cannot be undone. Requests to engines
+    /// continue in every part of a partitioned fleet, and are deduplicated by key within
+    /// the part. Callers of a gateway have no idempotency keys.
+    fn guard_kind(&self, shard: &PoolShard) -> Option<GuardKind> {
+        if self.publication.uses_routes {
+            return None;
+        }
+        let pool = self.publication.pools.pool(&shard.pool)?;
+        Some(match pool.kind {
+            PoolKind::Plain => GuardKind::Quorum,
+            PoolKind::Engine => GuardKind::Reports,
+        })
     }
 
     /// Start or stop guarding a shard when this host becomes or ceases to be its owner;
     /// get the hosts whose permit requests were held.
-    pub(super) fn update_guard(
-        &mut self,
-        now: Moment,
-        shard: &PoolShard,
-        act: bool,
-    ) -> Vec<HostName> {
-        let guarded = act && self.is_guarded(shard);
-        self.key_guards.set_acting(now, shard, guarded)
+    pub(super) fn update_guard(&mut self, shard: &PoolShard, act: bool) -> Vec<HostName> {
+        let kind = self.guard_kind(shard).filter(|_| act);
+        self.key_guards.set_kind(shard, kind)
     }
 
-    /// Poll the candidates for the owner they follow where a poll is due, and release
-    /// the held permit requests of owners with a stable quorum.
+    /// Poll the hosts that an owner waits for where a poll is due, and release the held
+    /// permit requests of owners that may start them.
     pub(super) fn review_guards(&mut self, now: Moment) {
-        let heartbeat_interval = self.membership.heartbeat_interval();
         let shards: Vec<PoolShard> = self.key_guards.guards.keys().cloned().collect();
         for shard in shards {
-            let quorum = self.membership.key_quorum(&shard);
-            let Some(guard) = self.key_guards.guards.get_mut(&shard) else {
-                continue;
-            };
-            guard.review(now, heartbeat_interval, &self.identity.host, &quorum);
-            if let Some(round) = guard.next_round(now, heartbeat_interval) {
-                self.poll_followers(now, &shard, round, quorum);
-            }
-            self.release_held(now, &shard, heartbeat_interval);
+            self.review_guard(now, &shard);
+        }
+    }
+
+    fn review_guard(&mut self, now: Moment, shard: &PoolShard) {
+        let heartbeat_interval = self.membership.heartbeat_interval();
+        let quorum = self.membership.key_quorum(shard);
+        let Some(guard) = self.key_guards.guards.get_mut(shard) else {
+            return;
+        };
+        guard.review(now, heartbeat_interval, &self.identity.host, &quorum);
+        if let Some(round) = guard.next_round(now, heartbeat_interval) {
+            let polled = guard.polled_hosts(quorum);
+            self.poll_followers(now, shard, round, polled);
         }
+        self.release_held(now, shard, heartbeat_interval);
     }
 
-    fn poll_followers(&mut self, now: Moment, shard: &PoolShard, round: u64, quorum: KeyQuorum) {
+    /// Review all guards with this event, because more hosts may have to report.
+    pub(super) fn await_reports(&mut self) {
+        let guarded = self.key_guards.guards.keys().cloned();
+        self.reports_changed.extend(guarded);
+    }
+
+    /// Review the guards for which reports have arrived since the last review.
+    pub(super) fn review_reported_guards(&mut self, now: Moment) {
+        for shard in std::mem::take(&mut self.reports_changed) {
+            self.review_guard(now, &shard);
+        }
+    }
+
+    fn poll_followers(
+        &mut self,
+        now: Moment,
+        shard: &PoolShard,
+        round: u64,
+        polled: Vec<HostName>,
+    ) {
         let own_name = self.identity.host.clone();
-        let candidates = quorum
-            .candidates
-            .into_iter()
-            .filter(|host| *host != own_name);
-        for host in candidates {
+        for host in polled.into_iter().filter(|host| *host != own_name) {
             let shard = shard.clone();
             self.send_reply(now, host, OwnerReply::ConfirmOwner { shard, round });
         }
@@ -311,8 +405,7 @@
 
     fn release_held(&mut self, now: Moment, shard: &PoolShard, heartbeat_interval: Duration) {
         let guard = self.key_guards.guards.get_mut(shard);
-        let Some(guard) = guard.filter(|guard| guard.has_stable_quorum(now, heartbeat_interval))
-        else {
+        let Some(guard) = guard.filter(|guard| guard.is_open(now, heartbeat_interval)) else {
             return;
         };
         for (host, request) in guard.release(now) {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -6,7 +6,7 @@
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName, Standing};
-use crate::permit::{FailedTarget, QuotaLevel};
+use crate::permit::{FailedTarget, KeyClaim, QuotaLevel};
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
     OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
@@ -137,6 +137,12 @@
         found.map_or_else(Vec::new, |owned| owned.owner.failed_targets(now))
     }
 
+    /// Get whether the shard's owner knows the idempotency key of a claim.
+    pub(super) fn knows_key(&self, shard: &PoolShard, claim: &KeyClaim) -> bool {
+        let found = self.owned.iter().find(|owned| owned.shard == *shard);
+        found.is_some_and(|owned| owned.owner.knows_key(claim))
+    }
+
     /// Get the hosts with queued permit requests for the shard.
     pub(super) fn waiting_hosts(&self, shard: &PoolShard) -> Vec<HostName> {
         let found = self.owned.iter().find(|owned| owned.shard == *shard);
--- a/bergamotswitch-core/src/pool_owner/key_table.rs
+++ b/bergamotswitch-core/src/pool_owner/key_table.rs
@@ -72,6 +72,11 @@
         self.entries.is_empty()
     }
 
+    /// Get whether a key is in the table.
+    pub fn contains(&self, key: u128) -> bool {
+        self.entries.contains_key(&key)
+    }
+
     /// Check a claim against the table.
     pub fn check(&self, now: Moment, claim: &KeyClaim) -> KeyVerdict {
         match self.entries.get(&claim.key) {
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
-use crate::permit::{OwnerMessage, OwnerReply, PermitRequest, QuotaLevel};
+use crate::permit::{KeyClaim, OwnerMessage, OwnerReply, PermitRequest, QuotaLevel};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
 use crate::request::TokenCost;
@@ -199,6 +199,11 @@
         self.quotas.withdraw(now, fraction)
     }
 
+    /// Get whether the idempotency key of a claim is known.
+    pub fn knows_key(&self, claim: &KeyClaim) -> bool {
+        self.keys.contains(claim.key)
+    }
+
     /// Get when the owner wants its next tick.
     pub fn next_wake(&self) -> Moment {
         let mut wake = self.permits.next_audit().unwrap_or(Moment::NEVER);
--- a/bergamotswitch-core/tests/node_support/mod.rs
+++ b/bergamotswitch-core/tests/node_support/mod.rs
@@ -4,6 +4,7 @@
 // Each test file uses a part of this module.
 #![allow(dead_code)]
 
+pub mod fault_net;
 pub mod net;
 
 pub use bergamotswitch_core::link::{Heartbeat, LinkEvent, LinkMessage};
@@ -62,6 +63,19 @@
     node
 }
 
+/// Get a new process of a host that has just adopted the published values of a fleet
+/// with an engine pool.
+pub fn node_started_at(
+    now: Moment,
+    run: HostIncarnation,
+    hosts: &[&str],
+    target: &Value,
+) -> TestNode {
+    let mut node = TestNode::of_run(run, now);
+    node.adopt(hosts, target, "engine");
+    node
+}
+
 /// Get a permit request of a peer for the shard of the test pool.
 pub fn permit_request_of(peer: &str) -> PermitRequest {
     let request = RequestId {
@@ -102,11 +116,15 @@
     }
 
     fn new(host: &str) -> Self {
+        TestNode::of_run(run(host), Moment::START)
+    }
+
+    fn of_run(run: HostIncarnation, now: Moment) -> Self {
         let domain = "north".to_owned().try_into().expect("name");
-        let core = NodeCore::new(run(host), domain, NodeOptions::default(), Moment::START);
+        let core = NodeCore::new(run, domain, NodeOptions::default(), now);
         TestNode {
             core,
-            now: Moment::START,
+            now,
             actions: Vec::new(),
             revision: 0,
         }
