Hand the keys of an owner over to the next one

What callers may see: a report or an alert runs again under its key after the host that ran it has stopped by plan and come back.

Cause: quotas and failed targets are handed over with a shard, keys came from their holders alone. A key whose holder is gone was forgotten at the failback, although the host that gave the shard back knew it.

Change: an owner that ceases or stops sends the keys that it recorded (message set 6). The table's capacity bounds them; each hand-over starts their retention anew.

--- a/bergamotswitch-core/src/entry/dispatcher/takeover.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/takeover.rs
@@ -7,14 +7,10 @@
 use crate::entry::attempt::{AttemptStage, RunningAttempt, WaitingState};
 use crate::entry::request_table::{LiveEntry, RequestRecord};
 use crate::host::HostName;
-use crate::permit::{InFlightWork, KeyClaim, OwnerMessage};
+use crate::permit::{CLAIMS_PER_MESSAGE, InFlightWork, KeyClaim, OwnerMessage};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
 
-/// The maximum number of key claims per message. With host names of maximum
-/// length, the message stays well below the size limit between hosts.
-const CLAIMS_PER_MESSAGE: usize = 4_096;
-
 impl EntryDispatcher {
     /// Invalidate all permits that may be in transit by requesting new ones
     /// under new attempt numbers.
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -33,7 +33,7 @@
 /// The message set that added [`OwnerMessage::TargetLimits`].
 const TARGET_LIMITS_SET: u16 = 5;
 
-/// The message set that added [`LinkMessage::Ownership`].
+/// The message set that added [`LinkMessage::Ownership`] and [`OwnerMessage::Keys`].
 const OWNERSHIP_SET: u16 = 6;
 
 /// The maximum size of a message in bytes. It leaves room for a published value
@@ -92,7 +92,9 @@
             LinkMessage::ToOwner(OwnerMessage::QuotaUse { .. }) => QUOTA_USE_SET,
             LinkMessage::Crashes(_) => CRASHES_SET,
             LinkMessage::ToOwner(OwnerMessage::TargetLimits { .. }) => TARGET_LIMITS_SET,
-            LinkMessage::Ownership(_) => OWNERSHIP_SET,
+            LinkMessage::Ownership(_) | LinkMessage::ToOwner(OwnerMessage::Keys { .. }) => {
+                OWNERSHIP_SET
+            }
             _ => 0,
         }
     }
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -9,7 +9,7 @@
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::link::LinkMessage;
-use crate::permit::{FailedTarget, OwnerMessage};
+use crate::permit::{CLAIMS_PER_MESSAGE, FailedTarget, OwnerMessage};
 use crate::pool::PoolShard;
 use crate::pool_owner::OwnerEvent;
 
@@ -67,17 +67,18 @@
 }
 
 impl NodeCore {
-    /// Hand over quota levels and failed targets to a shard's next owner. `fraction` is
-    /// the part of each quota's token bucket to transfer.
+    /// Hand over keys, quota levels and failed targets to a shard's next owner. `fraction`
+    /// is the part of each quota's token bucket to transfer.
     ///
     /// Without this, the next owner would start with empty token buckets and refuse
-    /// calls of accounts within their quota, and would send work to failed targets,
-    /// which look idle to it.
+    /// calls of accounts within their quota, would send work to failed targets, which
+    /// look idle to it, and would start requests again whose holders have terminated.
     pub(super) fn hand_over(&mut self, now: Moment, shard: &PoolShard, fraction: f64) {
         let Some(next) = self.membership.successor_of(now, shard).cloned() else {
             return;
         };
         self.send_failed_targets(now, shard.clone(), &next);
+        self.send_keys(shard, &next);
         let levels = self.shards.hand_over_quotas(now, shard, fraction);
         if !levels.is_empty() {
             let shard = shard.clone();
@@ -111,6 +112,16 @@
         self.actions.push(NodeAction::Send(owner.clone(), message));
     }
 
+    fn send_keys(&mut self, shard: &PoolShard, host: &HostName) {
+        for claims in self.shards.granted_claims(shard).chunks(CLAIMS_PER_MESSAGE) {
+            let message = OwnerMessage::Keys {
+                shard: shard.clone(),
+                claims: claims.to_vec(),
+            };
+            self.send_to_owner(host, message);
+        }
+    }
+
     fn send_failed_targets(&mut self, now: Moment, shard: PoolShard, host: &HostName) {
         let targets = self.shards.failed_targets(now, &shard);
         if !targets.is_empty() {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -137,6 +137,13 @@
         found.map_or_else(Vec::new, |owned| owned.owner.failed_targets(now))
     }
 
+    /// Get the claims that the shard's owner hands over; none in degraded mode.
+    pub(super) fn granted_claims(&self, shard: &PoolShard) -> Vec<KeyClaim> {
+        let mut owned = self.owned.iter().filter(|owned| !owned.degraded);
+        let found = owned.find(|owned| owned.shard == *shard);
+        found.map_or_else(Vec::new, |owned| owned.owner.granted_claims())
+    }
+
     /// Get whether the shard's owner knows the idempotency key of a claim.
     pub(super) fn knows_key(&self, shard: &PoolShard, claim: &KeyClaim) -> bool {
         let found = self.owned.iter().find(|owned| owned.shard == *shard);
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -16,6 +16,10 @@
 use crate::rules::Tier;
 use crate::target::{RequestRate, TargetName};
 
+/// The maximum number of key claims per message. With host names of maximum
+/// length, the message stays well below the size limit between hosts.
+pub(crate) const CLAIMS_PER_MESSAGE: usize = 4_096;
+
 /// A `KeyClaim` registers at the owner the idempotency key of a request that
 /// must not run twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -279,6 +283,14 @@
         /// The limits; none if the named one could not be read.
         limits: Vec<TargetLimit>,
     },
+    /// Hands over the keys that the sender recorded as owner, whoever holds them. It is
+    /// sent to the next owner only.
+    Keys {
+        /// The shard.
+        shard: PoolShard,
+        /// The claims of the keys.
+        claims: Vec<KeyClaim>,
+    },
 }
 
 /// An `OwnerReply` is a message from a shard's owner to an entry host.
@@ -350,6 +362,7 @@
             | OwnerMessage::QuotaUse { shard, .. }
             | OwnerMessage::FailedTargets { shard, .. }
             | OwnerMessage::TargetLimits { shard, .. }
+            | OwnerMessage::Keys { shard, .. }
             | OwnerMessage::NotHeld { shard, .. } => shard,
         }
     }
--- a/bergamotswitch-core/src/pool_owner/key_table.rs
+++ b/bergamotswitch-core/src/pool_owner/key_table.rs
@@ -77,6 +77,16 @@
         self.entries.contains_key(&key)
     }
 
+    /// Get the claims of the keys for which a permit may have been granted.
+    pub fn granted_claims(&self) -> impl Iterator<Item = KeyClaim> {
+        let granted = self.entries.iter().filter(|(_, entry)| entry.granted);
+        granted.map(|(key, entry)| KeyClaim {
+            key: *key,
+            holder: entry.holder.clone(),
+            resubmission: false,
+        })
+    }
+
     /// Check a claim against the table.
     pub fn check(&self, now: Moment, claim: &KeyClaim) -> KeyVerdict {
         match self.entries.get(&claim.key) {
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -199,6 +199,11 @@
         self.quotas.withdraw(now, fraction)
     }
 
+    /// Get the claims to hand over to the next owner.
+    pub fn granted_claims(&self) -> Vec<KeyClaim> {
+        self.keys.granted_claims().collect()
+    }
+
     /// Get whether the idempotency key of a claim is known.
     pub fn knows_key(&self, claim: &KeyClaim) -> bool {
         self.keys.contains(claim.key)
@@ -269,6 +274,11 @@
             OwnerMessage::FailedTargets { targets, .. } => {
                 self.on_failed_targets(now, &targets, actions);
             }
+            OwnerMessage::Keys { claims, .. } => {
+                for claim in &claims {
+                    self.keys.hold(now, claim);
+                }
+            }
             // Handled by the owner's key guard.
             OwnerMessage::OwnerConfirmed { .. } => {}
         }
--- a/bergamotswitch-core/tests/entry_simulation/owners.rs
+++ b/bergamotswitch-core/tests/entry_simulation/owners.rs
@@ -22,7 +22,8 @@
             | OwnerMessage::QuotaLevels { .. }
             | OwnerMessage::QuotaUse { .. }
             | OwnerMessage::FailedTargets { .. }
-            | OwnerMessage::TargetLimits { .. } => {}
+            | OwnerMessage::TargetLimits { .. }
+            | OwnerMessage::Keys { .. } => {}
         }
     }
 
--- a/bergamotswitch-core/tests/report_keys.rs
+++ b/bergamotswitch-core/tests/report_keys.rs
@@ -5,6 +5,7 @@
 mod node_support;
 
 use entry_support::*;
+use node_support::NodeEvent;
 use node_support::fault_net::*;
 
 /// The longest time for which two hosts may act for a shard: a hand-over.
@@ -16,6 +17,9 @@
 /// How long callers go on after the last event of a case.
 const AFTERWARDS: Duration = Duration::from_secs(8);
 
+/// The longest time that a stopping host takes for the requests that it accepted.
+const LONGEST_STOP: Duration = Duration::from_secs(10);
+
 /// Lengths of pauses, and of the time until a host is back.
 const SPANS_MS: [u64; 8] = [1_000, 1_500, 2_000, 2_200, 2_600, 3_000, 4_000, 5_000];
 
@@ -189,6 +193,54 @@
     findings.assert_none("stopped_owner");
 }
 
+// Guards against second runs of reports while an owner stops by plan, and when it is
+// back.
+#[test]
+fn planned_handover() {
+    let mut findings = Findings::default();
+    for order in orders() {
+        for span in SPANS_MS {
+            for place in 0..3 {
+                let mut net = FaultNet::start(&order);
+                let candidates = net.candidates();
+                let first = candidates[0];
+                // One key is sent all the time, the others once.
+                net.submit(candidates[place], "steady", keyed_submission("steady"));
+                net.advance(ms(100));
+                assert_eq!(net.started[0].host, candidates[place]);
+                let send = |net: &mut FaultNet, span: Duration| {
+                    let end = net.now.plus(span);
+                    while net.now < end {
+                        for host in ALL {
+                            net.submit(host, "steady", keyed_submission("steady"));
+                        }
+                        send_keys(net, &ALL, ms(50), ms(50));
+                    }
+                };
+                send(&mut net, ms(500));
+                net.tell(first, NodeEvent::Stop);
+                send(&mut net, ms(2_000));
+                net.tell(first, NodeEvent::AdmissionClosed);
+                send(&mut net, ms(1_000));
+                // The process ends once no request waits or runs there.
+                let due = net.now.plus(LONGEST_STOP);
+                while !net.is_idle(first) && net.now < due {
+                    send(&mut net, ms(100));
+                }
+                assert!(net.is_idle(first), "{:?}", net.unended());
+                net.kill(first);
+                send(&mut net, ms(span));
+                net.restart(first);
+                send(&mut net, AFTERWARDS);
+                net.settle();
+                let play = format!("candidate {place} holds, back after {span} ms, {order:?}");
+                findings.check_calls(&net, &play);
+            }
+        }
+    }
+    findings.assert_none("planned_handover");
+}
+
 // Guards against calls without a key that wait for the keys of other hosts after a
 // change of the owner.
 #[test]
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -58,6 +58,8 @@
     QuotaUse = "quota-use", LinkMessage::ToOwner(OwnerMessage::QuotaUse { .. }),
     /// The request rates that targets named as their limits.
     TargetLimits = "target-limits", LinkMessage::ToOwner(OwnerMessage::TargetLimits { .. }),
+    /// The keys of an owner, handed over to the next one.
+    Keys = "keys", LinkMessage::ToOwner(OwnerMessage::Keys { .. }),
     /// A granted permit.
     Granted = "granted", LinkMessage::FromOwner(OwnerReply::Granted { .. }),
     /// A refused permit request.
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -188,6 +188,20 @@
     }])
 }
 
+fn keys() -> LinkMessage {
+    LinkMessage::ToOwner(OwnerMessage::Keys {
+        shard: shard(),
+        claims: vec![KeyClaim {
+            key: 7,
+            holder: HostIncarnation {
+                host: "mza-sur-1".try_into().unwrap(),
+                incarnation: Incarnation(5),
+            },
+            resubmission: false,
+        }],
+    })
+}
+
 fn ownership() -> LinkMessage {
     LinkMessage::Ownership(vec![ShardTerm {
         shard: shard(),
@@ -209,6 +223,7 @@
         crashes(),
         target_limits(),
         ownership(),
+        keys(),
     ];
     for message in messages {
         let frame = codec::encode(&message).unwrap();
