Keep the keys of an owner that ceases without a successor

What callers would have seen: a report whose holder is gone runs again after its shard's owner stood still as long as the suspicion timeout and nobody took over.

Cause: such an owner ceases until the other candidates have answered, and at that moment knows no successor, so its keys were handed to nobody. In the same way keys were dropped at a host that does not act yet.

Change: keys without a receiver are kept, up to 65,536 for a shard and for their retention, until this host acts again or knows the owner, to which it passes them.

--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -181,6 +181,9 @@
         self.shards
             .set_degraded(now, &shard, degraded, &self.publication);
         let owner = owner.unwrap_or_else(|| self.identity.host.clone());
+        if owner != self.identity.host {
+            self.pass_kept_keys(now, &shard, &owner);
+        }
         self.exposure.record_owner(now, &shard, &owner);
         self.notify_entry(now, EntryEvent::OwnerChanged(shard, owner));
         self.watch_targets();
@@ -206,6 +209,8 @@
         self.shards.set_acting(now, &shard, act, &self.publication);
         if act {
             self.apply_failure_reports(now, &shard);
+            let own_name = self.identity.host.clone();
+            self.pass_kept_keys(now, &shard, &own_name);
             self.reports_changed.insert(shard.clone());
         }
         if act && let Some(event) = self.takeover_event(&shard) {
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::exposure::ExposureTracker;
-use super::handover::FailureReports;
+use super::handover::{FailureReports, KeptKeys};
 use super::host_returns::PlannedStop;
 use super::key_guard::KeyGuards;
 use super::shard_use::ShardUse;
@@ -126,6 +126,7 @@
     /// The owned shards for which reports of keys have arrived since the last review.
     pub(super) reports_changed: BTreeSet<PoolShard>,
     pub(super) failure_reports: FailureReports,
+    pub(super) kept_keys: KeptKeys,
     pub(super) roster: Option<Roster>,
     pub(super) register: TargetRegister,
     last_event_at: Moment,
@@ -175,6 +176,7 @@
             key_guards: KeyGuards::default(),
             reports_changed: BTreeSet::new(),
             failure_reports: FailureReports::default(),
+            kept_keys: KeptKeys::default(),
             last_event_at: now,
             queue: VecDeque::new(),
             actions: Vec::new(),
@@ -390,6 +392,7 @@
             OwnerMessage::FailedTargets { shard, targets } => {
                 self.failure_reports.record(now, shard, targets);
             }
+            OwnerMessage::Keys { shard, claims } => self.kept_keys.record(now, shard, claims),
             _ => self.send_reply(now, host, OwnerReply::NotOwner { shard }),
         }
     }
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -9,7 +9,7 @@
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::link::LinkMessage;
-use crate::permit::{CLAIMS_PER_MESSAGE, FailedTarget, OwnerMessage};
+use crate::permit::{CLAIMS_PER_MESSAGE, FailedTarget, KeyClaim, OwnerMessage};
 use crate::pool::PoolShard;
 use crate::pool_owner::OwnerEvent;
 
@@ -20,6 +20,39 @@
 /// The maximum number of shards for which reports are kept.
 const MAX_REPORTED_SHARDS: usize = 64;
 
+/// The maximum number of keys that are kept for a shard.
+const MAX_KEPT_KEYS: usize = 65_536;
+
+/// A `KeptKeys` holds the keys of shards that this host does not own at present: its own
+/// as former owner, if it knew no successor, or those that an owner handed over before this
+/// host acts.
+#[derive(Debug, Default)]
+pub(super) struct KeptKeys {
+    shards: BTreeMap<PoolShard, (Moment, Vec<KeyClaim>)>,
+}
+
+impl KeptKeys {
+    pub(super) fn record(&mut self, now: Moment, shard: PoolShard, claims: Vec<KeyClaim>) {
+        let (kept_at, kept) = self.shards.entry(shard).or_insert((now, Vec::new()));
+        *kept_at = now;
+        let left = MAX_KEPT_KEYS.saturating_sub(kept.len());
+        kept.extend(claims.into_iter().take(left));
+    }
+
+    /// Take the keys of a shard that are not older than `retention`.
+    fn take(&mut self, now: Moment, shard: &PoolShard, retention: Duration) -> Vec<KeyClaim> {
+        match self.shards.remove(shard) {
+            Some((kept_at, claims)) if now < kept_at.plus(retention) => claims,
+            _ => Vec::new(),
+        }
+    }
+
+    /// Drop the keys of shards that do not exist any more.
+    pub(super) fn retain(&mut self, shards: &[PoolShard]) {
+        self.shards.retain(|shard, _| shards.contains(shard));
+    }
+}
+
 /// A `FailureReports` holds reports of failed targets for shards that this host does
 /// not own yet.
 #[derive(Debug, Default)]
@@ -75,10 +108,13 @@
     /// look idle to it, and would start requests again whose holders have terminated.
     pub(super) fn hand_over(&mut self, now: Moment, shard: &PoolShard, fraction: f64) {
         let Some(next) = self.membership.successor_of(now, shard).cloned() else {
+            let claims = self.shards.granted_claims(shard);
+            self.kept_keys.record(now, shard.clone(), claims);
             return;
         };
         self.send_failed_targets(now, shard.clone(), &next);
-        self.send_keys(shard, &next);
+        let claims = self.shards.granted_claims(shard);
+        self.send_keys(shard, &next, &claims);
         let levels = self.shards.hand_over_quotas(now, shard, fraction);
         if !levels.is_empty() {
             let shard = shard.clone();
@@ -87,8 +123,7 @@
     }
 
     /// Send the failed targets of all shards that this host owns to a newly connected
-    /// host. A first candidate that has just started becomes owner at once and has no
-    /// failure state.
+    /// host, which may become their owner and has no failure state.
     pub(super) fn send_all_failed_targets(&mut self, now: Moment, host: &HostName) {
         for shard in self.membership.acting_shards() {
             self.send_failed_targets(now, shard, host);
@@ -112,11 +147,27 @@
         self.actions.push(NodeAction::Send(owner.clone(), message));
     }
 
-    fn send_keys(&mut self, shard: &PoolShard, host: &HostName) {
-        for claims in self.shards.granted_claims(shard).chunks(CLAIMS_PER_MESSAGE) {
+    /// Pass the kept keys of a shard to its owner.
+    pub(super) fn pass_kept_keys(&mut self, now: Moment, shard: &PoolShard, owner: &HostName) {
+        let retention = Duration::from_millis(self.publication.limits.key_retention_ms);
+        let claims = self.kept_keys.take(now, shard, retention);
+        if *owner != self.identity.host {
+            return self.send_keys(shard, owner, &claims);
+        }
+        let message = OwnerMessage::Keys {
+            shard: shard.clone(),
+            claims,
+        };
+        let event = OwnerEvent::Message(owner.clone(), message);
+        let actions = self.shards.notify_shard(now, shard, event);
+        self.queue_owner(actions);
+    }
+
+    fn send_keys(&mut self, shard: &PoolShard, host: &HostName, claims: &[KeyClaim]) {
+        for part in claims.chunks(CLAIMS_PER_MESSAGE) {
             let message = OwnerMessage::Keys {
                 shard: shard.clone(),
-                claims: claims.to_vec(),
+                claims: part.to_vec(),
             };
             self.send_to_owner(host, message);
         }
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -55,6 +55,7 @@
             let shards = self.publication.pools.shards();
             self.shard_use
                 .warm(now, &self.publication.pools, &self.domain);
+            self.kept_keys.retain(&shards);
             self.notify_membership(now, MembershipEvent::Shards(shards));
             let pools = self.publication.pools.pools().to_vec();
             self.notify_entry(now, EntryEvent::Pools(pools));
--- a/bergamotswitch-core/tests/report_keys.rs
+++ b/bergamotswitch-core/tests/report_keys.rs
@@ -193,6 +193,32 @@
     findings.assert_none("stopped_owner");
 }
 
+// Guards against an owner that forgets keys when it stands still and goes on as owner, so
+// that a report whose holder is gone runs again.
+#[test]
+fn resumed_owner() {
+    let mut findings = Findings::default();
+    for order in orders() {
+        // Nobody takes over in this time.
+        for span in [500, 1_000, 1_500, 1_900, 2_000] {
+            let mut net = FaultNet::start(&order);
+            let [owner, holder, other] = net.candidates();
+            net.submit(holder, "report", keyed_submission("report"));
+            net.advance(ms(200));
+            net.kill(holder);
+            net.advance(ms(100));
+            net.pause(owner);
+            net.advance(ms(span));
+            net.resume(owner, false);
+            net.advance(ms(3_000));
+            net.submit(other, "report", keyed_submission("report"));
+            net.settle();
+            findings.check_calls(&net, &format!("{span} ms, {order:?}"));
+        }
+    }
+    findings.assert_none("resumed_owner");
+}
+
 // Guards against second runs of reports while an owner stops by plan, and when it is
 // back.
 #[test]
