Wait for unconnected hosts before alerts as long as before

What callers would have seen: an alert runs a second time where the host that knows its key connects to a new owner later than 2.5 s after the takeover.

Cause: shortened the wait for hosts without a link, meant for reports. The guard of plain services uses the same wait, so theirs was shortened too, from seven seconds.

Change: the shorter wait is for reports alone.

Test: key_guard::unconnected_host fails without it (the alert starts within 9 s of the loss of the owner, with a listed host that has not connected) and passes with it.

--- a/bergamotswitch-core/src/node/key_guard.rs
+++ b/bergamotswitch-core/src/node/key_guard.rs
@@ -31,8 +31,8 @@
 /// then, answers given to a previous owner have expired.
 const QUORUM_STABLE_HEARTBEATS: u32 = ANSWER_VALID_HEARTBEATS + 1;
 
-/// How long the owner waits for the key report of a host that does not count as
-/// unreachable, in heartbeat intervals. A previous temporary owner steps down within
+/// How long the owner waits for the key report of a host that does not count as lost,
+/// in heartbeat intervals. A previous temporary owner steps down within
 /// ten intervals; the rest is left for the report.
 const KEY_REPORT_TIMEOUT_HEARTBEATS: u32 = 14;
 
@@ -174,7 +174,10 @@
             .map(|host| (host.clone(), former.get(host).copied().unwrap_or(now)))
             .collect();
         let timeout = heartbeat_interval * KEY_REPORT_TIMEOUT_HEARTBEATS;
-        let unlinked_timeout = timeout.min(quorum.connect_time);
+        let unlinked_timeout = match self.kind {
+            GuardKind::Reports => timeout.min(quorum.connect_time),
+            GuardKind::Quorum => timeout,
+        };
         self.is_reported = self.outstanding.iter().all(|(host, since)| {
             let timeout = match quorum.linked.contains(host) {
                 true => timeout,
--- a/bergamotswitch-core/tests/key_guard.rs
+++ b/bergamotswitch-core/tests/key_guard.rs
@@ -117,3 +117,33 @@
     assert_eq!(net.owners(), [first]);
     assert_eq!(net.started.len(), 3, "{:?}", net.started);
 }
+
+// Guards against a second run of an alert whose key is known to a listed host that has not
+// connected yet: a new owner waits for such a host as long as for a connected one.
+#[test]
+fn unconnected_host() {
+    let is_ranked_last = |extra: &str| {
+        let names: Vec<HostName> = HOSTS
+            .iter()
+            .chain([&extra])
+            .map(|host| name(host))
+            .collect();
+        rendezvous::rank(&shard(), names.iter()).last() == Some(&name(extra))
+    };
+    let mut extra = (3..100).map(|number| format!("h{number}"));
+    let extra = extra.find(|extra| is_ranked_last(extra)).expect("a name");
+    let listed: Vec<&str> = HOSTS.iter().copied().chain([extra.as_str()]).collect();
+    let mut net = NodeNet::start_listed("plain", &listed);
+    let [first, second, third] = candidates();
+    net.advance(Duration::from_secs(8));
+    cut(&mut net, first, second);
+    cut(&mut net, first, third);
+    net.advance(Duration::from_secs(3));
+    assert_eq!(net.owners().len(), 2, "the second candidate has taken over");
+    net.nodes[third].submit(keyed_submission("alert"));
+    // Reports are awaited for seven seconds, then the majority has to be stable.
+    net.advance(Duration::from_secs(6));
+    assert_eq!(net.started.len(), 0, "{:?}", net.started);
+    net.advance(Duration::from_secs(4));
+    assert_eq!(net.started.len(), 1, "{:?}", net.started);
+}
--- a/bergamotswitch-core/tests/node_support/net.rs
+++ b/bergamotswitch-core/tests/node_support/net.rs
@@ -29,10 +29,15 @@
 
     /// Start a fleet with a pool of this kind.
     pub fn start_with(kind: &str) -> Self {
+        NodeNet::start_listed(kind, HOSTS)
+    }
+
+    /// Start a fleet whose host list may contain hosts that do not run.
+    pub fn start_listed(kind: &str, listed: &[&str]) -> Self {
         // Each target has one token, so it runs one request at a time.
         let target = json!({"token_limit": 1});
         let nodes = HOSTS.iter();
-        let nodes = nodes.map(|host| node_with_pool_kind(host, HOSTS, target.clone(), kind));
+        let nodes = nodes.map(|host| node_with_pool_kind(host, listed, target.clone(), kind));
         let mut net = NodeNet {
             nodes: nodes.collect(),
             links: BTreeSet::new(),
@@ -81,6 +86,9 @@
             for action in std::mem::take(&mut self.nodes[from].actions) {
                 moved = true;
                 match action {
+                    // A listed host that does not run.
+                    NodeAction::Send(to, _) if !HOSTS.contains(&to.as_str()) => {}
+                    NodeAction::Connect(to) if !HOSTS.contains(&to.name.as_str()) => {}
                     NodeAction::Send(to, message) => self.send(from, &to, message),
                     NodeAction::Connect(to) => self.connect(from, &to.name),
                     NodeAction::Start { attempt, .. } => self.started.push((from, attempt)),
