Tell a peer that ceases from one that begins to act in event 404

Event 404 was written when a peer ceased to act, too, as at each failback: only the guard of keys needs that. membership_faults::ceased_peer.

Besides, without a change of behavior: the doc comment of ShardTerm named the wrong candidate; the report of a host's shards is not built anew at each event; keys are kept for 64 shards at most, as reports of failed targets are, and not where there are none.

--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -56,7 +56,7 @@
 
 /// A `ShardTerm` is the term in which a host acts as owner of a shard. Of two hosts that
 /// act for a shard, the one with the higher term continues, in the same term the candidate
-/// that is ranked later.
+/// that is ranked first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardTerm {
     /// The shard.
--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -254,7 +254,7 @@
             return;
         }
         let replaced = peer.link_up(now, remote.incarnation);
-        let report = self.ownership_report();
+        let report = self.reported.clone();
         actions.push(MembershipAction::SendOwnership(remote.host.clone(), report));
         if let Some(replaced) = replaced {
             self.denials.retain(|denial| denial.host != remote.host);
--- a/bergamotswitch-core/src/membership/mod.rs
+++ b/bergamotswitch-core/src/membership/mod.rs
@@ -100,12 +100,14 @@
     /// A peer that was lost has sent a heartbeat.
     HeardAgain(HostName),
     /// A peer reports that it begins or ceases to act for a shard for which this host acts.
-    Contested(HostName, PoolShard),
+    Contested(PoolShard),
     /// This incarnation of a host has terminated: a newer one connected, or the
     /// host was removed from the host list and is unreachable.
     HostTerminated(HostName, Incarnation),
     /// Log an incident of a host.
     LogIncident(Incident, HostName),
+    /// Log that a host acts for a shard for which this host acts as well.
+    LogContest(HostName, PoolShard),
     /// Log that a host does not act as owner of a shard.
     LogDenial(HostName, PoolShard),
 }
--- a/bergamotswitch-core/src/membership/ownership.rs
+++ b/bergamotswitch-core/src/membership/ownership.rs
@@ -145,9 +145,14 @@
         let terms = peer.terms.iter().flatten();
         for shard in self.acting.keys() {
             let mut claims = terms.clone().filter(|(claimed, _)| *claimed == shard);
-            if claims.next().map(|(_, term)| term) != former.get(shard) {
-                actions.push(MembershipAction::Contested(host.clone(), shard.clone()));
+            let claimed = claims.next().map(|(_, term)| term);
+            if claimed == former.get(shard) {
+                continue;
             }
+            if claimed.is_some() {
+                actions.push(MembershipAction::LogContest(host.clone(), shard.clone()));
+            }
+            actions.push(MembershipAction::Contested(shard.clone()));
         }
     }
 
@@ -223,8 +228,8 @@
         }
     }
 
-    /// Get the shards that this host acts for, as reported to peers.
-    pub(super) fn ownership_report(&self) -> Vec<ShardTerm> {
+    /// Get the shards that this host acts for, to be reported to peers.
+    fn ownership_report(&self) -> Vec<ShardTerm> {
         let terms = self.acting.iter().map(|(shard, acting)| ShardTerm {
             shard: shard.clone(),
             term: acting.number,
--- a/bergamotswitch-core/src/membership/reconcile.rs
+++ b/bergamotswitch-core/src/membership/reconcile.rs
@@ -280,7 +280,6 @@
     fn send_heartbeats(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
         let user_interval = self.opts.user_interval(self.live_count);
         let stopping = self.stopping_since.is_some();
-        let report = self.ownership_report();
         for (host, peer) in &mut self.peers {
             let counters = match peer.next_heartbeat(now, &self.opts, user_interval) {
                 Some(counters) => counters,
@@ -296,7 +295,7 @@
             if peer.reachable != Some(true) {
                 actions.push(MembershipAction::SendOwnership(
                     host.clone(),
-                    report.clone(),
+                    self.reported.clone(),
                 ));
             }
             actions.push(MembershipAction::Send(host.clone(), heartbeat));
--- a/bergamotswitch-core/src/membership/shard_view.rs
+++ b/bergamotswitch-core/src/membership/shard_view.rs
@@ -1,5 +1,5 @@
-//! Provides one host's view of the candidates of a shard: whether a candidate
-//! may act, which one acts, and which ones to watch.
+//! Provides one host's view of the candidates of a shard: which one acts, and which
+//! ones to watch.
 
 use std::cmp::Reverse;
 
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -126,10 +126,7 @@
                 self.actions.push(NodeAction::Send(host, message));
             }
             MembershipAction::HeardAgain(host) => self.await_report(&host),
-            MembershipAction::Contested(host, shard) => {
-                let text = format!("peer={host} shard={shard}");
-                let incident = Incident::OwnershipContested;
-                self.actions.push(NodeAction::LogIncident(incident, text));
+            MembershipAction::Contested(shard) => {
                 self.key_guards.reset_shard(&shard);
                 self.reports_changed.insert(shard);
             }
@@ -146,6 +143,11 @@
                 let text = format!("peer={host}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
+            MembershipAction::LogContest(host, shard) => {
+                let text = format!("peer={host} shard={shard}");
+                let incident = Incident::OwnershipContested;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
             MembershipAction::LogDenial(host, shard) => {
                 let text = format!("peer={host} shard={shard}");
                 let incident = Incident::OwnershipDenied;
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -17,7 +17,7 @@
 /// A newly started owner takes over within a second.
 const REPORT_RETENTION: Duration = Duration::from_secs(5);
 
-/// The maximum number of shards for which reports are kept.
+/// The maximum number of shards for which reports or keys are kept.
 const MAX_REPORTED_SHARDS: usize = 64;
 
 /// The maximum number of keys that are kept for a shard.
@@ -32,7 +32,12 @@
 }
 
 impl KeptKeys {
+    /// Add keys of a shard. Those of a further shard at the limit are dropped.
     pub(super) fn record(&mut self, now: Moment, shard: PoolShard, claims: Vec<KeyClaim>) {
+        let is_new = !self.shards.contains_key(&shard);
+        if claims.is_empty() || (is_new && self.shards.len() >= MAX_REPORTED_SHARDS) {
+            return;
+        }
         let (kept_at, kept) = self.shards.entry(shard).or_insert((now, Vec::new()));
         *kept_at = now;
         let left = MAX_KEPT_KEYS.saturating_sub(kept.len());
--- a/bergamotswitch-core/tests/fleet/mod.rs
+++ b/bergamotswitch-core/tests/fleet/mod.rs
@@ -197,7 +197,9 @@
                 MembershipAction::Act(..) => node.acting_changes += 1,
                 MembershipAction::HeardAgain(_) | MembershipAction::Contested(..) => {}
                 MembershipAction::HostTerminated(host, _) => node.terminated.push(host),
-                action @ (MembershipAction::LogIncident(..) | MembershipAction::LogDenial(..)) => {
+                action @ (MembershipAction::LogIncident(..)
+                | MembershipAction::LogContest(..)
+                | MembershipAction::LogDenial(..)) => {
                     node.log_actions.push(action);
                 }
             }
--- a/bergamotswitch-core/tests/membership_faults.rs
+++ b/bergamotswitch-core/tests/membership_faults.rs
@@ -380,3 +380,19 @@
         assert!(acting.is_empty(), "after {pause_ms} ms");
     }
 }
+
+// Guards against a report of a second owner when the other one ceases.
+#[test]
+fn ceased_peer() {
+    let (mut fleet, order) = converged(3);
+    fleet.handle(&order[0], MembershipEvent::Stop);
+    fleet.run(secs(3));
+    let contests = |name: &HostName| {
+        let log = fleet.nodes[name].log_actions.iter();
+        log.filter(|action| matches!(action, MembershipAction::LogContest(..)))
+            .count()
+    };
+    // The former owner hears of the next one while it hands the shard over.
+    assert_eq!(contests(&order[0]), 1);
+    assert_eq!(contests(&order[1]), 0);
+}
