Keep the closed port of holder_unreachable bound

Symptom: caller_requests' forwarding tests fail, mostly holder_unreachable, alone or together with one neighbour, after 10 s ("completed before the timeout") or at once.

Cause, a fault of the test: it opens a port, closes it, and takes it for closed. Another test's host may get that port, and one of the two receives the other's calls.

Change: the port stays bound without listening, so it refuses connections and nobody else gets it. The assertions are the same.

--- a/bergamotswitch-net/tests/caller_requests/forwarding.rs
+++ b/bergamotswitch-net/tests/caller_requests/forwarding.rs
@@ -102,9 +102,11 @@
 async fn holder_unreachable() {
     // Guards against a lost request that is reported as not run: the holder is
     // unreachable, unknown or restarted, or the request was forwarded before.
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    // Bound without listening, so that it refuses connections and no other test gets
+    // the port.
+    let closed = tokio::net::TcpSocket::new_v4().expect("a socket");
+    closed.bind(([127, 0, 0, 1], 0).into()).expect("a port");
     let closed_address = closed.local_addr().expect("an address");
-    drop(closed);
     let mut host = FakeHost::ready("sanjuan-1", &[("mza-norte-1", closed_address)]);
     let cases = [
         ("mza-norte-1", chat(false, &[])),
