Say in event 302 who reported a target, and log failed connections

What was missing to tell the hypotheses on hosts without a path apart: 302 (target backed off) named the target alone, and nothing told that a connection could not be established. 302 now names the entry host that reported the target and what it met; 705 is new, one line for each connection that could not be established. No logic changes.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -144,4 +144,6 @@
     TargetLimited = 703, Warn, "target limits its request rate";
     /// A target no longer names a limit of its request rate.
     TargetUnlimited = 704, Info, "target no longer limits its request rate";
+    /// This host could not establish a connection to a target.
+    ConnectFailed = 705, Info, "connection to target failed";
 }
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -103,9 +103,12 @@
                 self.count_degraded(&reply);
                 self.send_reply(now, host, reply);
             }
-            OwnerAction::LogIncident(incident, shard, target) => {
+            OwnerAction::LogIncident(incident, shard, target, report) => {
                 let target = target.map_or(String::new(), |target| format!(" target={target}"));
-                let text = format!("shard={shard}{target}");
+                let report = report.map_or(String::new(), |report| {
+                    format!(" reported_by={} met={}", report.host, report.outcome)
+                });
+                let text = format!("shard={shard}{target}{report}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
         }
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -134,6 +134,20 @@
     Stopped(Usage),
 }
 
+impl ReleaseOutcome {
+    /// Get the name of the outcome for log lines.
+    pub fn label(&self) -> &'static str {
+        match self {
+            ReleaseOutcome::Unused => "unused",
+            ReleaseOutcome::Finished(_) => "finished",
+            ReleaseOutcome::Unreachable => "unreachable",
+            ReleaseOutcome::Refused => "refused",
+            ReleaseOutcome::Failed(_) => "failed",
+            ReleaseOutcome::Stopped(_) => "stopped",
+        }
+    }
+}
+
 /// A `Release` returns a permit to its owner. It may be sent repeatedly.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -76,12 +76,27 @@
     Tick,
 }
 
+/// A `FailureReport` is the failure of one attempt as reported by its entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FailureReport {
+    /// The entry host.
+    pub host: HostName,
+    /// What the attempt met, in words of [`ReleaseOutcome::label`].
+    pub outcome: &'static str,
+}
+
 /// An `OwnerAction` is an output of a shard owner, to be carried out by the
 /// caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OwnerAction {
     /// Send a reply to an entry host (which may be this host).
     Reply(HostName, OwnerReply),
-    /// Log an incident of the shard and, if given, of one of its targets.
-    LogIncident(Incident, PoolShard, Option<TargetName>),
+    /// Log an incident of the shard and, if given, of one of its targets, with the
+    /// report that caused it.
+    LogIncident(
+        Incident,
+        PoolShard,
+        Option<TargetName>,
+        Option<FailureReport>,
+    ),
 }
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -9,10 +9,10 @@
 use crate::request::AttemptId;
 use crate::target::TargetName;
 
-use super::OwnerAction;
 use super::owner::ShardOwner;
 use super::permit_table::GrantedPermit;
 use super::run_time_estimator::RunSample;
+use super::{FailureReport, OwnerAction};
 
 impl ShardOwner {
     pub(super) fn on_release(
@@ -45,8 +45,9 @@
                 self.review_limit(&permit);
                 self.on_finished(now, &permit, usage);
             }
-            ReleaseOutcome::Unreachable => self.on_failure(now, &permit, true, actions),
-            ReleaseOutcome::Failed(_) => self.on_failure(now, &permit, false, actions),
+            outcome @ (ReleaseOutcome::Unreachable | ReleaseOutcome::Failed(_)) => {
+                self.on_failure(now, &permit, outcome, actions);
+            }
             ReleaseOutcome::Refused => self.on_target_refused(now, &permit, actions),
             ReleaseOutcome::Stopped(usage) => {
                 self.record_usage(now, &permit, usage);
@@ -258,7 +259,7 @@
         };
         load.pause(now);
         if !load.has_backlog(now) {
-            self.on_failure(now, permit, false, actions);
+            self.on_failure(now, permit, &ReleaseOutcome::Refused, actions);
             return;
         }
         load.record_full(now);
@@ -269,9 +270,10 @@
         &mut self,
         now: Moment,
         permit: &GrantedPermit,
-        certain: bool,
+        outcome: &ReleaseOutcome,
         actions: &mut Vec<OwnerAction>,
     ) {
+        let certain = *outcome == ReleaseOutcome::Unreachable;
         // An error after dispatch may be the request's own fault. One client
         // account that sends bad requests must not get all targets backed off,
         // so such errors back off at most half of them.
@@ -285,11 +287,18 @@
             return;
         }
         if back_off.record_failure(now, permit.id, permit.granted_at, certain) {
-            actions.push(self.incident_action(Incident::TargetBackedOff, &permit.target));
+            let report = FailureReport {
+                host: permit.host.clone(),
+                outcome: outcome.label(),
+            };
+            let (shard, target) = (self.shard.clone(), permit.target.clone());
+            let incident = Incident::TargetBackedOff;
+            let action = OwnerAction::LogIncident(incident, shard, Some(target), Some(report));
+            actions.push(action);
         }
     }
 
     pub(super) fn incident_action(&self, incident: Incident, target: &TargetName) -> OwnerAction {
-        OwnerAction::LogIncident(incident, self.shard.clone(), Some(target.clone()))
+        OwnerAction::LogIncident(incident, self.shard.clone(), Some(target.clone()), None)
     }
 }
--- a/bergamotswitch-core/tests/owner_failover.rs
+++ b/bergamotswitch-core/tests/owner_failover.rs
@@ -244,7 +244,8 @@
     assert!(bench.event(other_host).is_empty());
     let actions = bench.message(answer);
     assert_eq!(granted_requests(&actions), [2]);
-    let incident = OwnerAction::LogIncident(Incident::PermitReclaimed, shard(), Some(named("a")));
+    let target = Some(named("a"));
+    let incident = OwnerAction::LogIncident(Incident::PermitReclaimed, shard(), target, None);
     assert!(actions.contains(&incident));
 }
 
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -174,7 +174,7 @@
         match TargetConnection::dial(self.target.address, &self.options).await {
             Ok(connection) => Some(connection),
             Err(error) => {
-                log::debug!(target_name:% = self.target.name; "cannot connect: {error}");
+                self.log_incident(Incident::ConnectFailed, &error.kind().to_string());
                 None
             }
         }
