Show hosts without a path to targets in a test that fails

Eight whole hosts and 18 targets in virtual time; some hosts lose their paths to all targets, silently or by refusals, while callers and the other hosts reach them. Bounds as the users state them: two thirds of what the others serve, or 10 + 1 in 50 of all first tries failed; hosts that reach every target lose no more than one call in 50.

--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)] // No test file uses all of these helpers.
 
 mod crashes;
+mod cuts;
 mod rate_limits;
 mod setup;
 mod values;
@@ -24,6 +25,7 @@
 use bergamotswitch_core::roster::RosterMessage;
 use bergamotswitch_core::target::NamedLimit;
 pub use crashes::CrashRecord;
+pub use cuts::CutWay;
 use rate_limits::LimitHistory;
 use setup::{host_entry, index_of, options, usage};
 pub use setup::{name, shard};
@@ -58,6 +60,8 @@
 /// A `CallRecord` is the history of one call.
 #[derive(Debug)]
 pub struct CallRecord {
+    /// The host to which it was sent.
+    pub host: usize,
     pub account: &'static str,
     pub sent_at: Moment,
     /// When a target first ran it.
@@ -112,6 +116,9 @@
     pub fails_every: u64,
     /// Whether all attempts fail.
     pub all_fail: bool,
+    /// The hosts without a path to the targets, and what their connections meet.
+    pub cut: BTreeSet<usize>,
+    cut_way: CutWay,
     /// The targets that refuse connections, and when attempts failed to connect.
     pub unreachable: BTreeSet<String>,
     pub connect_failures: Vec<Moment>,
@@ -172,6 +179,8 @@
             fails_every: FAILS_EVERY,
             all_fail: false,
             targets,
+            cut: BTreeSet::new(),
+            cut_way: CutWay::Silent,
             unreachable: BTreeSet::new(),
             connect_failures: Vec::new(),
             crashing: BTreeSet::new(),
@@ -373,6 +382,7 @@
             }
         };
         let record = CallRecord {
+            host: index,
             account,
             sent_at,
             ran_at: None,
@@ -528,6 +538,9 @@
                     let value = published(&value, self.targets);
                     self.post(index, READ_TIME, Delivery::Value(index, value));
                 }
+                NodeAction::Start { attempt, .. } if self.cut.contains(&index) => {
+                    self.fail_on_cut_path(index, attempt);
+                }
                 NodeAction::Start {
                     attempt, target, ..
                 } if self.is_unreachable(target.name.as_str()) => {
