--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -9,6 +9,7 @@
 use crate::host::HostName;
 use crate::permit::{Permit, Usage};
 use crate::refusal::{Refusal, RefusalReason};
+use crate::target_path::TargetPath;
 
 /// A `WaitingState` is the state of a request that waits for a permit.
 #[derive(Debug)]
@@ -97,6 +98,8 @@
     pub(super) permit: Permit,
     pub(super) granted_by: HostName,
     pub(super) started_at: Moment,
+    /// The paths tried so far, the current one last.
+    pub(super) paths: Vec<TargetPath>,
     pub(super) first_token_at: Option<Moment>,
     pub(super) decoded: u32,
     /// Whether the head of the answer named a rate limit.
@@ -104,6 +107,11 @@
 }
 
 impl RunningAttempt {
+    /// Get the host whose tunnel the attempt uses.
+    pub(super) fn tunnel_host(&self) -> Option<&HostName> {
+        self.paths.last().and_then(TargetPath::tunnel_host)
+    }
+
     /// Get the timing of the run so far, given the number of chunks received.
     pub(super) fn run_timing(
         &self,
--- a/bergamotswitch-core/src/entry/dispatcher/aborting.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/aborting.rs
@@ -129,7 +129,7 @@
     }
 
     /// Abort an attempt whose stream has stalled. Its owner counts it as
-    /// failed.
+    /// failed, unless the path to the target may have.
     pub(super) fn abort_stalled(
         &mut self,
         now: Moment,
@@ -138,7 +138,14 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let usage = running.usage(now, record.submission.cost.prefill);
-        let outcome = ReleaseOutcome::Failed(usage);
+        let outcome = match running.tunnel_host() {
+            // The tunnel may have stalled in place of the target.
+            Some(host) => {
+                self.paths.exclude(now, host);
+                ReleaseOutcome::Stopped(usage)
+            }
+            None => self.broken_outcome(running, usage),
+        };
         self.abort_as(now, record, running, outcome, actions);
         count_waste(record, WasteCause::Retry, usage.prefill, actions);
     }
--- a/bergamotswitch-core/src/entry/dispatcher/mod.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/mod.rs
@@ -3,6 +3,7 @@
 
 mod aborting;
 mod completion;
+mod paths;
 mod permit_requests;
 mod progress;
 mod quarantine;
@@ -19,6 +20,7 @@
 use super::attempt::AttemptStage;
 use super::key_store::{KeyId, KeyStore};
 use super::options::{EntryOptions, Fault};
+use super::path_table::PathTable;
 use super::placement::PoolMap;
 use super::quota_use::QuotaUse;
 use super::request_table::RequestTable;
@@ -52,6 +54,7 @@
     quota_use: QuotaUse,
     crashes: CrashTable,
     limits: TargetLimits,
+    paths: PathTable,
     /// The maximum number of hosts seen by this incarnation.
     host_count: usize,
     counts: DispatcherCounts,
@@ -83,6 +86,7 @@
             quota_use: QuotaUse::default(),
             crashes: CrashTable::default(),
             limits: TargetLimits::default(),
+            paths: PathTable::default(),
             host_count: 1,
             counts: DispatcherCounts::default(),
             last_event_at: Moment::START,
@@ -147,6 +151,8 @@
             EntryEvent::Pools(pools) => {
                 self.pools.set_pools(pools);
                 self.prune_limits();
+                let pools = &self.pools;
+                self.paths.retain(|target| pools.has_target(target));
                 self.reassign_waiting(now, &mut actions);
             }
             EntryEvent::TargetDraining(target, draining) => {
@@ -160,6 +166,7 @@
             EntryEvent::HostsAvailableAt(at) => self.bound.hosts_available_at = at,
             EntryEvent::Crashes(reports) => self.merge_crashes(now, &reports),
             EntryEvent::Hosts(count) => self.set_host_count(count),
+            EntryEvent::TunnelHosts(hosts) => self.set_tunnel_hosts(&hosts),
             EntryEvent::Quotas(rates) => self.quota_use.set_rates(now, rates),
             EntryEvent::GraceExpired => self.terminate(now, &mut actions),
             EntryEvent::Tick | EntryEvent::ProcessResumed(_) => {
@@ -230,6 +237,8 @@
             known_keys: self.keys.len(),
             crashed_calls: self.crashes.len(),
             limited_targets: self.limits.len(),
+            lost_paths: self.paths.lost_count(),
+            cut_off: self.paths.is_cut_off(),
             quarantined_calls: self.crashes.quarantined(),
             accepted: self.counts.accepted,
             dispatched: self.counts.dispatched,
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -42,7 +42,21 @@
         event: AttemptEvent,
         actions: &mut Vec<EntryAction>,
     ) {
+        let is_answer = matches!(
+            event,
+            AttemptEvent::FirstToken
+                | AttemptEvent::Finished(_)
+                | AttemptEvent::Refused
+                | AttemptEvent::Failed
+        );
+        if is_answer {
+            self.record_path_answer(&running);
+        }
         match event {
+            AttemptEvent::Connected => {
+                self.record_connected(now, &running, actions);
+                self.put_back(record, running);
+            }
             AttemptEvent::FirstToken => {
                 self.earn_reconnect(now, &record, &running);
                 running.first_token_at.get_or_insert(now);
@@ -66,7 +80,17 @@
             AttemptEvent::NotSent(reason) => self.not_sent(now, record, running, reason, actions),
             AttemptEvent::Refused => self.target_refused(now, record, running, actions),
             AttemptEvent::Failed => self.failed(now, record, running, actions),
-            AttemptEvent::Broken(usage) => self.broken(now, record, running, usage, actions),
+            AttemptEvent::Broken(usage) => {
+                let outcome = self.broken_outcome(&running, usage);
+                self.broken(now, record, running, outcome, actions);
+            }
+            AttemptEvent::TunnelBroken(usage) => {
+                if let Some(host) = running.tunnel_host() {
+                    self.paths.exclude(now, host);
+                }
+                let outcome = ReleaseOutcome::Stopped(usage);
+                self.broken(now, record, running, outcome, actions);
+            }
         }
     }
 
@@ -117,6 +141,15 @@
         reason: NotSentReason,
         actions: &mut Vec<EntryAction>,
     ) {
+        let (record, running) = match reason {
+            NotSentReason::ConnectFailed => {
+                match self.try_next_path(now, record, running, actions) {
+                    Ok(()) => return,
+                    Err(failed) => *failed,
+                }
+            }
+            NotSentReason::TargetUnavailable => (record, running),
+        };
         // A target that is draining or unknown here has not failed.
         let (outcome, retry) = match reason {
             NotSentReason::ConnectFailed => {
@@ -179,17 +212,18 @@
         now: Moment,
         record: RequestRecord,
         running: RunningAttempt,
-        usage: Usage,
+        outcome: ReleaseOutcome,
         actions: &mut Vec<EntryAction>,
     ) {
-        self.release(
-            now,
-            &record,
-            &running,
-            ReleaseOutcome::Failed(usage),
-            actions,
-        );
-        self.record_crash(now, &record, &running);
+        self.release(now, &record, &running, outcome, actions);
+        let usage = match outcome {
+            ReleaseOutcome::Failed(usage) => {
+                self.record_crash(now, &record, &running);
+                usage
+            }
+            ReleaseOutcome::Stopped(usage) => usage,
+            _ => Usage::default(),
+        };
         let refusal = match running.first_token_at {
             Some(_) => RefusalReason::AnswerTruncated,
             None => RefusalReason::TargetFailed,
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -150,19 +150,16 @@
         // request can no longer be reported as "not run".
         let running = RunningAttempt {
             state: waiting.state.dispatch(),
-            permit: permit.clone(),
+            paths: vec![self.paths.choose(now, &permit.target)],
+            permit,
             granted_by: owner,
             started_at: now,
             first_token_at: None,
             decoded: 0,
             limit_named: false,
         };
-        let attempt = record.attempt_id();
-        self.requests.put(LiveEntry {
-            record,
-            stage: AttemptStage::Running(running),
-        });
-        actions.push(EntryAction::Start { attempt, permit });
+        actions.push(self.start_action(&running));
+        self.put_back(record, running);
     }
 
     /// Record the quota units of a request, to be reported to the next owner of
--- a/bergamotswitch-core/src/entry/dispatcher/retries.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/retries.rs
@@ -113,7 +113,9 @@
             return self.put_back(record, running);
         }
         record.avoid_target(&running.permit.target);
-        self.record_crash(now, &record, &running);
+        if running.tunnel_host().is_none() && !self.is_path_lost(&running) {
+            self.record_crash(now, &record, &running);
+        }
         self.abort_stalled(now, &record, &running, actions);
         let state = running.state.rerun();
         self.retry(now, record, state, RetryReason::ConnectionBroke, actions);
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod dispatcher;
 mod key_store;
 mod options;
+mod path_table;
 mod placement;
 mod quota_use;
 pub mod request_state;
@@ -20,7 +21,7 @@
 use crate::call_signature::CallSignature;
 use crate::client_account::AccountName;
 use crate::clock::Moment;
-use crate::host::{HostIncarnation, HostName};
+use crate::host::{EntryHost, HostIncarnation, HostName};
 use crate::incident::Incident;
 use crate::permit::{OwnerMessage, OwnerReply, Permit, Usage};
 use crate::pool::{PoolKind, PoolName, PoolShard, TargetPool};
@@ -30,10 +31,12 @@
 use crate::request::{AttemptId, CallerKey, PrefixHash, RequestId, TokenCost};
 use crate::rules::{Tier, Verdict};
 use crate::target::{NamedLimit, TargetName};
+use crate::target_path::TargetPath;
 
 pub use call_options::CallOptions;
 pub use dispatcher::{EntryDispatcher, STOPPING_RETRY_AFTER};
 pub use options::{EntryOptions, Fault};
+pub use path_table::PathChange;
 pub use view::EntryView;
 
 /// A `Submission` is a validated request of a caller without its body, which
@@ -138,6 +141,8 @@
     /// The target answered with an error (other 4xx and 5xx), which is passed
     /// on unless the request is retried.
     Failed,
+    /// A new connection was established; reported on paths other than the direct one.
+    Connected,
     /// The first output token arrived.
     FirstToken,
     /// The target named a limit of its request rate in the head of its answer.
@@ -152,6 +157,8 @@
     Finished(Usage),
     /// The connection broke or timed out, and the stream was not resumed.
     Broken(Usage),
+    /// The tunnel on which the attempt reached its target broke.
+    TunnelBroken(Usage),
 }
 
 /// An `EntryEvent` is an event for the entry side. Requests are submitted with
@@ -188,6 +195,8 @@
     HostsAvailableAt(Option<Moment>),
     /// The number of hosts, including this one, changed.
     Hosts(usize),
+    /// The hosts whose tunnels may be used changed.
+    TunnelHosts(Vec<EntryHost>),
     /// Another host reported calls whose runs crashed their targets.
     Crashes(Vec<CrashReport>),
     /// The quotas of client accounts changed.
@@ -222,6 +231,10 @@
         attempt: AttemptId,
         /// The permit, which names the target.
         permit: Permit,
+        /// The path on which to reach the target.
+        path: TargetPath,
+        /// The timeout for the connection; `None` for the usual one.
+        connect_within: Option<Duration>,
     },
     /// Stop an attempt and drop the output that was not passed on.
     Abort {
@@ -242,6 +255,8 @@
     LogCrashes(Incident, CallSignature, Vec<TargetName>),
     /// Log the rate limit that a target has named, or that it names none any more.
     LogTargetLimit(TargetName, Option<NamedLimit>),
+    /// Log a change of the paths to targets.
+    LogPathChange(PathChange),
     /// Count the refusal of an accepted request.
     CountRefusal(Tier, RefusalReason),
     /// Count the time from acceptance to the first dispatch.
--- a/bergamotswitch-core/src/entry/view.rs
+++ b/bergamotswitch-core/src/entry/view.rs
@@ -23,6 +23,10 @@
     pub quarantined_calls: usize,
     /// Targets whose last answer to this host named a rate limit.
     pub limited_targets: usize,
+    /// Targets that this host reaches only through another host.
+    pub lost_paths: usize,
+    /// Whether this host reaches no target directly.
+    pub cut_off: bool,
     /// Requests accepted since the start.
     pub accepted: u64,
     /// Dispatches since the start.
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -146,4 +146,12 @@
     TargetUnlimited = 704, Info, "target no longer limits its request rate";
     /// This host could not establish a connection to a target.
     ConnectFailed = 705, Info, "connection to target failed";
+    /// This host reaches a target only through another host.
+    PathLost = 706, Warn, "path to target lost, calls go through another host";
+    /// This host reaches a target directly again.
+    PathRegained = 707, Info, "path to target restored";
+    /// This host reaches no target directly.
+    AllPathsLost = 708, Warn, "paths to all targets lost, calls go through another host";
+    /// This host reaches targets directly again.
+    AllPathsRegained = 709, Info, "paths to targets restored";
 }
--- a/bergamotswitch-core/src/lib.rs
+++ b/bergamotswitch-core/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod settings;
 pub mod target;
 pub mod target_list;
+pub mod target_path;
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -2,10 +2,12 @@
 //! either passed to another state machine of the same host or turned into a
 //! [`NodeAction`].
 
+use std::time::Duration;
+
 use super::NodeAction;
 use super::core::NodeCore;
 use crate::clock::Moment;
-use crate::entry::{AttemptEvent, EntryAction, EntryEvent, NotSentReason};
+use crate::entry::{AttemptEvent, EntryAction, EntryEvent, NotSentReason, PathChange};
 use crate::host::HostName;
 use crate::incident::Incident;
 use crate::link::LinkMessage;
@@ -15,6 +17,7 @@
 use crate::pool_owner::{OwnerAction, OwnerEvent};
 use crate::request::AttemptId;
 use crate::target::{NamedLimit, TargetName};
+use crate::target_path::TargetPath;
 
 impl NodeCore {
     pub(super) fn perform_entry_action(&mut self, now: Moment, action: EntryAction) {
@@ -23,7 +26,12 @@
                 self.on_owner_message(now, host, message);
             }
             EntryAction::Send(host, message) => self.send_to_owner(&host, message),
-            EntryAction::Start { attempt, permit } => self.start_attempt(now, attempt, &permit),
+            EntryAction::Start {
+                attempt,
+                permit,
+                path,
+                connect_within,
+            } => self.start_attempt(now, attempt, &permit, (path, connect_within)),
             EntryAction::Abort { attempt, cancel } => {
                 self.actions.push(NodeAction::Abort { attempt, cancel });
             }
@@ -42,6 +50,7 @@
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
             EntryAction::LogTargetLimit(target, limit) => self.log_limit(&target, limit),
+            EntryAction::LogPathChange(change) => self.log_path_change(&change),
             EntryAction::CountRefusal(tier, reason) => {
                 self.actions.push(NodeAction::CountRefusal(tier, reason));
             }
@@ -81,12 +90,32 @@
         self.actions.push(NodeAction::LogIncident(incident, text));
     }
 
-    fn start_attempt(&mut self, now: Moment, attempt: AttemptId, permit: &Permit) {
+    fn log_path_change(&mut self, change: &PathChange) {
+        let (incident, text) = match change {
+            PathChange::Lost(target, host) => {
+                (Incident::PathLost, format!("target={target} tunnel={host}"))
+            }
+            PathChange::Regained(target) => (Incident::PathRegained, format!("target={target}")),
+            PathChange::AllLost(host) => (Incident::AllPathsLost, format!("tunnel={host}")),
+            PathChange::AllRegained => (Incident::AllPathsRegained, String::new()),
+        };
+        self.actions.push(NodeAction::LogIncident(incident, text));
+    }
+
+    fn start_attempt(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        permit: &Permit,
+        (path, connect_within): (TargetPath, Option<Duration>),
+    ) {
         match self.publication.pools.target_with_pool(&permit.target) {
             Some(entry) => self.actions.push(NodeAction::Start {
                 attempt,
                 target: Box::new(entry.target.clone()),
                 kind: entry.pool.kind,
+                path,
+                connect_within,
             }),
             // The owner and this host may use different revisions of the target list.
             // Nothing was sent, so the request keeps waiting.
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -32,6 +32,7 @@
 use crate::rules::Tier;
 use crate::target::{LoadReport, PoolTarget, TargetName};
 use crate::target_list::TargetUpdate;
+use crate::target_path::TargetPath;
 
 pub use self::core::{NodeCore, NodeOptions, RosterSetup};
 pub use self::exposure::NodeCounts;
@@ -110,6 +111,10 @@
         target: Box<PoolTarget>,
         /// The kind of the target's pool, which determines the protocol.
         kind: PoolKind,
+        /// The path on which to reach the target.
+        path: TargetPath,
+        /// The timeout for the connection; `None` for the usual one.
+        connect_within: Option<Duration>,
     },
     /// Abort an attempt.
     Abort {
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -90,6 +90,9 @@
     pub(super) fn notify_hosts(&mut self, now: Moment) {
         let hosts = self.publication.hosts.clone();
         self.notify_entry(now, EntryEvent::Hosts(hosts.hosts.len()));
+        if self.publication.uses_routes {
+            self.notify_entry(now, EntryEvent::TunnelHosts(hosts.hosts.clone()));
+        }
         self.notify_membership(now, MembershipEvent::Hosts(hosts.clone()));
         self.notify_revisions(now, RevisionEvent::Hosts(hosts));
         self.notify_leaving(now);
--- a/bergamotswitch-net/src/lib.rs
+++ b/bergamotswitch-net/src/lib.rs
@@ -24,3 +24,4 @@
 mod submit;
 pub mod target_client;
 mod task_guard;
+pub mod tunnel;
--- a/bergamotswitch-net/src/link/acceptor.rs
+++ b/bergamotswitch-net/src/link/acceptor.rs
@@ -20,6 +20,7 @@
 use super::registry::LinkRegistry;
 use super::session::{H2_SEND_BYTES, HEADER_BYTES, LinkSession, SessionEnd, WINDOW_BYTES};
 use crate::event_log;
+use crate::tunnel::{MAX_TUNNELS, TUNNEL_PATH, serve_tunnels};
 
 /// The status of the answer that refuses a connection in favour of another link.
 pub(crate) const DUPLICATE_STATUS: StatusCode = StatusCode::CONFLICT;
@@ -29,8 +30,14 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The maximum number of concurrent streams. A link uses one, after a short one for
-/// the first exchange of the handshake.
-const MAX_STREAMS: u32 = 2;
+/// the first exchange of the handshake; a connection for tunnels one for each.
+const MAX_STREAMS: u32 = MAX_TUNNELS;
+
+/// An `AcceptedUse` is what an authenticated connection is for.
+enum AcceptedUse {
+    Link(LinkSession),
+    Tunnels,
+}
 
 /// An `AcceptFailure` is the reason why an accepted connection did not become a link.
 #[derive(Debug)]
@@ -83,7 +90,11 @@
         Err(_) => return registry.record_refusal(&PeerRefusal::Timeout, &address.to_string()),
     };
     let session = match authenticated {
-        Ok(session) => session,
+        Ok(AcceptedUse::Link(session)) => session,
+        Ok(AcceptedUse::Tunnels) => {
+            drop(permit);
+            return serve_tunnels(&registry, connection).await;
+        }
         Err(failure) => {
             if let AcceptFailure::Refused(refusal, _) = &failure {
                 registry.record_refusal(refusal, &address.to_string());
@@ -137,7 +148,7 @@
 async fn open(
     registry: &Arc<LinkRegistry>,
     stream: TcpStream,
-) -> Option<(LinkConnection, Result<LinkSession, AcceptFailure>)> {
+) -> Option<(LinkConnection, Result<AcceptedUse, AcceptFailure>)> {
     let mut connection = server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
@@ -175,7 +186,7 @@
 async fn authenticate(
     registry: &Arc<LinkRegistry>,
     connection: &mut LinkConnection,
-) -> Result<LinkSession, AcceptFailure> {
+) -> Result<AcceptedUse, AcceptFailure> {
     let ping = connection.ping_pong().ok_or(AcceptFailure::Closed)?;
     // First exchange: both sides identify themselves.
     let (request, mut answer) = next_request(connection).await?;
@@ -194,7 +205,8 @@
         .map_err(|_| AcceptFailure::Closed)?;
     // Second exchange: both sides prove that they know the key.
     let (request, mut answer) = next_request(connection).await?;
-    let proof = match is_link(&request, &Method::POST) {
+    let is_tunnel = request.uri().path() == TUNNEL_PATH && request.method() == Method::POST;
+    let proof = match is_tunnel || is_link(&request, &Method::POST) {
         true => pair.check_proof(&key, LinkRole::Dialler, request.headers()),
         false => Err(PeerRefusal::Malformed),
     };
@@ -203,20 +215,25 @@
     if let Err(refusal) = admitted {
         return Err(AcceptFailure::Refused(refusal, answer));
     }
+    let mut head = Response::new(());
+    pair.write_proof(&key, LinkRole::Acceptor, head.headers_mut());
+    if is_tunnel {
+        let sent = answer.send_response(head, true);
+        sent.map_err(|_| AcceptFailure::Closed)?;
+        return Ok(AcceptedUse::Tunnels);
+    }
     let Some(guard) = registry.register(&pair.dialler, LinkRole::Acceptor) else {
         return Err(AcceptFailure::Duplicate(answer));
     };
-    let mut head = Response::new(());
-    pair.write_proof(&key, LinkRole::Acceptor, head.headers_mut());
     let writer = answer
         .send_response(head, false)
         .map_err(|_| AcceptFailure::Closed)?;
-    Ok(LinkSession {
+    Ok(AcceptedUse::Link(LinkSession {
         guard,
         writer,
         reader: request.into_body(),
         ping,
-    })
+    }))
 }
 
 async fn next_request(
--- a/bergamotswitch-net/src/link/hub.rs
+++ b/bergamotswitch-net/src/link/hub.rs
@@ -1,6 +1,6 @@
 //! Provides the hub of a host's links, which is their interface to the event loop.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
 use super::registry::LinkRegistry;
 use crate::input::{HostIdentity, NodeSender};
 use crate::task_guard::TaskGuard;
+use crate::tunnel::TunnelPool;
 
 /// A `LinkError` is the reason why a hub cannot be created.
 #[derive(Debug)]
@@ -84,8 +85,10 @@
     /// to other hosts are closed. An empty list or an empty key refuses all
     /// connections. A change of the key does not affect established links.
     pub fn set_host_list(&mut self, hosts: &HostList, key: &str) {
-        let names: BTreeSet<HostName> = hosts.hosts.iter().map(|host| host.name.clone()).collect();
-        self.registry.set_host_list(names, LinkKey::new(key));
+        let hosts = hosts.hosts.iter();
+        let hosts = hosts.map(|host| (host.name.clone(), host.link_address));
+        self.registry
+            .set_host_list(hosts.collect(), LinkKey::new(key));
     }
 
     /// Maintain a link to this host until [`LinkHub::disconnect`]. The host is not
@@ -116,6 +119,21 @@
         self.registry.send(host, message)
     }
 
+    /// Get the pool of tunnels through peers.
+    pub fn tunnel_pool(&self) -> TunnelPool {
+        TunnelPool::new(Arc::clone(&self.registry))
+    }
+
+    /// Refuse new tunnels of peers, because this host stops.
+    pub fn close_tunnels(&self) {
+        self.registry.tunnels().close();
+    }
+
+    /// Get the number of tunnels that peers have open at this host.
+    pub fn open_tunnels(&self) -> usize {
+        self.registry.tunnels().open_count()
+    }
+
     /// Get the counters of the links since the hub was created.
     pub fn counters(&self) -> LinkCounters {
         self.registry.counters()
--- a/bergamotswitch-net/src/link/mod.rs
+++ b/bergamotswitch-net/src/link/mod.rs
@@ -25,3 +25,7 @@
 pub use counters::LinkCounters;
 pub use hub::{LinkError, LinkHub};
 pub use options::LinkOptions;
+
+pub(crate) use dialler::{dial_peer, peer_request};
+pub(crate) use registry::LinkRegistry;
+pub(crate) use session::{monitor_liveness, write_all};
--- a/bergamotswitch-net/src/link/options.rs
+++ b/bergamotswitch-net/src/link/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::target_client::TargetClientOptions;
+
 /// The default size of a peer's send queue in bytes. It holds three published values
 /// of the maximum size, since a starting host may request several at once.
 const SEND_QUEUE_BYTES: usize = 4 << 20;
@@ -21,6 +23,7 @@
     pub(crate) backoff_max: Duration,
     pub(crate) send_queue_bytes: usize,
     pub(crate) handshake_limit: usize,
+    pub(crate) target_options: TargetClientOptions,
 }
 
 impl Default for LinkOptions {
@@ -34,6 +37,7 @@
             backoff_max: Duration::from_secs(5),
             send_queue_bytes: SEND_QUEUE_BYTES,
             handshake_limit: HANDSHAKE_LIMIT,
+            target_options: TargetClientOptions::default(),
         }
     }
 }
@@ -82,6 +86,12 @@
         self
     }
 
+    /// Set the options of connections to targets that tunnels of peers use.
+    pub fn with_target_options(mut self, options: TargetClientOptions) -> Self {
+        self.target_options = options;
+        self
+    }
+
     /// Get the maximum time from the start of a connection attempt until the link is
     /// up or the attempt has failed.
     pub(crate) fn dial_timeout(&self) -> Duration {
--- a/bergamotswitch-net/src/link/registry.rs
+++ b/bergamotswitch-net/src/link/registry.rs
@@ -1,8 +1,9 @@
 //! Provides the registry of a host's links: the hosts that may link, the active link to
 //! each peer, and the link events sent to the event loop.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,7 @@
 use super::value_frames::ValueFrameCache;
 use crate::event_log;
 use crate::input::{HostIdentity, NodeInput, NodeSender};
+use crate::tunnel::TunnelCount;
 
 mod guard;
 
@@ -57,7 +59,8 @@
 
 #[derive(Debug, Default)]
 struct RegistryState {
-    allowed_hosts: BTreeSet<HostName>,
+    /// The hosts that may link, with their addresses for it.
+    allowed_hosts: BTreeMap<HostName, SocketAddr>,
     key: Option<LinkKey>,
     links: BTreeMap<HostName, ActiveLink>,
     sessions: u64,
@@ -74,6 +77,7 @@
     node: NodeSender,
     state: Mutex<RegistryState>,
     changes: watch::Sender<()>,
+    tunnels: TunnelCount,
 }
 
 impl LinkRegistry {
@@ -84,6 +88,7 @@
             node,
             state: Mutex::default(),
             changes: watch::Sender::new(()),
+            tunnels: TunnelCount::default(),
         }
     }
 
@@ -97,12 +102,12 @@
     }
 
     /// Set the hosts that may link and the key. Links to other hosts are closed.
-    pub(crate) fn set_host_list(&self, hosts: BTreeSet<HostName>, key: LinkKey) {
+    pub(crate) fn set_host_list(&self, hosts: BTreeMap<HostName, SocketAddr>, key: LinkKey) {
         let mut state = self.lock();
         state.allowed_hosts = hosts;
         state.key = (!key.is_empty()).then_some(key);
         for (host, link) in &state.links {
-            if !state.allowed_hosts.contains(host) {
+            if !state.allowed_hosts.contains_key(host) {
                 link.command.send_replace(SessionCommand::Close);
             }
         }
@@ -119,12 +124,22 @@
         }
         // A peer with this host's own name is a configuration error: two processes
         // have the same name.
-        if !state.allowed_hosts.contains(host) || *host == self.identity.incarnation.host {
+        if !state.allowed_hosts.contains_key(host) || *host == self.identity.incarnation.host {
             return Err(PeerRefusal::UnknownHost(host.clone()));
         }
         Ok(key.clone())
     }
 
+    /// Get the address to which peers connect at a host.
+    pub(crate) fn address(&self, host: &HostName) -> Option<SocketAddr> {
+        self.lock().allowed_hosts.get(host).copied()
+    }
+
+    /// Get the tunnels that peers have open at this host.
+    pub(crate) fn tunnels(&self) -> &TunnelCount {
+        &self.tunnels
+    }
+
     fn is_linked(&self, incarnation: &HostIncarnation) -> bool {
         let state = self.lock();
         state
--- a/bergamotswitch-net/src/link/session.rs
+++ b/bergamotswitch-net/src/link/session.rs
@@ -123,7 +123,7 @@
 
 /// Pass `data` to h2 as the peer's flow control window permits. Returns `None` if the
 /// stream is closed. Without waiting for the window, h2 would buffer all data.
-async fn write_all(writer: &mut SendStream<Bytes>, mut data: Bytes) -> Option<()> {
+pub(crate) async fn write_all(writer: &mut SendStream<Bytes>, mut data: Bytes) -> Option<()> {
     while !data.is_empty() {
         writer.reserve_capacity(data.len());
         while writer.capacity() == 0 {
@@ -138,7 +138,7 @@
 /// Send a PING whenever nothing was received for the PING interval, and return when
 /// neither its answer nor other data arrives in time. A half-open connection reports
 /// no error and loses messages until the operating system's timeout of minutes.
-async fn monitor_liveness(
+pub(crate) async fn monitor_liveness(
     ping: &mut PingPong,
     opts: &LinkOptions,
     received: &AtomicU64,
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -86,6 +86,8 @@
     crashed_calls: Gauge,
     quarantined_calls: Gauge,
     limited_targets: Gauge,
+    lost_paths: Gauge,
+    open_tunnels: Gauge,
 }
 
 impl NodeMetrics {
@@ -123,6 +125,8 @@
             crashed_calls: Gauge::default(),
             quarantined_calls: Gauge::default(),
             limited_targets: Gauge::default(),
+            lost_paths: Gauge::default(),
+            open_tunnels: Gauge::default(),
         };
         metrics.register_outcomes();
         metrics.register_state();
@@ -300,6 +304,16 @@
         self.limited_targets.set(count as i64);
     }
 
+    /// Set the number of targets that this host reaches only through other hosts.
+    pub fn set_lost_paths(&self, count: usize) {
+        self.lost_paths.set(count as i64);
+    }
+
+    /// Set the number of tunnels that other hosts have open at this host.
+    pub fn set_open_tunnels(&self, count: usize) {
+        self.open_tunnels.set(count as i64);
+    }
+
     /// Set the total number of requests admitted without a shard owner.
     pub fn set_degraded_admissions(&self, total: u64) {
         set_total(&self.degraded_admissions, total);
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -142,6 +142,16 @@
             "Targets that have named a rate limit to this host",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "lost_paths",
+            "Targets that this host reaches only through other hosts",
+            self.lost_paths.clone(),
+        );
+        registry.register(
+            "open_tunnels",
+            "Connections to targets that other hosts use through this host",
+            self.open_tunnels.clone(),
+        );
         registry.register(
             "degraded_admissions",
             "Requests admitted by this host's own fraction, without an owner",
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -36,7 +36,7 @@
 };
 use crate::link::{LinkHub, LinkOptions};
 use crate::metrics::{NodeMetrics, OwnerTotals};
-use crate::target_client::{TargetClient, TargetClientOptions};
+use crate::target_client::{CallRoute, TargetClient, TargetClientOptions};
 
 /// A `HostNode` is the event loop of one entry host. It owns the state machines
 /// and all clients of the process and drives them on one thread.
@@ -72,6 +72,7 @@
     /// started.
     pub fn try_new(setup: NodeSetup) -> Result<Self, NodeError> {
         let (sender, inbox) = mpsc::unbounded_channel();
+        let link_options = LinkOptions::default().with_target_options(setup.target_options());
         let me = setup.me;
         let core = NodeCore::new(
             me.incarnation.clone(),
@@ -80,13 +81,8 @@
             Moment::START,
         );
         let (publication, published) = watch::channel(Arc::new(Publication::default()));
-        let links = LinkHub::try_new(
-            me.clone(),
-            setup.peers,
-            LinkOptions::default(),
-            sender.clone(),
-        )
-        .map_err(NodeError::Link)?;
+        let links = LinkHub::try_new(me.clone(), setup.peers, link_options, sender.clone())
+            .map_err(NodeError::Link)?;
         let metrics = Arc::clone(&setup.metrics);
         let context = CallerContext {
             node: sender.clone(),
@@ -96,11 +92,12 @@
             opts: CallerOptions::default(),
         };
         let parts = HostParts::try_new(setup.listeners, &setup.settings, context)?;
+        let targets = parts.targets.with_tunnels(links.tunnel_pool());
         Ok(HostNode {
             me,
             core,
             requests: OpenRequests::new(FleetLimits::default().max_answer_bytes, sender.clone()),
-            targets: parts.targets,
+            targets,
             links,
             platform: parts.platform,
             gossip: parts.gossip,
@@ -134,7 +131,10 @@
     pub async fn run(mut self) {
         self.log_incident(Incident::HostStarted, &self.me.incarnation.to_string());
         self.handle(NodeEvent::Tick);
-        while !self.stop.may_close(self.core.is_idle()) {
+        while !self
+            .stop
+            .may_close(self.core.is_idle() && self.links.open_tunnels() == 0)
+        {
             let wake = self.core.next_wake().min(self.stop.next_wake());
             let delay = wake.since(self.now());
             tokio::select! {
@@ -325,7 +325,15 @@
                 attempt,
                 target,
                 kind,
-            } => self.start(attempt, &target, kind),
+                path,
+                connect_within,
+            } => {
+                let route = CallRoute {
+                    path,
+                    connect_within,
+                };
+                self.start(attempt, &target, kind, route);
+            }
             NodeAction::Abort { attempt, cancel } => self.targets.abort(attempt, cancel),
             NodeAction::Conclude(id, conclusion) => self.conclude(id, conclusion),
             NodeAction::DropAnswer(id) => self.requests.remove(id),
@@ -354,7 +362,7 @@
         }
     }
 
-    fn start(&mut self, attempt: AttemptId, target: &PoolTarget, kind: PoolKind) {
+    fn start(&mut self, attempt: AttemptId, target: &PoolTarget, kind: PoolKind, route: CallRoute) {
         let now = self.now();
         let Some(request) = self.requests.get_mut(attempt.request) else {
             return;
@@ -369,7 +377,8 @@
             request.answer.clear();
         }
         let answer = request.answer.clone();
-        self.targets.start(attempt, target, kind, call, answer);
+        self.targets
+            .start_on(attempt, target, kind, call, answer, route);
     }
 
     fn conclude(&mut self, id: RequestId, conclusion: Conclusion) {
--- a/bergamotswitch-net/src/node/event_loop/reports.rs
+++ b/bergamotswitch-net/src/node/event_loop/reports.rs
@@ -117,6 +117,7 @@
         gauges::refresh(&self.metrics, &view);
         self.owner_totals.refresh(&self.metrics, &view.shards);
         self.metrics.set_service_reads(self.platform.calls());
+        self.metrics.set_open_tunnels(self.links.open_tunnels());
         let counters = self.links.counters();
         let sent = counters.sent.total().bytes;
         self.metrics
--- a/bergamotswitch-net/src/node/event_loop/stopping.rs
+++ b/bergamotswitch-net/src/node/event_loop/stopping.rs
@@ -29,6 +29,7 @@
             self.log_stop_progress(Incident::StopBegun, &schedule);
         }
         self.callers.begin_stop();
+        self.links.close_tunnels();
         self.handle(NodeEvent::Stop);
         if let Some(schedule) = self.stop.schedule() {
             self.handle(NodeEvent::AnswerDeadline(schedule.answer_deadline()));
--- a/bergamotswitch-net/src/node/gauges.rs
+++ b/bergamotswitch-net/src/node/gauges.rs
@@ -27,4 +27,5 @@
     let entry = &view.entry;
     metrics.set_crashed_calls(entry.crashed_calls, entry.quarantined_calls);
     metrics.set_limited_targets(entry.limited_targets);
+    metrics.set_lost_paths(entry.lost_paths);
 }
--- a/bergamotswitch-net/src/node/mod.rs
+++ b/bergamotswitch-net/src/node/mod.rs
@@ -24,6 +24,7 @@
 use crate::input::HostIdentity;
 use crate::link::LinkError;
 use crate::metrics::NodeMetrics;
+use crate::target_client::TargetClientOptions;
 
 pub use self::event_loop::HostNode;
 
@@ -130,6 +131,14 @@
         })
     }
 
+    /// Get the options of connections to targets.
+    fn target_options(&self) -> TargetClientOptions {
+        match self.settings.gateway {
+            Some(_) => gateway_setup::target_options(),
+            None => TargetClientOptions::default(),
+        }
+    }
+
     /// Set the options of the state machines.
     pub fn with_opts(mut self, opts: NodeOptions) -> Self {
         self.opts = opts;
--- a/bergamotswitch-net/src/target_client/attempt_report.rs
+++ b/bergamotswitch-net/src/target_client/attempt_report.rs
@@ -29,6 +29,33 @@
     }
 }
 
+/// A `StepSender` sends progress events of one attempt to the event loop, unless the
+/// attempt is aborted.
+#[derive(Clone, Debug)]
+pub(super) struct StepSender {
+    attempt: AttemptId,
+    events: NodeSender,
+    aborted: AbortFlag,
+}
+
+impl StepSender {
+    /// Get the sender of a new attempt.
+    pub fn new(attempt: AttemptId, events: NodeSender, aborted: AbortFlag) -> Self {
+        StepSender {
+            attempt,
+            events,
+            aborted,
+        }
+    }
+
+    pub fn send(&self, event: AttemptEvent) {
+        if !self.aborted.is_set() {
+            // Sending fails only if the event loop has ended.
+            let _ = self.events.send(NodeInput::Attempt(self.attempt, event));
+        }
+    }
+}
+
 /// An `AttemptReport` sends the events of one attempt to the event loop.
 ///
 /// If it is dropped without a final event, it reports `Broken`, so that a call
@@ -36,44 +63,33 @@
 /// the next audit. An aborted attempt reports nothing.
 #[derive(Debug)]
 pub(super) struct AttemptReport {
-    attempt: AttemptId,
-    events: NodeSender,
-    aborted: AbortFlag,
+    steps: StepSender,
     ended: bool,
 }
 
 impl AttemptReport {
     /// Get the report of a new attempt.
-    pub fn new(attempt: AttemptId, events: NodeSender, aborted: AbortFlag) -> Self {
+    pub fn new(steps: StepSender) -> Self {
         AttemptReport {
-            attempt,
-            events,
-            aborted,
+            steps,
             ended: false,
         }
     }
 
     pub fn step(&self, event: AttemptEvent) {
-        self.send(event);
+        self.steps.send(event);
     }
 
     pub fn end(mut self, event: AttemptEvent) {
         self.ended = true;
-        self.send(event);
-    }
-
-    fn send(&self, event: AttemptEvent) {
-        if !self.aborted.is_set() {
-            // Sending fails only if the event loop has ended.
-            let _ = self.events.send(NodeInput::Attempt(self.attempt, event));
-        }
+        self.steps.send(event);
     }
 }
 
 impl Drop for AttemptReport {
     fn drop(&mut self) {
         if !self.ended {
-            self.send(AttemptEvent::Broken(Usage::default()));
+            self.steps.send(AttemptEvent::Broken(Usage::default()));
         }
     }
 }
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -1,14 +1,17 @@
 //! Provides what all kinds of calls share: the context of a call, the sending
 //! of its request and the forwarding of an error answer.
 
+use std::io;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::permit::Usage;
 use bergamotswitch_core::request::AttemptId;
 use bergamotswitch_core::target::PoolTarget;
+use bergamotswitch_core::target_path::TargetPath;
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -16,14 +19,17 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::attempt_report::log_incident;
+use super::CallRoute;
+use super::attempt_report::{StepSender, log_incident};
 use super::connection::{IdleConnections, TargetConnection, TargetRequest};
 use super::event_stream::MAX_EVENT_BYTES;
 use super::options::TargetClientOptions;
 use super::silence_watch::SilenceVerdict;
 use super::stream_status::StreamId;
 use crate::answer::{AnswerPart, AnswerWriter};
+use crate::event_log;
 use crate::input::OutgoingCall;
+use crate::tunnel::{TunnelHealth, TunnelPool};
 
 /// The timeout for the body of an error answer.
 const ERROR_BODY_WAIT: Duration = Duration::from_secs(5);
@@ -54,6 +60,7 @@
 struct TraceState {
     sent: bool,
     stream: Option<StreamId>,
+    tunnel: Option<TunnelHealth>,
 }
 
 impl CallTrace {
@@ -67,6 +74,17 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner).sent
     }
 
+    /// Set the tunnel of the call's connection.
+    pub fn set_tunnel(&self, health: Option<TunnelHealth>) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).tunnel = health;
+    }
+
+    /// Get whether the tunnel of the call's connection broke.
+    pub fn is_tunnel_broken(&self) -> bool {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.tunnel.as_ref().is_some_and(TunnelHealth::is_broken)
+    }
+
     pub fn set_stream(&self, id: StreamId) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).stream = Some(id);
     }
@@ -87,6 +105,9 @@
     pub target: PoolTarget,
     pub options: Arc<TargetClientOptions>,
     pub idle_connections: IdleConnections,
+    pub route: CallRoute,
+    pub tunnels: Option<TunnelPool>,
+    pub steps: StepSender,
     pub answer: AnswerWriter,
     pub trace: CallTrace,
 }
@@ -136,13 +157,16 @@
         request: TargetRequest,
         verdict: impl Future<Output = SilenceVerdict>,
     ) -> Result<FirstResponse, SendError> {
-        let address = self.target.address;
-        let idle = self.idle_connections.take(address);
+        let idle = self.idle_connection();
         let mut is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
             None => self.dial().await.ok_or(SendError::NotConnected)?,
         };
+        if self.route.path != TargetPath::Direct {
+            self.steps.send(AttemptEvent::Connected);
+        }
+        self.trace.set_tunnel(connection.tunnel_health());
         self.trace.mark_sent();
         let mut request = request;
         let mut verdict = pin!(verdict);
@@ -165,21 +189,59 @@
             // of the request, so the request is safe to send over a new one.
             let unsent = failure.unsent.filter(|_| is_reused);
             request = unsent.ok_or(SendError::Dropped)?;
-            connection = self.dial().await.ok_or(SendError::Dropped)?;
+            connection = self.dial().await.ok_or(SendError::NotConnected)?;
+            self.trace.set_tunnel(connection.tunnel_health());
             is_reused = false;
         }
     }
 
+    fn idle_connection(&self) -> Option<TargetConnection> {
+        let address = self.target.address;
+        match &self.route.path {
+            TargetPath::Direct => self.idle_connections.take(address, None),
+            TargetPath::Probe => None,
+            TargetPath::Tunnel(host) => self.idle_connections.take(address, Some(host)),
+        }
+    }
+
     async fn dial(&self) -> Option<TargetConnection> {
-        match TargetConnection::dial(self.target.address, &self.options).await {
+        let address = self.target.address;
+        let within = self.route.connect_within;
+        let within = within.unwrap_or(self.options.connect_timeout);
+        let dialled = match (&self.route.path, &self.tunnels) {
+            (TargetPath::Tunnel(host), Some(tunnels)) => {
+                TargetConnection::dial_through(tunnels, host, address, within).await
+            }
+            (TargetPath::Tunnel(_), None) => Err(io::ErrorKind::Unsupported.into()),
+            (TargetPath::Direct | TargetPath::Probe, _) => {
+                TargetConnection::dial(address, within, &self.options).await
+            }
+        };
+        match dialled {
             Ok(connection) => Some(connection),
             Err(error) => {
-                self.log_incident(Incident::ConnectFailed, &error.kind().to_string());
+                self.log_connect_failure(&error);
+                // The path of the connections that are open may have been lost too.
+                if self.route.path.tunnel_host().is_none()
+                    && error.kind() == io::ErrorKind::TimedOut
+                {
+                    self.idle_connections.forget_direct(address);
+                }
                 None
             }
         }
     }
 
+    fn log_connect_failure(&self, error: &io::Error) {
+        let pairs: [(&str, &dyn std::fmt::Display); 4] = [
+            ("attempt", &self.attempt),
+            ("to", &self.target.name),
+            ("path", &self.route.path),
+            ("cause", &error.kind()),
+        ];
+        event_log::write(Incident::ConnectFailed, &pairs);
+    }
+
     /// Get whether the response carries the id of another request.
     pub fn is_mismatched(&self, response: &Response<Incoming>) -> bool {
         match response.headers().get(REQUEST_ID) {
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bergamotswitch_core::host::HostName;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -15,11 +16,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use super::options::TargetClientOptions;
 use crate::task_guard::TaskGuard;
+use crate::tunnel::{TunnelHealth, TunnelPool};
 
 /// The request type of every call.
 pub type TargetRequest = Request<Full<Bytes>>;
@@ -34,6 +37,10 @@
 /// unknown whether the request ran.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// How long an idle connection through a tunnel may be reused. A host that stops waits
+/// for the tunnels that it carries.
+const IDLE_TUNNEL_REUSE: Duration = Duration::from_millis(500);
+
 /// A `SendFailure` is an error of a call that received no response head.
 #[derive(Debug)]
 pub struct SendFailure {
@@ -43,10 +50,21 @@
     pub unsent: Option<TargetRequest>,
 }
 
+/// A `Tunnel` is the tunnel of another host that carries a connection.
+#[derive(Debug)]
+struct Tunnel {
+    host: HostName,
+    health: TunnelHealth,
+}
+
+/// A `ConnectionKey` is the address of a target, and the host whose tunnel leads there.
+type ConnectionKey = (SocketAddr, Option<HostName>);
+
 /// A `TargetConnection` is one established HTTP/1.1 connection.
 #[derive(Debug)]
 pub struct TargetConnection {
     address: SocketAddr,
+    tunnel: Option<Tunnel>,
     sender: SendRequest<Full<Bytes>>,
     _task: TaskGuard,
 }
@@ -56,13 +74,25 @@
     ///
     /// # Errors
     ///
-    /// Returns the connect error, `TimedOut` after the connect timeout.
-    pub async fn dial(address: SocketAddr, options: &TargetClientOptions) -> io::Result<Self> {
-        let connecting = timeout(options.connect_timeout, TcpStream::connect(address));
-        let stream = connecting
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        configure_socket(&stream, options)?;
+    /// Returns the connect error, `TimedOut` after `within`.
+    pub async fn dial(
+        address: SocketAddr,
+        within: Duration,
+        options: &TargetClientOptions,
+    ) -> io::Result<Self> {
+        let stream = connect_target(address, within, options).await?;
+        TargetConnection::over(address, stream).await
+    }
+
+    /// Try to get a connection over an established stream to the target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the HTTP/1.1 setup.
+    pub(crate) async fn over<Stream>(address: SocketAddr, stream: Stream) -> io::Result<Self>
+    where
+        Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = TaskGuard::spawn(async move {
@@ -71,11 +101,45 @@
         });
         Ok(TargetConnection {
             address,
+            tunnel: None,
             sender,
             _task: task,
         })
     }
 
+    /// Try to get a connection through a tunnel of another host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the tunnel cannot be established.
+    pub(super) async fn dial_through(
+        tunnels: &TunnelPool,
+        host: &HostName,
+        address: SocketAddr,
+        within: Duration,
+    ) -> io::Result<Self> {
+        let stream = tunnels.open(host, address, within).await?;
+        let tunnel = Tunnel {
+            host: host.clone(),
+            health: stream.health().clone(),
+        };
+        let connection = TargetConnection::over(address, stream).await?;
+        Ok(TargetConnection {
+            tunnel: Some(tunnel),
+            ..connection
+        })
+    }
+
+    /// Get the health of the connection's tunnel.
+    pub(super) fn tunnel_health(&self) -> Option<TunnelHealth> {
+        self.tunnel.as_ref().map(|tunnel| tunnel.health.clone())
+    }
+
+    fn key(&self) -> ConnectionKey {
+        let host = self.tunnel.as_ref().map(|tunnel| tunnel.host.clone());
+        (self.address, host)
+    }
+
     /// Try to send a request and get the response's head.
     ///
     /// # Errors
@@ -100,6 +164,24 @@
     }
 }
 
+/// Try to establish a TCP connection to a target.
+///
+/// # Errors
+///
+/// Returns the connect error, `TimedOut` after `within`.
+pub(crate) async fn connect_target(
+    address: SocketAddr,
+    within: Duration,
+    options: &TargetClientOptions,
+) -> io::Result<TcpStream> {
+    let connecting = timeout(within, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    configure_socket(&stream, options)?;
+    Ok(stream)
+}
+
 /// Set the TCP options that detect a path that silently drops the connection's
 /// packets; a call to a plain service over it would otherwise wait forever. An
 /// unacknowledged keepalive probe (idle) or unacknowledged data (sending)
@@ -132,18 +214,19 @@
 
 /// An `IdleConnections` is the set of idle connections to all targets.
 #[derive(Clone, Debug, Default)]
-pub struct IdleConnections(Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>);
+pub struct IdleConnections(Arc<Mutex<HashMap<ConnectionKey, Vec<IdleConnection>>>>);
 
 impl IdleConnections {
-    /// Get a connection that may still be reused, if there is one. Expired
-    /// connections are closed.
-    pub fn take(&self, address: SocketAddr) -> Option<TargetConnection> {
+    /// Get a connection that may still be reused, if there is one, direct or through a
+    /// tunnel of `host`. Expired connections are closed.
+    pub fn take(&self, address: SocketAddr, host: Option<&HostName>) -> Option<TargetConnection> {
+        let key = (address, host.cloned());
         let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = map.get_mut(&address)?;
+        let list = map.get_mut(&key)?;
         list.retain(IdleConnection::is_usable);
         let found = list.pop();
         if list.is_empty() {
-            map.remove(&address);
+            map.remove(&key);
         }
         found.map(|idle| idle.connection)
     }
@@ -151,7 +234,13 @@
     /// Close the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
         let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        map.remove(&address);
+        map.retain(|(known, _), _| *known != address);
+    }
+
+    /// Close the idle direct connections to an address.
+    pub fn forget_direct(&self, address: SocketAddr) {
+        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        map.remove(&(address, None));
     }
 
     /// Keep a connection whose answer was just read completely. It is reused
@@ -166,12 +255,14 @@
             return;
         }
         let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = map.entry(connection.address).or_default();
+        let longest = match connection.tunnel {
+            Some(_) => options.idle_reuse.min(IDLE_TUNNEL_REUSE),
+            None => options.idle_reuse,
+        };
+        let list = map.entry(connection.key()).or_default();
         list.retain(IdleConnection::is_usable);
         let advertised = idle_timeout.map(|span| span.saturating_sub(IDLE_MARGIN));
-        let reuse = advertised.map_or(options.idle_reuse, |advertised| {
-            advertised.min(options.idle_reuse)
-        });
+        let reuse = advertised.map_or(longest, |advertised| advertised.min(longest));
         if list.len() < options.max_idle_per_target {
             list.push(IdleConnection {
                 connection,
--- a/bergamotswitch-net/src/target_client/load_watch.rs
+++ b/bergamotswitch-net/src/target_client/load_watch.rs
@@ -89,7 +89,7 @@
     let request = request.ok_or(QueryError::Malformed)?;
     let mut connection = match idle.take() {
         Some(connection) => connection,
-        None => TargetConnection::dial(target.address, options)
+        None => TargetConnection::dial(target.address, options.connect_timeout, options)
             .await
             .map_err(|_| QueryError::NoAnswer)?,
     };
@@ -124,7 +124,7 @@
 ) -> Result<(), QueryError> {
     let request = empty_request(Method::GET, target.address, CACHE_PATH);
     let request = request.ok_or(QueryError::Malformed)?;
-    let mut connection = TargetConnection::dial(target.address, options)
+    let mut connection = TargetConnection::dial(target.address, options.connect_timeout, options)
         .await
         .map_err(|_| QueryError::NoAnswer)?;
     let sent = timeout(options.probe_timeout, connection.send(request)).await;
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -22,15 +22,17 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bergamotswitch_core::entry::{AttemptEvent, NotSentReason};
 use bergamotswitch_core::pool::PoolKind;
 use bergamotswitch_core::publication::PoolList;
 use bergamotswitch_core::request::AttemptId;
 use bergamotswitch_core::target::{PoolTarget, TargetName};
+use bergamotswitch_core::target_path::TargetPath;
 use tokio::task::JoinHandle;
 
-use self::attempt_report::{AbortFlag, AttemptReport};
+use self::attempt_report::{AbortFlag, AttemptReport, StepSender};
 use self::call_context::{CallContext, CallEnd, CallTrace};
 use self::connection::IdleConnections;
 use self::engine_call::EngineCall;
@@ -39,6 +41,7 @@
 use self::stream_cancel::StreamCancel;
 use crate::answer::AnswerWriter;
 use crate::input::{NodeSender, OutgoingCall};
+use crate::tunnel::TunnelPool;
 
 /// The initial number of calls at which finished ones are removed. The threshold
 /// then doubles with the calls in flight, so that the amortized cost for each
@@ -73,6 +76,25 @@
     watches: HashMap<TargetName, LoadWatch>,
     /// The last known start time of each target that reports one.
     starts: HashMap<TargetName, u64>,
+    tunnels: Option<TunnelPool>,
+}
+
+/// A `CallRoute` is the path on which a call reaches its target.
+#[derive(Clone, Debug)]
+pub struct CallRoute {
+    /// The path.
+    pub path: TargetPath,
+    /// The timeout for the connection; `None` for the usual one.
+    pub connect_within: Option<Duration>,
+}
+
+impl Default for CallRoute {
+    fn default() -> Self {
+        CallRoute {
+            path: TargetPath::Direct,
+            connect_within: None,
+        }
+    }
 }
 
 impl TargetClient {
@@ -86,9 +108,16 @@
             sweep_at: FIRST_SWEEP,
             watches: HashMap::new(),
             starts: HashMap::new(),
+            tunnels: None,
         }
     }
 
+    /// Set the tunnels through other hosts.
+    pub fn with_tunnels(mut self, tunnels: TunnelPool) -> Self {
+        self.tunnels = Some(tunnels);
+        self
+    }
+
     /// Set the options of subsequent calls and restart the watches of engines
     /// with them.
     pub fn set_options(&mut self, options: TargetClientOptions) {
@@ -110,12 +139,30 @@
         kind: PoolKind,
         call: &OutgoingCall,
         answer: AnswerWriter,
+    ) {
+        self.start_on(attempt, target, kind, call, answer, CallRoute::default());
+    }
+
+    /// Send a permitted call to its target on the given route, as
+    /// [`TargetClient::start`] does.
+    pub fn start_on(
+        &mut self,
+        attempt: AttemptId,
+        target: &PoolTarget,
+        kind: PoolKind,
+        call: &OutgoingCall,
+        answer: AnswerWriter,
+        route: CallRoute,
     ) {
         self.sweep();
         let aborted = AbortFlag::default();
         let trace = CallTrace::default();
-        let report = AttemptReport::new(attempt, self.events.clone(), aborted.clone());
+        let steps = StepSender::new(attempt, self.events.clone(), aborted.clone());
+        let report = AttemptReport::new(steps.clone());
         let context = CallContext {
+            route,
+            tunnels: self.tunnels.clone(),
+            steps,
             attempt,
             request_id: attempt.to_string(),
             target: target.clone(),
@@ -205,6 +252,9 @@
         CallEnd::Refused => AttemptEvent::Refused,
         CallEnd::Failed => AttemptEvent::Failed,
         CallEnd::Finished(usage) => AttemptEvent::Finished(usage),
+        CallEnd::Broken(usage) if context.trace.is_tunnel_broken() => {
+            AttemptEvent::TunnelBroken(usage)
+        }
         CallEnd::Broken(usage) => AttemptEvent::Broken(usage),
     });
 }
--- a/bergamotswitch-net/src/target_client/stream_resume.rs
+++ b/bergamotswitch-net/src/target_client/stream_resume.rs
@@ -72,13 +72,14 @@
         let path = format!("/v1/streams/{id}?offset={}", self.offset);
         let address = context.target.address;
         let request = empty_request(Method::GET, address, &path).ok_or(StreamError::Malformed)?;
-        let mut connection = match TargetConnection::dial(address, options).await {
-            Ok(connection) => connection,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return Err(StreamError::ConnectionRefused);
-            }
-            Err(_) => return Err(StreamError::Dropped),
-        };
+        let mut connection =
+            match TargetConnection::dial(address, options.connect_timeout, options).await {
+                Ok(connection) => connection,
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                    return Err(StreamError::ConnectionRefused);
+                }
+                Err(_) => return Err(StreamError::Dropped),
+            };
         let sent = timeout(options.probe_timeout, connection.send(request)).await;
         let Ok(Ok(response)) = sent else {
             return Err(StreamError::Dropped);
--- a/bergamotswitch-net/src/target_client/stream_status.rs
+++ b/bergamotswitch-net/src/target_client/stream_status.rs
@@ -138,7 +138,7 @@
 ) -> Result<Bytes, QueryError> {
     let request = empty_request(method, address, path).ok_or(QueryError::Malformed)?;
     let exchange = async {
-        let mut connection = TargetConnection::dial(address, options)
+        let mut connection = TargetConnection::dial(address, options.connect_timeout, options)
             .await
             .map_err(|_| QueryError::NoAnswer)?;
         query_over(&mut connection, request, options).await
--- a/bergamotswitch-net/tests/link_support/mod.rs
+++ b/bergamotswitch-net/tests/link_support/mod.rs
@@ -1,6 +1,8 @@
 //! Provides test hosts with links, a proxy that can be cut, and a peer that speaks
 //! the raw protocol.
 
+#![allow(dead_code)] // No test file uses all of these helpers.
+
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
