Back a target off only by more than one host's word

What callers saw: the owner of a shard took a target away from all hosts as soon as one host could not connect to it, or broke off twice there.

Cause: the owner kept the outcome of a run and forgot who reported it. With tunnels such a host mostly reports nothing wrong, but its first broken runs, hosts of an earlier release and hosts without a usable tunnel still do.

Change: an owner keeps, for each target, the latest successes and failures of two hosts (pool_owner/host_reports.rs). A failure counts where no other host has finished a run there within two seconds, or another host met a failure too since. A host that uses a target alone is believed as before.

Ruled out: a majority of hosts (small pools and slow traffic would keep dead targets in use).

--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod failed_targets;
 mod fair_queue;
+mod host_reports;
 pub mod key_table;
 mod load_history;
 mod options;
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -229,6 +229,7 @@
                 usage,
                 utilization: permit.utilization,
             });
+            load.reports_mut().record_success(now, &permit.host);
             load.back_off_mut()
                 .record_success(permit.id, permit.granted_at);
             load.record_cache_hit(permit.expected_cached(), usage.cached);
@@ -281,8 +282,10 @@
         let Some(load) = self.targets.get_mut(&permit.target) else {
             return;
         };
+        let is_credible = load.reports_mut().record_failure(now, &permit.host);
         let back_off = load.back_off_mut();
-        if !certain && too_many && !back_off.is_active() {
+        let is_ignored = !is_credible || (!certain && too_many);
+        if is_ignored && !back_off.is_active() {
             back_off.clear_probe(permit.id);
             return;
         }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -9,6 +9,7 @@
 use crate::target::{LoadReport, PoolTarget, RequestRate};
 
 use super::back_off::BackOff;
+use super::host_reports::HostReports;
 use super::load_history::LoadHistory;
 use super::request_pace::RequestPace;
 use super::run_time_estimator::{RunSample, RunTimeEstimator};
@@ -56,6 +57,7 @@
     cache_hit_ratio: f64,
     history: LoadHistory,
     back_off: BackOff,
+    reports: HostReports,
     /// The number of requests that may wait at the target beyond its batch;
     /// cached, since it is read for each request and target.
     extra_slots: usize,
@@ -81,6 +83,7 @@
             cache_hit_ratio: 1.0,
             history: LoadHistory::default(),
             back_off,
+            reports: HostReports::default(),
             target,
         };
         load.extra_slots = load.compute_extra_slots();
@@ -183,6 +186,11 @@
         &mut self.back_off
     }
 
+    /// Get the recent reports of entry hosts for modification.
+    pub(super) fn reports_mut(&mut self) -> &mut HostReports {
+        &mut self.reports
+    }
+
     /// Apply the published properties of the target.
     pub fn publish(&mut self, target: PoolTarget) {
         if target.token_limit != self.target.token_limit {
