--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -86,6 +87,8 @@
     modes: Mutex<VecDeque<ResponseMode>>,
     instance: Mutex<TargetInstance>,
     rate_limit: Mutex<Option<HeaderValue>>,
+    leaving: AtomicBool,
+    rest: Mutex<Option<HeaderValue>>,
 }
 
 /// A `TargetInstance` is one incarnation of a target, as its registration
@@ -134,6 +137,8 @@
             modes: Mutex::default(),
             instance: Mutex::new(TargetInstance::starting_after(0)),
             rate_limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            rest: Mutex::default(),
         });
         let served = Arc::clone(&shared);
         let handler = move |request| handle(Arc::clone(&served), request);
@@ -188,6 +193,16 @@
         *lock(&self.shared.rate_limit) = limit.map(HeaderValue::from_static);
     }
 
+    /// Set whether further responses say that the target leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(leaving, Ordering::Relaxed);
+    }
+
+    /// Refuse further calls with this `retry-after` header, or none.
+    pub fn set_rest(&self, rest: Option<&'static str>) {
+        *lock(&self.shared.rest) = rest.map(HeaderValue::from_static);
+    }
+
     /// Get all calls received so far, in order of arrival.
     pub fn calls(&self) -> Vec<RecordedCall> {
         lock(&self.shared.calls).clone()
@@ -213,7 +228,8 @@
     let mode = lock(&shared.modes).pop_front().unwrap_or_default();
     let expected = call.field("target-instance");
     let misdirected = !expected.is_empty() && expected != shared.name;
-    call.ran = !misdirected && mode != ResponseMode::Full;
+    let rest = lock(&shared.rest).clone();
+    call.ran = !misdirected && mode != ResponseMode::Full && rest.is_none();
     let index = {
         let mut calls = lock(&shared.calls);
         calls.push(call.clone());
@@ -227,6 +243,12 @@
             &[],
         ));
     }
+    if let Some(rest) = rest {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let mut response = plain_response(status, &call, "resting", &[("not-executed", "1")]);
+        response.headers_mut().insert("retry-after", rest);
+        return Ok(response);
+    }
     match mode {
         ResponseMode::Normal => {}
         ResponseMode::Full => {
@@ -302,6 +324,10 @@
     if let Some(limit) = lock(&shared.rate_limit).clone() {
         response.headers_mut().insert("server-limit", limit);
     }
+    if shared.leaving.load(Ordering::Relaxed) {
+        let leaving = HeaderValue::from_static("1");
+        response.headers_mut().insert("server-leaving", leaving);
+    }
     response
 }
 
