Send nothing to a target that has said that it leaves

What callers saw: requests ran at targets that had told the same host 2.2 and 2.5 s before, in an answer, that they leave (DRAIN); hosts learned of it from the store alone, which did not acknowledge at that time.

Cause: nobody read the field; the class of targets' rate limits, a signal of a target that the decision about it never sees.

Change: the adapter reads it, whatever the answer's status. The host that is told uses the target no more, on any path to a permit, until its next start (a later one under its name), also where its entry lapses and comes back; it reports it to the shard's owner, to each new owner, and again where an owner grants such a target. The owner treats the target as draining, whatever its entry says. New message, set 7: hosts before it are not sent it, and hosts that were told still return such permits.

--- a/bergamotswitch-core/src/entry/dispatcher/mod.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/mod.rs
@@ -13,6 +13,7 @@
 mod submission;
 mod takeover;
 mod target_limits;
+mod target_notices;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,6 +27,7 @@
 use super::request_table::RequestTable;
 use super::run_durations::RunDurations;
 use super::target_limits::TargetLimits;
+use super::target_notices::TargetNotices;
 use super::view::EntryView;
 use super::{EntryAction, EntryEvent, OutcomeQuery, OutcomeView, Submission, SubmitOutcome};
 use crate::clock::Moment;
@@ -55,6 +57,7 @@
     crashes: CrashTable,
     limits: TargetLimits,
     paths: PathTable,
+    notices: TargetNotices,
     /// The maximum number of hosts seen by this incarnation.
     host_count: usize,
     counts: DispatcherCounts,
@@ -87,6 +90,7 @@
             crashes: CrashTable::default(),
             limits: TargetLimits::default(),
             paths: PathTable::default(),
+            notices: TargetNotices::default(),
             host_count: 1,
             counts: DispatcherCounts::default(),
             last_event_at: Moment::START,
@@ -151,6 +155,7 @@
             EntryEvent::Pools(pools) => {
                 self.pools.set_pools(pools);
                 self.prune_limits();
+                self.review_notices(now);
                 let pools = &self.pools;
                 self.paths.retain(|target| pools.has_target(target));
                 self.reassign_waiting(now, &mut actions);
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -67,6 +67,10 @@
                 running.limit_named = true;
                 self.put_back(record, running);
             }
+            AttemptEvent::LeavingNamed => {
+                self.leaving_named(now, &record, &running, actions);
+                self.put_back(record, running);
+            }
             AttemptEvent::Progress(tokens) => {
                 running.decoded = running.decoded.max(tokens);
                 self.put_back(record, running);
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -126,12 +126,13 @@
                 self.with_stop_retry_after(now, waiting.state.refuse(RefusalReason::Stopping));
             return self.refuse(now, record, refusal, actions);
         }
-        let draining = self.pools.is_draining(&permit.target);
+        let draining = self.is_target_closed(&permit.target);
         if draining || permit.lifetime_ms == 0 {
-            return_permit(owner, record.shard.clone(), &permit, actions);
+            return_permit(owner.clone(), record.shard.clone(), &permit, actions);
             if draining {
-                // The owner's target list may be outdated; it would grant the
-                // same target again.
+                // The owner's knowledge of the target may be outdated; it would grant
+                // the same target again.
+                self.report_leaving_target(&record.shard, owner, &permit.target, actions);
                 record.avoid_target(&permit.target);
             }
             let reason = RetryReason::PermitVoid;
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod request_table;
 mod run_durations;
 mod target_limits;
+mod target_notices;
 mod view;
 
 use std::time::Duration;
@@ -147,6 +148,8 @@
     FirstToken,
     /// The target named a limit of its request rate in the head of its answer.
     LimitNamed(NamedLimit),
+    /// The target says in the head of its answer that it leaves.
+    LeavingNamed,
     /// More output arrived; carries the number of tokens received so far.
     Progress(u32),
     /// The stream was resumed over a new connection.
@@ -255,6 +258,8 @@
     LogCrashes(Incident, CallSignature, Vec<TargetName>),
     /// Log the rate limit that a target has named, or that it names none any more.
     LogTargetLimit(TargetName, Option<NamedLimit>),
+    /// Log what a target has said of itself for the first time.
+    LogTargetNotice(Incident, TargetName),
     /// Log a change of the paths to targets.
     LogPathChange(PathChange),
     /// Count the refusal of an accepted request.
--- a/bergamotswitch-core/src/entry/placement.rs
+++ b/bergamotswitch-core/src/entry/placement.rs
@@ -75,10 +75,15 @@
         pool.map_or(&[], |pool| &pool.targets)
     }
 
+    /// Get a target of any pool.
+    pub(super) fn target(&self, target: &TargetName) -> Option<&PoolTarget> {
+        let mut targets = self.pools.values().flat_map(|pool| &pool.targets);
+        targets.find(|known| known.name == *target)
+    }
+
     /// Get whether any pool has this target.
     pub(super) fn has_target(&self, target: &TargetName) -> bool {
-        let mut targets = self.pools.values().flat_map(|pool| &pool.targets);
-        targets.any(|known| known.name == *target)
+        self.target(target).is_some()
     }
 
     /// Get whether a request may wait in the queue of a shard.
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -154,4 +154,6 @@
     AllPathsLost = 708, Warn, "paths to all targets lost, calls go through another host";
     /// This host reaches targets directly again.
     AllPathsRegained = 709, Info, "paths to targets restored";
+    /// A target said in an answer that it leaves.
+    TargetLeaving = 710, Info, "target says that it leaves";
 }
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -16,7 +16,7 @@
 /// The newest message set that this release supports. Each added message opens a
 /// new set and is sent only to peers whose handshake announces that set, so that
 /// hosts of different releases work together during a rolling upgrade.
-pub const MESSAGE_SET: u16 = 6;
+pub const MESSAGE_SET: u16 = 7;
 
 /// The message set that added [`OwnerMessage::QuotaLevels`].
 const QUOTA_LEVELS_SET: u16 = 1;
@@ -36,6 +36,9 @@
 /// The message set that added [`LinkMessage::Ownership`] and [`OwnerMessage::Keys`].
 const OWNERSHIP_SET: u16 = 6;
 
+/// The message set that added [`OwnerMessage::LeavingTargets`].
+const LEAVING_TARGETS_SET: u16 = 7;
+
 /// The maximum size of a message in bytes. It leaves room for a published value
 /// of up to a megabyte and bounds what a peer can make a host allocate.
 pub const MAX_MESSAGE_LEN: usize = 1_200_000;
@@ -95,6 +98,7 @@
             LinkMessage::Ownership(_) | LinkMessage::ToOwner(OwnerMessage::Keys { .. }) => {
                 OWNERSHIP_SET
             }
+            LinkMessage::ToOwner(OwnerMessage::LeavingTargets { .. }) => LEAVING_TARGETS_SET,
             _ => 0,
         }
     }
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -50,6 +50,10 @@
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
             EntryAction::LogTargetLimit(target, limit) => self.log_limit(&target, limit),
+            EntryAction::LogTargetNotice(incident, target) => {
+                let text = format!("target={target}");
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
             EntryAction::LogPathChange(change) => self.log_path_change(&change),
             EntryAction::CountRefusal(tier, reason) => {
                 self.actions.push(NodeAction::CountRefusal(tier, reason));
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -212,6 +212,15 @@
     pub age_ms: u32,
 }
 
+/// A `LeavingTarget` is a target that said in an answer that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingTarget {
+    /// The target.
+    pub target: TargetName,
+    /// The target's reported start time in Unix milliseconds, if any.
+    pub started_at_ms: Option<u64>,
+}
+
 /// An `OwnerMessage` is a message to a shard's owner from an entry host or from
 /// another owner of the shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -305,6 +314,13 @@
         /// The claims of the keys.
         claims: Vec<KeyClaim>,
     },
+    /// Reports targets that said to the sender that they leave.
+    LeavingTargets {
+        /// The shard.
+        shard: PoolShard,
+        /// The targets.
+        targets: Vec<LeavingTarget>,
+    },
 }
 
 /// An `OwnerReply` is a message from a shard's owner to an entry host.
@@ -377,6 +393,7 @@
             | OwnerMessage::FailedTargets { shard, .. }
             | OwnerMessage::TargetLimits { shard, .. }
             | OwnerMessage::Keys { shard, .. }
+            | OwnerMessage::LeavingTargets { shard, .. }
             | OwnerMessage::NotHeld { shard, .. } => shard,
         }
     }
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -9,6 +9,7 @@
 mod fair_queue;
 mod host_reports;
 pub mod key_table;
+mod leaving_targets;
 mod load_history;
 mod options;
 mod owner;
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -65,6 +65,8 @@
     pub(super) attached_hosts: AttachedHosts,
     /// The targets that limit their request rate.
     pub(super) limited: BTreeSet<TargetName>,
+    /// The targets that said that they leave, with their starts.
+    pub(super) leaving: BTreeMap<TargetName, Option<u64>>,
     /// The number of hosts that share the limits of an owner that serves its own host
     /// only.
     pub(super) limit_hosts: u32,
@@ -99,6 +101,7 @@
             quotas: QuotaBuckets::default(),
             attached_hosts: AttachedHosts::default(),
             limited: BTreeSet::new(),
+            leaving: BTreeMap::new(),
             limit_hosts: 1,
             recovery: Some(QuotaRecovery::new(now)),
             release_rate: ReleaseRate::default(),
@@ -274,6 +277,9 @@
             OwnerMessage::FailedTargets { targets, .. } => {
                 self.on_failed_targets(now, &targets, actions);
             }
+            OwnerMessage::LeavingTargets { targets, .. } => {
+                self.on_leaving_targets(targets, actions);
+            }
             OwnerMessage::Keys { claims, .. } => {
                 for claim in &claims {
                     self.keys.hold(now, claim);
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/release.rs
@@ -199,7 +199,7 @@
         Some(permit)
     }
 
-    fn remove_if_drained(&mut self, target: &TargetName) {
+    pub(super) fn remove_if_drained(&mut self, target: &TargetName) {
         let load = self.targets.get(target);
         if load.is_some_and(|load| load.is_draining() && load.permits() == 0) {
             self.targets.remove(target);
--- a/bergamotswitch-core/src/pool_owner/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/target_change.rs
@@ -1,10 +1,11 @@
 //! Provides the handling of changes to a shard's targets.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::clock::Moment;
 use crate::refusal::RefusalReason;
-use crate::target::PoolTarget;
+use crate::target::{PoolTarget, TargetName};
 
 use super::OwnerAction;
 use super::back_off::BackOff;
@@ -23,6 +24,8 @@
         actions: &mut Vec<OwnerAction>,
     ) {
         self.targets_known = true;
+        let names: BTreeSet<TargetName> =
+            published.iter().map(|target| target.name.clone()).collect();
         for load in self.targets.values_mut() {
             load.start_draining();
         }
@@ -33,6 +36,7 @@
                 None => self.add_target(now, target),
             }
         }
+        self.leaving.retain(|name, _| names.contains(name));
         self.targets
             .retain(|_, load| !load.is_draining() || load.permits() > 0);
         self.refuse_unplaceable(actions);
@@ -51,6 +55,7 @@
             return;
         }
         self.targets.remove(&target.name);
+        self.leaving.remove(&target.name);
         for permit in self.permits.remove_target(&target.name) {
             if let Some(claim) = &permit.claim {
                 self.keys.hold(now, claim);
@@ -64,7 +69,15 @@
     fn add_target(&mut self, now: Moment, target: PoolTarget) {
         let name = target.name.clone();
         let back_off = BackOff::new(self.opts.probe_base, self.opts.probe_max);
+        let start = target.started_at_ms;
         let mut load = TargetLoad::new(target, back_off);
+        match self.leaving.get(&name) {
+            Some(known) if is_later(start, *known) => {
+                self.leaving.remove(&name);
+            }
+            Some(_) => load.mark_leaving(),
+            None => {}
+        }
         for permit in self.permits.iter().filter(|permit| permit.target == name) {
             load.add_permit(now, permit.cost.total(), permit.long);
         }
@@ -72,7 +85,7 @@
     }
 
     /// Refuse the queued requests for which no target is left.
-    fn refuse_unplaceable(&mut self, actions: &mut Vec<OwnerAction>) {
+    pub(super) fn refuse_unplaceable(&mut self, actions: &mut Vec<OwnerAction>) {
         let placements = self.queue.placements();
         let unplaceable: Vec<Arc<Placement>> = placements
             .filter(|placement| allowed(&self.targets, placement).is_empty())
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -46,6 +46,7 @@
 pub struct TargetLoad {
     target: PoolTarget,
     draining: bool,
+    leaving: bool,
     outstanding: u64,
     long_outstanding: u64,
     permits: usize,
@@ -72,6 +73,7 @@
             extra_slots: 0,
             pace: None,
             draining: false,
+            leaving: false,
             outstanding: 0,
             long_outstanding: 0,
             permits: 0,
@@ -156,7 +158,12 @@
 
     /// Get whether the target gets no new requests.
     pub fn is_draining(&self) -> bool {
-        self.draining
+        self.draining || self.leaving
+    }
+
+    /// Record that the target said that it leaves, until its next start.
+    pub(super) fn mark_leaving(&mut self) {
+        self.leaving = true;
     }
 
     /// Get the tokens of this owner's permits.
--- a/bergamotswitch-core/tests/entry_simulation/mod.rs
+++ b/bergamotswitch-core/tests/entry_simulation/mod.rs
@@ -230,6 +230,7 @@
                 | EntryAction::LogCrashes(..)
                 | EntryAction::LogTargetLimit(..)
                 | EntryAction::LogPathChange(_)
+                | EntryAction::LogTargetNotice(..)
                 | EntryAction::CountRefusal(..)
                 | EntryAction::CountWait(..)
                 | EntryAction::CountWaste(..)
--- a/bergamotswitch-core/tests/entry_simulation/owners.rs
+++ b/bergamotswitch-core/tests/entry_simulation/owners.rs
@@ -23,7 +23,8 @@
             | OwnerMessage::QuotaUse { .. }
             | OwnerMessage::FailedTargets { .. }
             | OwnerMessage::TargetLimits { .. }
-            | OwnerMessage::Keys { .. } => {}
+            | OwnerMessage::Keys { .. }
+            | OwnerMessage::LeavingTargets { .. } => {}
         }
     }
 
--- a/bergamotswitch-core/tests/fleet_simulation/engines.rs
+++ b/bergamotswitch-core/tests/fleet_simulation/engines.rs
@@ -104,6 +104,7 @@
                 | AttemptEvent::Progress(_)
                 | AttemptEvent::Resumed
                 | AttemptEvent::LimitNamed(_)
+                | AttemptEvent::LeavingNamed
                 | AttemptEvent::Stalled
         );
         let known = match is_progress {
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -60,6 +60,8 @@
     TargetLimits = "target-limits", LinkMessage::ToOwner(OwnerMessage::TargetLimits { .. }),
     /// The keys of an owner, handed over to the next one.
     Keys = "keys", LinkMessage::ToOwner(OwnerMessage::Keys { .. }),
+    /// The targets that said that they leave.
+    LeavingTargets = "leaving-targets", LinkMessage::ToOwner(OwnerMessage::LeavingTargets { .. }),
     /// A granted permit.
     Granted = "granted", LinkMessage::FromOwner(OwnerReply::Granted { .. }),
     /// A refused permit request.
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -138,6 +138,9 @@
     {
         report.step(AttemptEvent::LimitNamed(limit));
     }
+    if found.is_leaving && (found.is_not_run || found.matches_request) {
+        report.step(AttemptEvent::LeavingNamed);
+    }
     if found.is_not_run {
         drain(context, connection, body, found.idle_timeout).await;
         return CallEnd::Refused;
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -4,8 +4,8 @@
 use bergamotswitch_core::host::{HostIncarnation, Incarnation};
 use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN, ShardTerm};
 use bergamotswitch_core::permit::{
-    FailedTarget, KeyClaim, OwnerMessage, OwnerReply, Permit, PermitId, PermitRequest, QuotaLevel,
-    Release, ReleaseOutcome, TargetLimit, Usage,
+    FailedTarget, KeyClaim, LeavingTarget, OwnerMessage, OwnerReply, Permit, PermitId,
+    PermitRequest, QuotaLevel, Release, ReleaseOutcome, TargetLimit, Usage,
 };
 use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::quarantine::{BrokenRun, CrashReport};
@@ -174,6 +174,17 @@
     })
 }
 
+fn leaving_targets() -> LinkMessage {
+    let leaving = LeavingTarget {
+        target: "bolido-llm-7".try_into().unwrap(),
+        started_at_ms: Some(1_780_000_000_000),
+    };
+    LinkMessage::ToOwner(OwnerMessage::LeavingTargets {
+        shard: shard(),
+        targets: vec![leaving],
+    })
+}
+
 fn crashes() -> LinkMessage {
     let run = BrokenRun {
         run: 81_250,
@@ -222,6 +233,7 @@
         quota_use(),
         crashes(),
         target_limits(),
+        leaving_targets(),
         ownership(),
         keys(),
     ];
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -111,6 +111,7 @@
         | AttemptEvent::Progress(_)
         | AttemptEvent::Resumed
         | AttemptEvent::LimitNamed(_)
+        | AttemptEvent::LeavingNamed
         | AttemptEvent::Stalled => false,
         AttemptEvent::NotSent(_)
         | AttemptEvent::Refused
