Let nothing wait at targets that say that they are brittle

Nobody read the field, and owners let requests wait at targets of short runs beyond their slots.

Change: the host that is told reports N to the shard's owner, once for each change and to each new owner, and that it has ended by a complete answer without it to a request sent later. The owner grants no more permits than the target has slots, and after a refusal pauses it for a second where it has turned away half of N within one.

--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -104,6 +104,8 @@
     pub(super) decoded: u32,
     /// Whether the head of the answer named a rate limit.
     pub(super) limit_named: bool,
+    /// Whether the head of the answer said that the target is brittle.
+    pub(super) brittle_named: bool,
     /// Whether the target asked for rest.
     pub(super) rest_asked: bool,
 }
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -71,6 +71,11 @@
                 self.leaving_named(now, &record, &running, actions);
                 self.put_back(record, running);
             }
+            AttemptEvent::BrittleNamed(refusals) => {
+                self.brittle_named(now, &record, &running, refusals, actions);
+                running.brittle_named = true;
+                self.put_back(record, running);
+            }
             AttemptEvent::RestAsked(rest) => {
                 self.rest_asked(now, &running.permit.target, rest, actions);
                 running.rest_asked = true;
@@ -127,6 +132,7 @@
         );
         self.crashes.record_answer(now, record.signature);
         self.review_limit(&running, actions);
+        self.review_brittle(&record, &running, actions);
         self.earn_reconnect(now, &record, &running);
         if now > record.deadline {
             count_waste(&record, WasteCause::Late, usage.prefill, actions);
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -166,6 +166,7 @@
             first_token_at: None,
             decoded: 0,
             limit_named: false,
+            brittle_named: false,
             rest_asked: false,
         };
         actions.push(self.start_action(&running));
--- a/bergamotswitch-core/src/entry/dispatcher/target_notices.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/target_notices.rs
@@ -9,7 +9,7 @@
 use crate::entry::request_table::RequestRecord;
 use crate::host::HostName;
 use crate::incident::Incident;
-use crate::permit::{LeavingTarget, OwnerMessage};
+use crate::permit::{BrittleTarget, LeavingTarget, OwnerMessage};
 use crate::pool::PoolShard;
 use crate::target::{PoolTarget, TargetName};
 
@@ -48,15 +48,73 @@
         }
     }
 
-    /// Report the leaving targets of a shard to its new owner.
-    pub(super) fn report_leaving(
+    /// Record that a target is brittle, and report it to the owner of the shard.
+    pub(super) fn brittle_named(
+        &mut self,
+        now: Moment,
+        record: &RequestRecord,
+        running: &RunningAttempt,
+        refusals_per_second: u32,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let target = &running.permit.target;
+        if self
+            .notices
+            .record_brittle(now, target, refusals_per_second)
+        {
+            self.report_brittle(record, running, Some(refusals_per_second), actions);
+        }
+    }
+
+    /// Report that a target is no longer brittle if its complete answer does not say so.
+    pub(super) fn review_brittle(
+        &mut self,
+        record: &RequestRecord,
+        running: &RunningAttempt,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let target = &running.permit.target;
+        if !running.brittle_named && self.notices.record_sturdy(running.started_at, target) {
+            self.report_brittle(record, running, None, actions);
+        }
+    }
+
+    fn report_brittle(
+        &self,
+        record: &RequestRecord,
+        running: &RunningAttempt,
+        refusals_per_second: Option<u32>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let target = running.permit.target.clone();
+        actions.push(EntryAction::LogBrittle(target.clone(), refusals_per_second));
+        let owner = self.owners.get(&record.shard);
+        let message = OwnerMessage::BrittleTargets {
+            shard: record.shard.clone(),
+            targets: vec![BrittleTarget {
+                target,
+                refusals_per_second,
+            }],
+        };
+        let owner = owner.unwrap_or(&running.granted_by).clone();
+        actions.push(EntryAction::Send(owner, message));
+    }
+
+    /// Report the leaving and the brittle targets of a shard to its new owner.
+    pub(super) fn report_notices(
         &self,
         shard: &PoolShard,
         owner: &HostName,
         actions: &mut Vec<EntryAction>,
     ) {
-        if self.notices.is_empty() {
-            return;
+        let targets = self.pools.targets_of(&shard.pool);
+        let brittle = self.notices.brittle_among(targets);
+        if !brittle.is_empty() {
+            let message = OwnerMessage::BrittleTargets {
+                shard: shard.clone(),
+                targets: brittle,
+            };
+            actions.push(EntryAction::Send(owner.clone(), message));
         }
         let targets = self.pools.targets_of(&shard.pool);
         let leaving = self.notices.leaving_among(targets);
@@ -87,7 +145,7 @@
     /// Get the targets to avoid for a request: those of its pool to which this host sends
     /// nothing, and those on which the request failed, unless no other one is left.
     pub(super) fn avoided_targets(&self, now: Moment, record: &RequestRecord) -> Vec<TargetName> {
-        if self.notices.is_empty() {
+        if self.notices.is_all_open() {
             return record.avoid.clone();
         }
         let targets = self.pools.targets_of(&record.submission.pool).iter();
@@ -106,7 +164,7 @@
     /// Get when a target of a request's pool accepts requests of this host again; `None`
     /// if one does now, or if nothing is known of them.
     pub(super) fn pool_closed_until(&self, now: Moment, record: &RequestRecord) -> Option<Moment> {
-        if self.notices.is_empty() {
+        if self.notices.is_all_open() {
             return None;
         }
         let targets = self.pools.targets_of(&record.submission.pool).iter();
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -150,6 +150,9 @@
     LimitNamed(NamedLimit),
     /// The target says in the head of its answer that it leaves.
     LeavingNamed,
+    /// The target says in the head of its answer that it is brittle: it falls over if it
+    /// has to turn more requests away in a second.
+    BrittleNamed(u32),
     /// The target refused the request and wants no other one from this host for so long.
     RestAsked(Duration),
     /// More output arrived; carries the number of tokens received so far.
@@ -262,6 +265,9 @@
     LogTargetLimit(TargetName, Option<NamedLimit>),
     /// Log what a target has said of itself for the first time.
     LogTargetNotice(Incident, TargetName),
+    /// Log that a target is brittle, with the requests that it can turn away in a second,
+    /// or no longer is.
+    LogBrittle(TargetName, Option<u32>),
     /// Log that a target wants nothing from this host for so long.
     LogRest(TargetName, Duration),
     /// Log a change of the paths to targets.
--- a/bergamotswitch-core/src/entry/target_notices.rs
+++ b/bergamotswitch-core/src/entry/target_notices.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::permit::LeavingTarget;
+use crate::permit::{BrittleTarget, LeavingTarget};
 use crate::target::{PoolTarget, TargetName};
 
 /// How long a leaving target is remembered that is not published any more. Its entry may
@@ -25,6 +25,14 @@
     leaving: BTreeMap<TargetName, LeavingNotice>,
     /// The ends of the rests that targets have asked this host for.
     rests: BTreeMap<TargetName, Moment>,
+    brittle: BTreeMap<TargetName, BrittleNotice>,
+}
+
+/// A `BrittleNotice` is what a brittle target has said last.
+#[derive(Clone, Copy, Debug)]
+struct BrittleNotice {
+    refusals_per_second: u32,
+    named_at: Moment,
 }
 
 impl TargetNotices {
@@ -74,6 +82,44 @@
         known.is_none()
     }
 
+    /// Record that a target is brittle. Get whether that is news.
+    pub(super) fn record_brittle(
+        &mut self,
+        now: Moment,
+        target: &TargetName,
+        refusals_per_second: u32,
+    ) -> bool {
+        let notice = BrittleNotice {
+            refusals_per_second,
+            named_at: now,
+        };
+        let known = self.brittle.insert(target.clone(), notice);
+        known.is_none_or(|known| known.refusals_per_second != refusals_per_second)
+    }
+
+    /// Record an answer to an attempt started at `sent_at` that does not say that the
+    /// target is brittle. Get whether the target was known as brittle and no longer is.
+    pub(super) fn record_sturdy(&mut self, sent_at: Moment, target: &TargetName) -> bool {
+        let known = self.brittle.get(target);
+        let ends = known.is_some_and(|known| sent_at > known.named_at);
+        if ends {
+            self.brittle.remove(target);
+        }
+        ends
+    }
+
+    /// Get the reports of those of these targets that are brittle.
+    pub(super) fn brittle_among(&self, targets: &[PoolTarget]) -> Vec<BrittleTarget> {
+        let brittle = targets.iter().filter_map(|target| {
+            let notice = self.brittle.get(&target.name)?;
+            Some(BrittleTarget {
+                target: target.name.clone(),
+                refusals_per_second: Some(notice.refusals_per_second),
+            })
+        });
+        brittle.collect()
+    }
+
     /// Get when a target accepts requests of this host again; `None` if it does now.
     pub(super) fn closed_until(&self, now: Moment, target: &TargetName) -> Option<Moment> {
         if self.is_leaving(target) {
@@ -88,8 +134,8 @@
         rests.filter(|until| now < **until).count()
     }
 
-    /// Get whether nothing is known.
-    pub(super) fn is_empty(&self) -> bool {
+    /// Get whether no target leaves or rests.
+    pub(super) fn is_all_open(&self) -> bool {
         self.leaving.is_empty() && self.rests.is_empty()
     }
 
@@ -108,6 +154,7 @@
             None => now.since(notice.published_at) < LEAVING_RETENTION,
         });
         self.rests.retain(|_, until| now < *until);
+        self.brittle.retain(|name, _| find(name).is_some());
     }
 }
 
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -158,4 +158,8 @@
     TargetLeaving = 710, Info, "target says that it leaves";
     /// A target refused a request and wants nothing from this host for a while.
     TargetResting = 711, Info, "target asks for rest";
+    /// A target said that it falls over if it has to turn many requests away.
+    TargetBrittle = 712, Warn, "target is brittle";
+    /// A target no longer says that it is brittle.
+    TargetSturdy = 713, Info, "target is no longer brittle";
 }
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -50,6 +50,16 @@
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
             EntryAction::LogTargetLimit(target, limit) => self.log_limit(&target, limit),
+            EntryAction::LogBrittle(target, refusals) => {
+                let (incident, text) = match refusals {
+                    Some(refusals) => (
+                        Incident::TargetBrittle,
+                        format!("target={target} refusals_per_second={refusals}"),
+                    ),
+                    None => (Incident::TargetSturdy, format!("target={target}")),
+                };
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
             EntryAction::LogRest(target, rest) => {
                 let text = format!("target={target} rest_ms={}", rest.as_millis());
                 let incident = Incident::TargetResting;
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -221,6 +221,16 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// A `BrittleTarget` is a target that said, or no longer says, that it falls over if it has
+/// to turn many requests away.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BrittleTarget {
+    /// The target.
+    pub target: TargetName,
+    /// How many requests it can turn away in a second; `None` if it is not brittle.
+    pub refusals_per_second: Option<u32>,
+}
+
 /// An `OwnerMessage` is a message to a shard's owner from an entry host or from
 /// another owner of the shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -321,6 +331,13 @@
         /// The targets.
         targets: Vec<LeavingTarget>,
     },
+    /// Reports targets that said to the sender that they are brittle, or no longer are.
+    BrittleTargets {
+        /// The shard.
+        shard: PoolShard,
+        /// The targets.
+        targets: Vec<BrittleTarget>,
+    },
 }
 
 /// An `OwnerReply` is a message from a shard's owner to an entry host.
@@ -394,6 +411,7 @@
             | OwnerMessage::TargetLimits { shard, .. }
             | OwnerMessage::Keys { shard, .. }
             | OwnerMessage::LeavingTargets { shard, .. }
+            | OwnerMessage::BrittleTargets { shard, .. }
             | OwnerMessage::NotHeld { shard, .. } => shard,
         }
     }
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -277,6 +277,13 @@
             OwnerMessage::FailedTargets { targets, .. } => {
                 self.on_failed_targets(now, &targets, actions);
             }
+            OwnerMessage::BrittleTargets { targets, .. } => {
+                for report in targets {
+                    if let Some(load) = self.targets.get_mut(&report.target) {
+                        load.set_brittle(report.refusals_per_second);
+                    }
+                }
+            }
             OwnerMessage::LeavingTargets { targets, .. } => {
                 self.on_leaving_targets(targets, actions);
             }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/target_load.rs
@@ -21,6 +21,9 @@
 /// the whole queue would be sent to it and refused.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long a brittle target gets no requests after it refused many.
+const BRITTLE_PAUSE: Duration = Duration::from_secs(1);
+
 /// The percentage of a target's limit that long requests may use.
 const MAX_LONG_PERCENT: u64 = 75;
 
@@ -41,12 +44,34 @@
 /// The run time assumed without samples, that of plain calls, in milliseconds.
 const DEFAULT_RUN_MS: f64 = 30.0;
 
+/// A `RecentRefusals` counts the refusals of a target in one second at a time.
+#[derive(Debug, Default)]
+struct RecentRefusals {
+    since: Moment,
+    count: u32,
+}
+
+impl RecentRefusals {
+    /// Record a refusal, and get the count of this second.
+    fn record(&mut self, now: Moment) -> u32 {
+        if now.since(self.since) >= Duration::from_secs(1) {
+            self.since = now;
+            self.count = 0;
+        }
+        self.count += 1;
+        self.count
+    }
+}
+
 /// A `TargetLoad` is the state of one target as observed by an owner.
 #[derive(Debug)]
 pub struct TargetLoad {
     target: PoolTarget,
     draining: bool,
     leaving: bool,
+    /// The requests that a brittle target can turn away in a second.
+    brittle: Option<u32>,
+    refused_at: RecentRefusals,
     outstanding: u64,
     long_outstanding: u64,
     permits: usize,
@@ -74,6 +99,8 @@
             pace: None,
             draining: false,
             leaving: false,
+            brittle: None,
+            refused_at: RecentRefusals::default(),
             outstanding: 0,
             long_outstanding: 0,
             permits: 0,
@@ -279,6 +306,9 @@
         let Some(slots) = self.target.slots else {
             return 0;
         };
+        if self.brittle.is_some() {
+            return 0;
+        }
         let run_ms = match self.run_times.mean_run_ms() {
             Some(run_ms) => run_ms.max(REFILL_MS),
             None if self.target.token_limit == u32::MAX => DEFAULT_RUN_MS,
@@ -416,9 +446,22 @@
         self.cache_hit_ratio = ratio.max(MIN_CACHE_HIT_RATIO);
     }
 
-    /// Send the target nothing for a short time after a refusal.
+    /// Send the target nothing for a short time after a refusal; longer if it is brittle
+    /// and has refused half of what it can refuse in a second.
     pub fn pause(&mut self, now: Moment) {
-        self.full_until = now.plus(FULL_PAUSE);
+        let count = self.refused_at.record(now);
+        let pause = match self.brittle {
+            Some(refusals) if count * 2 >= refusals => BRITTLE_PAUSE,
+            Some(_) | None => FULL_PAUSE,
+        };
+        self.full_until = now.plus(pause);
+    }
+
+    /// Set how many requests the target can turn away in a second; `None` if it is not
+    /// brittle.
+    pub(super) fn set_brittle(&mut self, refusals_per_second: Option<u32>) {
+        self.brittle = refusals_per_second;
+        self.extra_slots = self.compute_extra_slots();
     }
 
     /// Record that the target reported itself full: its present backlog becomes
--- a/bergamotswitch-core/tests/entry_simulation/engines.rs
+++ b/bergamotswitch-core/tests/entry_simulation/engines.rs
@@ -81,6 +81,7 @@
             AttemptEvent::LimitNamed(_)
             | AttemptEvent::LeavingNamed
             | AttemptEvent::RestAsked(_)
+            | AttemptEvent::BrittleNamed(_)
             | AttemptEvent::Connected => {
                 return self.handle(host, EntryEvent::Attempt(attempt, event));
             }
--- a/bergamotswitch-core/tests/entry_simulation/mod.rs
+++ b/bergamotswitch-core/tests/entry_simulation/mod.rs
@@ -232,6 +232,7 @@
                 | EntryAction::LogPathChange(_)
                 | EntryAction::LogTargetNotice(..)
                 | EntryAction::LogRest(..)
+                | EntryAction::LogBrittle(..)
                 | EntryAction::CountRefusal(..)
                 | EntryAction::CountWait(..)
                 | EntryAction::CountWaste(..)
--- a/bergamotswitch-core/tests/entry_simulation/owners.rs
+++ b/bergamotswitch-core/tests/entry_simulation/owners.rs
@@ -24,7 +24,8 @@
             | OwnerMessage::FailedTargets { .. }
             | OwnerMessage::TargetLimits { .. }
             | OwnerMessage::Keys { .. }
-            | OwnerMessage::LeavingTargets { .. } => {}
+            | OwnerMessage::LeavingTargets { .. }
+            | OwnerMessage::BrittleTargets { .. } => {}
         }
     }
 
--- a/bergamotswitch-core/tests/fleet_simulation/engines.rs
+++ b/bergamotswitch-core/tests/fleet_simulation/engines.rs
@@ -105,6 +105,7 @@
                 | AttemptEvent::Resumed
                 | AttemptEvent::LimitNamed(_)
                 | AttemptEvent::LeavingNamed
+                | AttemptEvent::BrittleNamed(_)
                 | AttemptEvent::RestAsked(_)
                 | AttemptEvent::Stalled
         );
--- a/bergamotswitch-net/src/link/counters.rs
+++ b/bergamotswitch-net/src/link/counters.rs
@@ -62,6 +62,8 @@
     Keys = "keys", LinkMessage::ToOwner(OwnerMessage::Keys { .. }),
     /// The targets that said that they leave.
     LeavingTargets = "leaving-targets", LinkMessage::ToOwner(OwnerMessage::LeavingTargets { .. }),
+    /// The targets that said that they are brittle.
+    BrittleTargets = "brittle-targets", LinkMessage::ToOwner(OwnerMessage::BrittleTargets { .. }),
     /// A granted permit.
     Granted = "granted", LinkMessage::FromOwner(OwnerReply::Granted { .. }),
     /// A refused permit request.
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -141,6 +141,11 @@
     if found.is_leaving && (found.is_not_run || found.matches_request) {
         report.step(AttemptEvent::LeavingNamed);
     }
+    if let Some(refusals) = found.brittle
+        && (found.is_not_run || found.matches_request)
+    {
+        report.step(AttemptEvent::BrittleNamed(refusals));
+    }
     if let Some(rest) = found.rest
         && (found.is_not_run || found.matches_request)
     {
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -4,8 +4,8 @@
 use bergamotswitch_core::host::{HostIncarnation, Incarnation};
 use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN, ShardTerm};
 use bergamotswitch_core::permit::{
-    FailedTarget, KeyClaim, LeavingTarget, OwnerMessage, OwnerReply, Permit, PermitId,
-    PermitRequest, QuotaLevel, Release, ReleaseOutcome, TargetLimit, Usage,
+    BrittleTarget, FailedTarget, KeyClaim, LeavingTarget, OwnerMessage, OwnerReply, Permit,
+    PermitId, PermitRequest, QuotaLevel, Release, ReleaseOutcome, TargetLimit, Usage,
 };
 use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::quarantine::{BrokenRun, CrashReport};
@@ -185,6 +185,17 @@
     })
 }
 
+fn brittle_targets() -> LinkMessage {
+    let brittle = BrittleTarget {
+        target: "bolido-llm-7".try_into().unwrap(),
+        refusals_per_second: Some(3),
+    };
+    LinkMessage::ToOwner(OwnerMessage::BrittleTargets {
+        shard: shard(),
+        targets: vec![brittle],
+    })
+}
+
 fn crashes() -> LinkMessage {
     let run = BrokenRun {
         run: 81_250,
@@ -234,6 +245,7 @@
         crashes(),
         target_limits(),
         leaving_targets(),
+        brittle_targets(),
         ownership(),
         keys(),
     ];
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -112,6 +112,7 @@
         | AttemptEvent::Resumed
         | AttemptEvent::LimitNamed(_)
         | AttemptEvent::LeavingNamed
+        | AttemptEvent::BrittleNamed(_)
         | AttemptEvent::RestAsked(_)
         | AttemptEvent::Stalled => false,
         AttemptEvent::NotSent(_)
