--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -22,6 +22,9 @@
 use crate::loopback_listener::LoopbackListener;
 use crate::target_control::lock;
 
+/// The version of a target's software unless another one is set.
+const DEFAULT_VERSION: &str = "v1";
+
 /// A `ResponseMode` is the way in which a target answers one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -89,6 +92,7 @@
     rate_limit: Mutex<Option<HeaderValue>>,
     leaving: AtomicBool,
     rest: Mutex<Option<HeaderValue>>,
+    version: Mutex<String>,
 }
 
 /// A `TargetInstance` is one incarnation of a target, as its registration
@@ -139,6 +143,7 @@
             rate_limit: Mutex::default(),
             leaving: AtomicBool::new(false),
             rest: Mutex::default(),
+            version: Mutex::new(DEFAULT_VERSION.to_owned()),
         });
         let served = Arc::clone(&shared);
         let handler = move |request| handle(Arc::clone(&served), request);
@@ -172,7 +177,7 @@
         instance.sequence += 1;
         json!({
             "service": service, "address": address.to_string(), "zone": "hall-1",
-            "version": "v1", "slots": 4, "state": state, "coldRemainingMs": 0,
+            "version": *lock(&self.shared.version), "slots": 4, "state": state, "coldRemainingMs": 0,
             "sequence": instance.sequence, "born": instance.started_ms,
         })
     }
@@ -203,6 +208,16 @@
         *lock(&self.shared.rest) = rest.map(HeaderValue::from_static);
     }
 
+    /// Set the version of the target's software in further registrations.
+    pub fn set_version(&self, version: &str) {
+        *lock(&self.shared.version) = version.to_owned();
+    }
+
+    /// Get the version of the target's software.
+    pub fn version(&self) -> String {
+        lock(&self.shared.version).clone()
+    }
+
     /// Get all calls received so far, in order of arrival.
     pub fn calls(&self) -> Vec<RecordedCall> {
         lock(&self.shared.calls).clone()
--- /dev/null
+++ b/bergamotswitch/tests/stream_versions.rs
@@ -0,0 +1,213 @@
+//! Tests of resumable streams while targets of several software versions serve: a stream
+//! goes on only at the version that began it.
+
+mod users;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bergamotswitch_standin::gateway_target::{GatewayTargetStandin, ResponseMode, event_text};
+use http::StatusCode;
+use http_body_util::BodyExt;
+use users::{Answer, Call, KEY, Site, SiteOptions};
+
+/// The number of events after which a stream breaks off or is left by its caller.
+const EVENTS_BEFORE_BREAK: u32 = 3;
+
+/// The time within which a call that cannot go on has its answer.
+const PROMPT: Duration = Duration::from_millis(500);
+
+async fn mixed_site(hosts: usize) -> Site {
+    Site::start_with(SiteOptions {
+        hosts,
+        engine_versions: vec!["v1", "v2", "v1", "v2"],
+        events: 8,
+        ..SiteOptions::default()
+    })
+    .await
+}
+
+/// Get the text of the events from `first` to `last`.
+fn events(first: u32, last: u32) -> String {
+    (first..=last).map(event_text).collect()
+}
+
+/// Get the versions whose targets ran any of these calls.
+fn versions_of(engines: &[GatewayTargetStandin], ids: &[&str]) -> BTreeSet<String> {
+    let ran = |engine: &&GatewayTargetStandin| {
+        let calls = engine.calls();
+        let mut calls = calls.iter();
+        calls.any(|call| call.ran && ids.contains(&call.field("request-id")))
+    };
+    engines.iter().filter(ran).map(|e| e.version()).collect()
+}
+
+fn run_count(engines: &[GatewayTargetStandin], id: &str) -> usize {
+    let calls = engines.iter().flat_map(|engine| engine.calls());
+    calls
+        .filter(|call| call.ran && call.field("request-id") == id)
+        .count()
+}
+
+/// Begin a stream and leave it after some events.
+async fn begin_and_leave(address: SocketAddr, id: &str) {
+    let response = Call::stream("/draft/1", id).open(address).await;
+    let mut body = response.expect("answer").into_body();
+    let mut text = String::new();
+    while text.len() < events(1, EVENTS_BEFORE_BREAK).len() {
+        let frame = body.frame().await.expect("piece").expect("piece");
+        let bytes = frame.into_data().unwrap_or_default();
+        text.push_str(std::str::from_utf8(&bytes).expect("text"));
+    }
+}
+
+fn resumption(id: &str, origin: &str) -> Call {
+    Call::stream("/draft/1", id)
+        .with("last-event-id", &EVENTS_BEFORE_BREAK.to_string())
+        .with("resumes", origin)
+}
+
+async fn take_up(address: SocketAddr, id: &str, origin: &str) -> Answer {
+    resumption(id, origin).send(address).await.expect("answer")
+}
+
+fn assert_rest(answer: &Answer) {
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.text(), events(EVENTS_BEFORE_BREAK + 1, 8));
+}
+
+/// Guards against an answer whose stream goes on at another version after a break.
+#[tokio::test]
+async fn broken_off() {
+    let site = mixed_site(1).await;
+    for number in 0..12 {
+        for engine in &site.engines {
+            engine.replace_responses(&[ResponseMode::TruncateAfter(EVENTS_BEFORE_BREAK)]);
+        }
+        let id = format!("broken-{number}");
+        let call = Call::stream("/draft/1", &id);
+        let answer = call.send(site.address()).await.expect("answer");
+        assert_eq!(answer.text(), events(1, 2 * EVENTS_BEFORE_BREAK));
+        assert_eq!(versions_of(&site.engines, &[&id]).len(), 1, "{id}");
+        assert_eq!(run_count(&site.engines, &id), 2, "{id}");
+    }
+}
+
+/// Guards against a stream that goes on at another version when its caller takes it up
+/// at a second host and, naming the same first try, at a third one.
+#[tokio::test]
+async fn taken_up_elsewhere() {
+    let site = mixed_site(3).await;
+    for number in 0..12 {
+        let host = |step: usize| site.hosts[(number + step) % 3].callers;
+        let ids = [0, 1, 2].map(|step| format!("elsewhere-{number}-{step}"));
+        begin_and_leave(host(0), &ids[0]).await;
+        let second = resumption(&ids[1], &ids[0]).open(host(1)).await;
+        let mut body = second.expect("answer").into_body();
+        body.frame().await.expect("piece").expect("piece");
+        drop(body);
+        assert_rest(&take_up(host(2), &ids[2], &ids[0]).await);
+        let ids = ids.each_ref().map(String::as_str);
+        assert_eq!(versions_of(&site.engines, &ids).len(), 1, "{ids:?}");
+    }
+}
+
+/// Guards against a stream that goes on at another version, or not at all, after the kill
+/// of a host that ran it or that granted its permit.
+#[tokio::test]
+async fn killed_hosts() {
+    for killed in 0..3 {
+        let site = mixed_site(3).await;
+        let ids = (0..12).map(|number| format!("killed-{killed}-{number}"));
+        let ids: Vec<String> = ids.collect();
+        for (number, id) in ids.iter().enumerate() {
+            begin_and_leave(site.hosts[number % 3].callers, id).await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.hosts[killed].child.signal("KILL");
+        for (number, id) in ids.iter().enumerate() {
+            let host = (killed + 1 + number % 2) % 3;
+            let again = format!("{id}-again");
+            let answer = take_up(site.hosts[host].callers, &again, id).await;
+            assert_rest(&answer);
+            let versions = versions_of(&site.engines, &[id, &again]);
+            assert_eq!(versions.len(), 1, "{id}");
+        }
+    }
+}
+
+/// Guards against a stream that goes on at a target that was born again under its name
+/// with another version, or at another target while none of its version is left.
+#[tokio::test]
+async fn reborn_target() {
+    let site = Site::start_with(SiteOptions {
+        engine_versions: vec!["v1", "v2"],
+        ..SiteOptions::default()
+    })
+    .await;
+    for number in 0..4 {
+        begin_and_leave(site.address(), &format!("reborn-{number}")).await;
+    }
+    site.engines[0].restart();
+    site.engines[0].set_version("v3");
+    site.register("drafting", &site.engines[0], "ready");
+    tokio::time::sleep(PROMPT).await;
+    let mut refused = 0;
+    for number in 0..4 {
+        let origin = format!("reborn-{number}");
+        let again = format!("{origin}-again");
+        let began_at_first = site.engines[0]
+            .calls()
+            .iter()
+            .any(|call| call.field("request-id") == origin);
+        let answer = take_up(site.address(), &again, &origin).await;
+        if !began_at_first {
+            assert_rest(&answer);
+            continue;
+        }
+        refused += 1;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(run_count(&site.engines, &again), 0);
+        assert!(!answer.field("retry-after").is_empty(), "{answer:?}");
+    }
+    assert!(refused > 0, "a stream that began at the first target");
+}
+
+/// Guards against a guess where nobody knows which version began a stream: the caller is
+/// told at once that it did not run.
+#[tokio::test]
+async fn unknown_origin() {
+    let site = mixed_site(2).await;
+    // A host that has just become the owner waits for the reports of the others.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    begin_and_leave(site.hosts[0].callers, "known").await;
+    let none = resumption("none", "x").without("resumes");
+    let calls = [
+        ("unknown", resumption("unknown", "never-sent")),
+        ("empty", resumption("empty", "")),
+        ("none", none),
+    ];
+    for (id, call) in calls {
+        let started = std::time::Instant::now();
+        let answer = call.send(site.hosts[1].callers).await.expect("answer");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{id}");
+        assert!(started.elapsed() < PROMPT, "{id} {:?}", started.elapsed());
+        assert_eq!(run_count(&site.engines, id), 0, "{id}");
+    }
+    assert_rest(&take_up(site.hosts[1].callers, "again", "known").await);
+}
+
+/// Guards against refusals of streams that are taken up while one version serves.
+#[tokio::test]
+async fn one_version() {
+    let mut site = Site::start(2).await;
+    site.publish(&[KEY], &[]);
+    for (number, origin) in ["never-sent", ""].into_iter().enumerate() {
+        let host = site.hosts[number].callers;
+        assert_rest(&take_up(host, &format!("one-{number}"), origin).await);
+    }
+    let call = resumption("one-none", "x").without("resumes");
+    assert_rest(&call.send(site.address()).await.expect("answer"));
+}
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -47,6 +47,8 @@
 pub struct SiteOptions {
     /// The number of hosts.
     pub hosts: usize,
+    /// The version of the software of each engine.
+    pub engine_versions: Vec<&'static str>,
     /// The number of events of each stream.
     pub events: u32,
     /// The pause before each event.
@@ -65,6 +67,7 @@
     fn default() -> Self {
         SiteOptions {
             hosts: 1,
+            engine_versions: vec!["v1", "v1"],
             events: 8,
             gap: Duration::from_millis(20),
             slots: 4,
@@ -150,7 +153,7 @@
 }
 
 impl Site {
-    /// Start a site with this number of hosts, two engines and two desks (targets of
+    /// Start a site with this number of hosts, two engines of one version and two desks (targets of
     /// plain calls), and wait until all hosts are ready.
     pub async fn start(hosts: usize) -> Self {
         Site::start_with(SiteOptions {
@@ -165,11 +168,15 @@
         let store = KvStoreStandin::start().await.expect("store");
         let SiteOptions { events, gap, .. } = options;
         let mut engines = Vec::new();
+        for (index, version) in options.engine_versions.iter().enumerate() {
+            let name = format!("engine-{}", index + 1);
+            let engine = GatewayTargetStandin::start(&name, events, gap).await;
+            let engine = engine.expect("engine");
+            engine.set_version(version);
+            engines.push(engine);
+        }
         let mut desks = Vec::new();
         for number in 1..=2 {
-            let engine =
-                GatewayTargetStandin::start(&format!("engine-{number}"), events, gap).await;
-            engines.push(engine.expect("engine"));
             let desk = GatewayTargetStandin::start(&format!("desk-{number}"), 0, gap).await;
             desks.push(desk.expect("desk"));
         }
