--- a/bergamotswitch/tests/stop_support/mod.rs
+++ b/bergamotswitch/tests/stop_support/mod.rs
@@ -132,6 +132,7 @@
         target_latency: seconds(5.0),
         timeout: LONG_DEADLINE,
         grace,
+        ..SiteOptions::default()
     };
     Site::start_with(options).await
 }
