--- a/bergamotswitch-standin/src/kv_store.rs
+++ b/bergamotswitch-standin/src/kv_store.rs
@@ -45,6 +45,13 @@
     value: Option<Bytes>,
 }
 
+/// A `StoreCopy` is the content of a store at one moment, to which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, StoredItem>,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     items: BTreeMap<String, StoredItem>,
@@ -52,6 +59,8 @@
     revision: u64,
     /// The revision up to which the history has been compacted.
     compacted: u64,
+    /// How often the store has been restored.
+    era: u64,
     mode: StoreMode,
     calls: u64,
 }
@@ -136,6 +145,28 @@
         state.history.clear();
     }
 
+    /// Get a copy of the content.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.shared.state);
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Restore the store from a copy: what was written since is gone, and revisions are
+    /// given out again. Watches from later revisions are answered with 410.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = lock(&self.shared.state);
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.history.clear();
+        state.compacted = copy.revision;
+        state.era += 1;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Set the way in which the store answers calls.
     pub fn set_mode(&self, mode: StoreMode) {
         lock(&self.shared.state).mode = mode;
@@ -165,15 +196,20 @@
     }
     let query = request.uri().query().unwrap_or_default();
     let prefix = parameter(query, "pathPrefix").unwrap_or_default();
-    let response = match request.uri().path() {
+    let mut response = match request.uri().path() {
         "/kv-range" => range(&shared, &prefix),
         "/kv-watch" => watch(&shared, &prefix, query).await,
         _ => respond(StatusCode::NOT_FOUND, &json!({})),
     };
     // A watch that was pending when the mode changed must not be answered.
-    if lock(&shared.state).mode == StoreMode::NoResponse {
+    let (mode, era) = {
+        let state = lock(&shared.state);
+        (state.mode, state.era)
+    };
+    if mode == StoreMode::NoResponse {
         sleep(Duration::from_secs(3_600)).await;
     }
+    response.headers_mut().insert("store-era", era.into());
     Ok(response)
 }
 
@@ -220,7 +256,7 @@
 
 fn changes_after(shared: &StoreShared, prefix: &str, after: u64) -> Option<Response<Full<Bytes>>> {
     let state = lock(&shared.state);
-    if after < state.compacted {
+    if after < state.compacted || after > state.revision {
         return Some(respond(StatusCode::GONE, &json!({})));
     }
     let later = state.history.iter();
