Order what the store publishes by its era and the operators' version

Cause: hosts ordered everything by the store's revisions. After the return of the store from a copy these go back, and a host took no change until they had passed the old ones.

Change: Store-Era is read from every answer, whatever call it belongs to; when it rises, all cursors read anew at once and answers of an earlier era are dropped. Targets are ordered by era and revision. Routes are ordered by the operators' version, which never goes back, so that no older configuration of a copy replaces one that was seen, and one that is written again counts whatever its revision. The list of a copy is corrected by what is known: live targets that it lacks stay for 2.2 s, a leaving target stays leaving, a removed one stays away, until they are written anew. For 2.2 s after the rise only new routes confirm API keys, and watches are short, so that the first answer that counts comes soon. Hosts of earlier releases take the higher numbers; both encodings lie above theirs.

Ruled out: a lost answer to one watch (all hosts learned at one moment), and late passing on between hosts (the readers learned no earlier).

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -136,6 +136,8 @@
     EntryUnreadable = 508, Error, "published item unreadable, skipped";
     /// A call to the configuration service failed.
     ServiceCallFailed = 509, Info, "call to the configuration service failed";
+    /// The configuration service was restored from a copy, so that its revisions went back.
+    ServiceRestored = 510, Warn, "configuration service restored from a copy";
     /// A connection from or to a peer was refused.
     PeerRefused = 600, Error, "peer refused";
     /// A connection was closed because the other side did not respond.
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -223,6 +223,9 @@
             NodeEvent::Unchanged(name) => {
                 self.notify_revisions(now, RevisionEvent::Unchanged(name))
             }
+            NodeEvent::UnchangedAt(name, revision) => {
+                self.notify_revisions(now, RevisionEvent::UnchangedAt(name, revision));
+            }
             NodeEvent::ReadFailed(name) => self.on_read_failed(now, name),
             NodeEvent::Targets(update) => self.on_target_update(now, update),
             NodeEvent::Gossip(message) => self.on_gossip(now, *message),
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -57,6 +57,8 @@
     Read(PublishedValue),
     /// A watch ended without a change of the value.
     Unchanged(ValueName),
+    /// A read or watch found no change of the value; the service has this revision of it.
+    UnchangedAt(ValueName, Revision),
     /// A read or watch failed.
     ReadFailed(ValueName),
     /// The store reported registered targets.
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -49,7 +49,7 @@
         }
         if name.as_str() == TARGETS_VALUE {
             self.register
-                .adopt(value.revision, &self.publication.registered_targets);
+                .adopt(now, value.revision, &self.publication.registered_targets);
         }
         if [POOLS_VALUE, ROUTES_VALUE, TARGETS_VALUE].contains(&name.as_str()) {
             let shards = self.publication.pools.shards();
--- a/bergamotswitch-core/src/revision/mod.rs
+++ b/bergamotswitch-core/src/revision/mod.rs
@@ -144,6 +144,9 @@
     Read(PublishedValue),
     /// A watch ended without a change.
     Unchanged(ValueName),
+    /// A read or a watch found no change; the service has this revision. A lower one than
+    /// the highest received confirms nothing.
+    UnchangedAt(ValueName, Revision),
     /// A read or a watch failed.
     ReadFailed(ValueName),
     /// A peer sent a message.
--- a/bergamotswitch-core/src/revision/replica.rs
+++ b/bergamotswitch-core/src/revision/replica.rs
@@ -128,11 +128,10 @@
         let mut actions = Vec::new();
         match event {
             RevisionEvent::Read(value) => self.handle_read(now, value, &mut actions),
-            RevisionEvent::Unchanged(name) => {
-                self.confirm_by_call(&name, self.seen(&name));
-                if let Some(call) = self.calls.get_mut(&name) {
-                    call.succeed(now);
-                }
+            RevisionEvent::Unchanged(name) => self.handle_unchanged(now, &name, true),
+            RevisionEvent::UnchangedAt(name, revision) => {
+                let is_newest = revision >= self.seen(&name);
+                self.handle_unchanged(now, &name, is_newest);
             }
             RevisionEvent::ReadFailed(name) => self.handle_failure(now, name, &mut actions),
             RevisionEvent::Peer(host, message) => {
@@ -250,6 +249,15 @@
         self.accept_value(now, value, actions);
     }
 
+    fn handle_unchanged(&mut self, now: Moment, name: &ValueName, is_newest: bool) {
+        if is_newest {
+            self.confirm_by_call(name, self.seen(name));
+        }
+        if let Some(call) = self.calls.get_mut(name) {
+            call.succeed(now);
+        }
+    }
+
     fn handle_failure(&mut self, now: Moment, name: ValueName, actions: &mut Vec<RevisionAction>) {
         let call = match self.calls.get_mut(&name) {
             Some(call) => call,
--- a/bergamotswitch-core/src/target_list.rs
+++ b/bergamotswitch-core/src/target_list.rs
@@ -24,6 +24,37 @@
 /// as read, and one for the list after expired entries were dropped.
 const STEPS_PER_REVISION: u64 = 2;
 
+/// How long removed targets are remembered. A copy of the store, which may have them, is a
+/// few seconds old.
+const REMOVAL_RETENTION: Duration = Duration::from_secs(60);
+
+/// The number of bits of a position that hold the revision; the era is above them.
+const REVISION_BITS: u32 = 43;
+
+/// A `StorePosition` is a revision of the store in one era. Revisions of a later era come
+/// after all those of an earlier one, since the store may give out revisions again when it
+/// is restored from a copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StorePosition(u64);
+
+impl StorePosition {
+    /// Get the position of a revision; the era is 0 if the store names none.
+    pub fn new(era: u64, revision: u64) -> Self {
+        let era = era & (u64::MAX >> (REVISION_BITS + 1));
+        StorePosition((era << REVISION_BITS) | (revision & ((1 << REVISION_BITS) - 1)))
+    }
+
+    /// Get the era.
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Get the revision within its era.
+    pub fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
 /// A `TargetEntry` is the registration of a target in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -72,15 +103,15 @@
         entries: Vec<TargetEntry>,
         /// The names of entries whose value is not a registration.
         unreadable: Vec<TargetName>,
-        /// The store's revision.
-        as_of: u64,
+        /// The store's position.
+        as_of: StorePosition,
     },
-    /// The changes up to a revision of the store, in order.
+    /// The changes up to a position of the store, in order.
     Changes {
-        /// The changes, each with its revision.
-        changes: Vec<(u64, TargetChange)>,
-        /// The store's revision.
-        as_of: u64,
+        /// The changes, each with its position.
+        changes: Vec<(StorePosition, TargetChange)>,
+        /// The store's position.
+        as_of: StorePosition,
     },
 }
 
@@ -115,8 +146,10 @@
     /// The last known start time of each name whose entry is not a registration,
     /// so that a late registration of an earlier process is still detected.
     unreadable: BTreeMap<TargetName, Option<u64>>,
-    /// The store's revision up to which the entries are complete.
-    as_of: u64,
+    /// The targets that were removed from the store.
+    removed: BTreeMap<TargetName, Moment>,
+    /// The store's position up to which the entries are complete.
+    as_of: StorePosition,
     /// Whether expired entries were dropped at this revision.
     expired_dropped: bool,
     /// Whether the last call to the store failed.
@@ -126,11 +159,14 @@
 
 impl TargetRegister {
     /// Replace the entries with a list that a peer has read, if it is newer.
-    pub fn adopt(&mut self, revision: Revision, list: &TargetList) {
-        let as_of = revision.0 / STEPS_PER_REVISION;
+    pub fn adopt(&mut self, now: Moment, revision: Revision, list: &TargetList) {
+        let as_of = StorePosition(revision.0 / STEPS_PER_REVISION);
         if as_of <= self.as_of {
             return;
         }
+        let kept: BTreeSet<&TargetName> = list.targets.iter().map(|entry| &entry.name).collect();
+        let gone = self.entries.keys().filter(|name| !kept.contains(name));
+        self.removed.extend(gone.map(|name| (name.clone(), now)));
         self.as_of = as_of;
         self.expired_dropped = !revision.0.is_multiple_of(STEPS_PER_REVISION);
         self.expired.clear();
@@ -183,7 +219,7 @@
 
     /// Get the revision under which the list is published.
     pub fn revision(&self) -> Revision {
-        Revision(self.as_of * STEPS_PER_REVISION + u64::from(self.expired_dropped))
+        Revision(self.as_of.0 * STEPS_PER_REVISION + u64::from(self.expired_dropped))
     }
 
     /// Get the list, including expired entries that are still kept.
@@ -199,12 +235,22 @@
         now: Moment,
         entries: Vec<TargetEntry>,
         unreadable: Vec<TargetName>,
-        as_of: u64,
+        as_of: StorePosition,
     ) {
         // A delayed snapshot must not undo later changes.
         if as_of < self.as_of {
             return;
         }
+        self.removed
+            .retain(|_, at| now < at.plus(REMOVAL_RETENTION));
+        let is_copy = self.as_of.era() < as_of.era() && self.as_of != StorePosition::default();
+        let entries = match is_copy {
+            true => {
+                self.keep_expired_until = now.plus(EXPIRY_GRACE);
+                self.without_outdated(entries)
+            }
+            false => entries,
+        };
         let mut present: BTreeSet<TargetName> = unreadable.iter().cloned().collect();
         for name in unreadable {
             self.set_unreadable(name);
@@ -222,13 +268,38 @@
         self.advance(as_of);
     }
 
-    fn apply_changes(&mut self, now: Moment, changes: Vec<(u64, TargetChange)>, as_of: u64) {
-        for (revision, change) in changes {
-            if revision <= self.as_of {
+    /// Drop what is known to be outdated from the entries of a restored store: targets that
+    /// were removed, and the earlier state of targets that leave.
+    fn without_outdated(&self, entries: Vec<TargetEntry>) -> Vec<TargetEntry> {
+        let entries = entries.into_iter();
+        let entries = entries.filter(|entry| !self.removed.contains_key(&entry.name));
+        let entries = entries.map(|entry| match self.entries.get(&entry.name) {
+            Some(known)
+                if known.standing == Standing::Leaving
+                    && known.started_at_ms == entry.started_at_ms =>
+            {
+                known.clone()
+            }
+            _ => entry,
+        });
+        entries.collect()
+    }
+
+    fn apply_changes(
+        &mut self,
+        now: Moment,
+        changes: Vec<(StorePosition, TargetChange)>,
+        as_of: StorePosition,
+    ) {
+        for (position, change) in changes {
+            if position <= self.as_of {
                 continue;
             }
             match change {
-                TargetChange::Set(entry) => self.set(entry),
+                TargetChange::Set(entry) => {
+                    self.removed.remove(&entry.name);
+                    self.set(entry);
+                }
                 TargetChange::Removed(name) => self.expire(now, &name),
                 TargetChange::Unreadable(name) => self.set_unreadable(name),
             }
@@ -272,12 +343,13 @@
         let Some(entry) = self.entries.remove(name) else {
             return;
         };
+        self.removed.insert(name.clone(), now);
         if now < self.keep_expired_until {
             self.expired.insert(name.clone(), entry);
         }
     }
 
-    fn advance(&mut self, as_of: u64) {
+    fn advance(&mut self, as_of: StorePosition) {
         if as_of > self.as_of {
             self.as_of = as_of;
             self.expired_dropped = false;
--- a/bergamotswitch-net/src/input.rs
+++ b/bergamotswitch-net/src/input.rs
@@ -8,7 +8,7 @@
 use bergamotswitch_core::link::LinkEvent;
 use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::request::{AttemptId, RequestId};
-use bergamotswitch_core::revision::{PublishedValue, ValueName};
+use bergamotswitch_core::revision::{PublishedValue, Revision, ValueName};
 use bergamotswitch_core::roster::RosterMessage;
 use bergamotswitch_core::settings::HostSettings;
 use bergamotswitch_core::target::{LoadReport, TargetName};
@@ -52,6 +52,8 @@
     Read(PublishedValue),
     /// A watch of the value ended without a change.
     Unchanged(ValueName),
+    /// A read or watch found no change of the value; the service has this revision of it.
+    UnchangedAt(ValueName, Revision),
     /// The service did not answer or returned an error.
     Failed(ValueName),
 }
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -240,6 +240,10 @@
                 self.log_store_state(true);
                 self.handle(NodeEvent::Unchanged(name));
             }
+            NodeInput::Platform(PlatformEvent::UnchangedAt(name, revision)) => {
+                self.log_store_state(true);
+                self.handle(NodeEvent::UnchangedAt(name, revision));
+            }
             NodeInput::Platform(PlatformEvent::Failed(name)) => {
                 self.log_store_state(false);
                 self.handle(NodeEvent::ReadFailed(name));
--- a/bergamotswitch-net/src/store_source/connection.rs
+++ b/bergamotswitch-net/src/store_source/connection.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bergamotswitch_platform::store::StoreParseError;
+use bergamotswitch_platform::store::{self, StoreParseError};
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -37,6 +37,8 @@
     Malformed(StoreParseError),
     /// The read exceeded the maximum number of pages.
     TooMany,
+    /// The answer is from before the store was restored from a copy.
+    EarlierEra,
 }
 
 impl fmt::Display for StoreCallError {
@@ -47,6 +49,7 @@
             StoreCallError::Status(status) => write!(f, "status {status}"),
             StoreCallError::Malformed(error) => write!(f, "{error}"),
             StoreCallError::TooMany => write!(f, "too many pages"),
+            StoreCallError::EarlierEra => write!(f, "answer of an earlier era"),
         }
     }
 }
@@ -57,6 +60,15 @@
     _task: TaskGuard,
 }
 
+/// A `StoreAnswer` is the store's answer to one call.
+#[derive(Debug)]
+pub(super) struct StoreAnswer {
+    pub(super) status: StatusCode,
+    /// The era that the store names.
+    pub(super) era: Option<u64>,
+    pub(super) body: Bytes,
+}
+
 /// A `StoreConnection` is a reusable connection to the store. After any error
 /// the next call opens a new one, since no further answers arrive on a
 /// connection that lost one.
@@ -82,7 +94,7 @@
         path: &str,
         limit: Duration,
         calls: &AtomicU64,
-    ) -> Result<(StatusCode, Bytes), StoreCallError> {
+    ) -> Result<StoreAnswer, StoreCallError> {
         let reusable = self.open.take().filter(|open| open.sender.is_ready());
         let mut open = match reusable {
             Some(open) => open,
@@ -117,7 +129,7 @@
         &self,
         open: &mut OpenConnection,
         path: &str,
-    ) -> Result<(StatusCode, Bytes), StoreCallError> {
+    ) -> Result<StoreAnswer, StoreCallError> {
         let request = Request::builder()
             .uri(path)
             .header(header::HOST, self.address.to_string())
@@ -126,10 +138,15 @@
         let sending = open.sender.send_request(request);
         let answer = sending.await.map_err(|_| StoreCallError::Connection)?;
         let status = answer.status();
+        let era = store::era(answer.headers());
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
             .map_err(|_| StoreCallError::Connection)?;
-        Ok((status, body.to_bytes()))
+        Ok(StoreAnswer {
+            status,
+            era,
+            body: body.to_bytes(),
+        })
     }
 }
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod cursor;
 mod entry_reader;
+mod store_era;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 use bergamotswitch_core::revision::{
     PublishedValue, ROUTES_VALUE, Revision, TARGETS_VALUE, ValueName,
 };
-use bergamotswitch_core::target_list::{TargetChange, TargetUpdate};
+use bergamotswitch_core::target_list::{StorePosition, TargetChange, TargetUpdate};
 use bergamotswitch_platform::store::{StoreChange, StoreItem};
 use bergamotswitch_platform::{config, registration};
 use tokio::sync::Mutex;
@@ -26,6 +27,7 @@
 use connection::StoreCallError;
 use cursor::{StoreCursor, StoreUpdate};
 use entry_reader::EntryReader;
+use store_era::StoreEra;
 
 /// The wait of a watch of the routes. A completed watch confirms the routes as
 /// of the moment it was sent, so this bounds the age of the known API keys,
@@ -38,6 +40,10 @@
 /// detected only after the wait.
 const TARGETS_WAIT: Duration = Duration::from_millis(1_500);
 
+/// The lowest revision of published routes, above all revisions of a store. Hosts of earlier
+/// releases number routes by these, and take the higher number.
+const FIRST_ROUTES_REVISION: u64 = 1 << 52;
+
 /// An `EntryReader` that is shared with the call in flight.
 type SharedEntryReader = Arc<std::sync::Mutex<EntryReader>>;
 
@@ -52,6 +58,14 @@
     /// The call in flight for each value.
     tasks: BTreeMap<ValueName, TaskGuard>,
     reader: SharedEntryReader,
+    era: StoreEra,
+    routes: Arc<RoutesReader>,
+}
+
+/// A `RoutesReader` is the revision of the routes that the store has.
+#[derive(Debug, Default)]
+struct RoutesReader {
+    revision: AtomicU64,
 }
 
 impl StoreSource {
@@ -65,6 +79,8 @@
             cursors: BTreeMap::new(),
             tasks: BTreeMap::new(),
             reader: SharedEntryReader::default(),
+            era: StoreEra::default(),
+            routes: Arc::default(),
         }
     }
 
@@ -80,12 +96,15 @@
         let calls = Arc::clone(&self.calls);
         let node = self.node.clone();
         let reader = Arc::clone(&self.reader);
+        let routes = Arc::clone(&self.routes);
+        let era = self.era.clone();
         let value = name.clone();
         let task = TaskGuard::spawn(async move {
             let mut cursor = cursor.lock().await;
             let update = cursor.next(&calls).await;
             let input = match update {
-                Ok(update) => to_input(&value, update, &reader),
+                Ok(update) if value.as_str() == TARGETS_VALUE => targets_input(update, &reader),
+                Ok(update) => routes_input(&value, update, &routes, &era),
                 Err(error) => failure_input(&value, error),
             };
             // Sending fails only if the event loop has ended.
@@ -96,10 +115,14 @@
 
     fn cursor(&mut self, name: &ValueName) -> Arc<Mutex<StoreCursor>> {
         let address = self.address;
+        let era = &self.era;
         let cursor = self.cursors.entry(name.clone()).or_insert_with(|| {
             let cursor = match name.as_str() {
-                TARGETS_VALUE => StoreCursor::new(address, registration::KEY_PREFIX, TARGETS_WAIT),
-                _ => StoreCursor::new(address, config::KEY, ROUTES_WAIT),
+                TARGETS_VALUE => {
+                    let prefix = registration::KEY_PREFIX;
+                    StoreCursor::new(address, era.clone(), prefix, TARGETS_WAIT)
+                }
+                _ => StoreCursor::new(address, era.clone(), config::KEY, ROUTES_WAIT),
             };
             Arc::new(Mutex::new(cursor))
         });
@@ -107,13 +130,19 @@
     }
 }
 
-fn to_input(name: &ValueName, update: StoreUpdate, reader: &SharedEntryReader) -> NodeInput {
+fn targets_input(update: StoreUpdate, reader: &SharedEntryReader) -> NodeInput {
+    let mut reader = reader.lock().unwrap_or_else(PoisonError::into_inner);
+    NodeInput::Targets(target_update(update, &mut reader))
+}
+
+fn routes_input(
+    name: &ValueName,
+    update: StoreUpdate,
+    routes: &RoutesReader,
+    era: &StoreEra,
+) -> NodeInput {
     match name.as_str() {
-        TARGETS_VALUE => {
-            let mut reader = reader.lock().unwrap_or_else(PoisonError::into_inner);
-            NodeInput::Targets(target_update(update, &mut reader))
-        }
-        ROUTES_VALUE => NodeInput::Platform(routes_event(name, update)),
+        ROUTES_VALUE => NodeInput::Platform(routes.event(name, update, era)),
         _ => NodeInput::Platform(PlatformEvent::Failed(name.clone())),
     }
 }
@@ -146,58 +175,83 @@
         StoreUpdate::Changes { changes, as_of } => TargetUpdate::Changes {
             changes: changes
                 .iter()
-                .filter_map(|change| to_change(change, reader))
+                .filter_map(|change| to_change(change, as_of.era(), reader))
                 .collect(),
             as_of,
         },
     }
 }
 
-fn to_change(change: &StoreChange, reader: &mut EntryReader) -> Option<(u64, TargetChange)> {
+fn to_change(
+    change: &StoreChange,
+    era: u64,
+    reader: &mut EntryReader,
+) -> Option<(StorePosition, TargetChange)> {
     match change {
         StoreChange::Set(item) => {
             let change = match reader.read(item) {
                 Ok(entry) => TargetChange::Set(entry),
                 Err(name) => TargetChange::Unreadable(name?),
             };
-            Some((item.revision, change))
+            Some((StorePosition::new(era, item.revision), change))
         }
         StoreChange::Removed { key, revision } => {
             reader.remove(key);
             let name = registration::target_name(key)?;
-            Some((*revision, TargetChange::Removed(name)))
+            let position = StorePosition::new(era, *revision);
+            Some((position, TargetChange::Removed(name)))
         }
     }
 }
 
-/// Get the event for the latest routes in an update.
-fn routes_event(name: &ValueName, update: StoreUpdate) -> PlatformEvent {
-    let newest = match update {
-        StoreUpdate::Snapshot { items, .. } => {
-            items.into_iter().find(|item| item.key == config::KEY)
+impl RoutesReader {
+    /// Get the event for the latest routes in an update.
+    ///
+    /// Routes are ordered by the operators' version, which never goes back, and not by the
+    /// store's revisions. A restored store may lack routes until they are written again, so
+    /// for a while only new routes confirm anything.
+    fn event(&self, name: &ValueName, update: StoreUpdate, era: &StoreEra) -> PlatformEvent {
+        let is_snapshot = matches!(update, StoreUpdate::Snapshot { .. });
+        let newest = match update {
+            StoreUpdate::Snapshot { items, .. } => {
+                items.into_iter().find(|item| item.key == config::KEY)
+            }
+            StoreUpdate::Changes { changes, .. } => changes.into_iter().rev().find_map(routes_item),
+        };
+        let known = self.revision.load(Ordering::Relaxed);
+        let Some(item) = newest else {
+            return unchanged(name, known, era);
+        };
+        let config = config::read(&item.value).ok();
+        let revision = config
+            .as_ref()
+            .map(|config| FIRST_ROUTES_REVISION + config.version);
+        let body = config.and_then(|config| serde_json::to_string(&config).ok());
+        let (Some(revision), Some(body)) = (revision, body) else {
+            event_log::write(Incident::EntryUnreadable, &[("key", &item.key)]);
+            return PlatformEvent::Failed(name.clone());
+        };
+        self.revision.store(revision, Ordering::Relaxed);
+        if known > 0 && (revision < known || (is_snapshot && revision == known)) {
+            return unchanged(name, revision, era);
         }
-        StoreUpdate::Changes { changes, .. } => changes.into_iter().rev().find_map(routes_item),
-    };
-    let Some(item) = newest else {
-        return PlatformEvent::Unchanged(name.clone());
-    };
-    let config = config::read(&item.value);
-    let body = config
-        .ok()
-        .and_then(|config| serde_json::to_string(&config).ok());
-    match body {
-        Some(body) => PlatformEvent::Read(PublishedValue {
+        PlatformEvent::Read(PublishedValue {
             name: name.clone(),
-            revision: Revision(item.revision),
+            revision: Revision(revision),
             body,
-        }),
-        None => {
-            event_log::write(Incident::EntryUnreadable, &[("key", &item.key)]);
-            PlatformEvent::Failed(name.clone())
-        }
+        })
     }
 }
 
+/// Get the event for a store that has these routes as before.
+fn unchanged(name: &ValueName, revision: u64, era: &StoreEra) -> PlatformEvent {
+    let confirmed = match era.is_incomplete() {
+        true => 0,
+        false => revision,
+    };
+    PlatformEvent::UnchangedAt(name.clone(), Revision(confirmed))
+}
+
 fn routes_item(change: StoreChange) -> Option<StoreItem> {
     match change {
         StoreChange::Set(item) if item.key == config::KEY => Some(item),
