Let every owner forget versions and streams whose retention is over

A version that had left the pool still counted as one that may have streams, so that calls that resume unknown streams were refused long after: expiry ran only with the copies for other hosts, not in an owner's own events and never in a degraded one. former_version failed before. The other tests of the owner's decisions about streams come along; they passed.

--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -139,6 +139,7 @@
             .set_portion(now, self.attached_hosts.quota_portion(now));
         self.adjust_pace(now);
         self.keys.expire(now);
+        self.streams.expire(now);
         self.expire_requests(now, &mut actions);
         self.queue.demote_late(now);
         let incoming = match &event {
--- a/bergamotswitch-core/src/pool_owner/stream_requests.rs
+++ b/bergamotswitch-core/src/pool_owner/stream_requests.rs
@@ -211,7 +211,6 @@
     /// streams, so that nothing has to be recorded elsewhere.
     pub fn take_unshared_streams(&mut self, now: Moment) -> Option<Vec<VersionStreams>> {
         let unshared = std::mem::take(&mut self.unshared_streams);
-        self.streams.expire(now);
         match self.streams.sole_version() {
             Some(_) => None,
             None => Some(self.streams.report_of(now, &unshared)),
--- /dev/null
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -0,0 +1,203 @@
+//! Tests of a shard owner whose targets have several versions: resumable streams continue
+//! only at the version that began them.
+
+mod owner_bench;
+
+use bergamotswitch_core::stream_table::{
+    StreamEntry, StreamId, StreamOrigin, StreamTable, VersionStreams,
+};
+use bergamotswitch_core::target::TargetVersion;
+use owner_bench::*;
+
+const SLOTS: u32 = 2;
+
+fn version(text: &str) -> TargetVersion {
+    TargetVersion::from(text)
+}
+
+fn versioned(name: &str, text: &str) -> PoolTarget {
+    PoolTarget {
+        slots: Some(SLOTS),
+        version: version(text),
+        ..target(name, "d", 100_000)
+    }
+}
+
+fn stream(number: u64) -> StreamId {
+    StreamId::new(&named("a"), &format!("stream-{number}"))
+}
+
+fn mixed_bench() -> OwnerBench {
+    let targets = [versioned("a", "v1"), versioned("b", "v2")];
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &targets);
+    bench.tick_after(5_000);
+    bench
+}
+
+/// Request a permit for a stream.
+fn request_stream(
+    bench: &mut OwnerBench,
+    request: &PermitRequest,
+    origin: StreamOrigin,
+) -> Vec<OwnerAction> {
+    let mut actions = bench.message(OwnerMessage::Stream {
+        shard: shard(),
+        attempt: request.attempt,
+        origin,
+    });
+    actions.extend(bench.request_permit(request));
+    actions
+}
+
+fn resume(bench: &mut OwnerBench, request: u64, origin: u64) -> Vec<OwnerAction> {
+    let origin = StreamOrigin::Unknown(Some(stream(origin)));
+    request_stream(bench, &permit_request(request, 1, "a"), origin)
+}
+
+fn report(bench: &mut OwnerBench, text: Option<&str>, number: u64) -> Vec<OwnerAction> {
+    let streams = vec![StreamEntry {
+        id: stream(number),
+        is_begun: true,
+        seconds_left: 60,
+    }];
+    bench.message(OwnerMessage::StreamVersions {
+        shard: shard(),
+        streams: vec![VersionStreams {
+            version: text.map(version),
+            seconds_left: 60,
+            streams,
+        }],
+    })
+}
+
+fn reasons(actions: &[OwnerAction]) -> Vec<RefusalReason> {
+    let refusals = refusals(actions).into_iter();
+    refusals.map(|refusal| refusal.reason).collect()
+}
+
+/// Guards against a permit for another version than the one that began a stream, also while
+/// that one is full and others are not.
+#[test]
+fn own_version() {
+    let mut bench = mixed_bench();
+    for number in 0..4 {
+        let request = permit_request(number, 1, "a");
+        let origin = StreamOrigin::Unbegun(stream(number));
+        let begun = permits(&request_stream(&mut bench, &request, origin));
+        let first = begun.first().expect("a free slot").clone();
+        bench.release(&first, ReleaseOutcome::Failed(usage(request.cost, 100)));
+        bench.tick_after(10_000);
+        let again = resume(&mut bench, 100 + number, number);
+        let again = permits(&again);
+        assert_eq!(again[0].target, first.target, "stream {number}");
+        bench.release(
+            &again[0],
+            ReleaseOutcome::Finished(usage(request.cost, 100)),
+        );
+    }
+    let held: Vec<Permit> = (0..u64::from(SLOTS))
+        .flat_map(|number| {
+            let begun = StreamOrigin::Begun(Some(stream(50 + number)), version("v1"));
+            permits(&request_stream(
+                &mut bench,
+                &permit_request(200 + number, 1, "a"),
+                begun,
+            ))
+        })
+        .collect();
+    assert_eq!(held.len(), SLOTS as usize);
+    let begun = StreamOrigin::Begun(Some(stream(60)), version("v1"));
+    let waiting = request_stream(&mut bench, &permit_request(300, 1, "a"), begun);
+    assert_eq!(permits(&waiting), []);
+    let freed = bench.release(
+        &held[0],
+        ReleaseOutcome::Finished(usage(cost_of(50, 50), 100)),
+    );
+    assert_eq!(permits(&freed)[0].target, named("a"));
+}
+
+/// Guards against a guess at a stream that nobody knows, and against a new owner that
+/// refuses one before the hosts have reported.
+#[test]
+fn unknown_stream() {
+    let mut settled = mixed_bench();
+    let refused = resume(&mut settled, 1, 1);
+    assert_eq!(reasons(&refused), [RefusalReason::StreamUnknown]);
+    let targets = [versioned("a", "v1"), versioned("b", "v2")];
+    let mut new = OwnerBench::with_targets(OwnerOptions::default(), &targets);
+    assert_eq!(replies(&resume(&mut new, 1, 1)), []);
+    assert_eq!(replies(&resume(&mut new, 2, 2)), []);
+    let known = report(&mut new, Some("v2"), 1);
+    assert_eq!(permits(&known)[0].target, named("b"));
+    assert_eq!(
+        reasons(&new.tick_after(2_000)),
+        [RefusalReason::StreamUnknown]
+    );
+    let nameless = StreamOrigin::Unknown(None);
+    let refused = request_stream(&mut new, &permit_request(3, 1, "a"), nameless);
+    assert_eq!(reasons(&refused), [RefusalReason::StreamUnknown]);
+}
+
+/// Guards against a stream that continues although its target changed the version while
+/// the stream began.
+#[test]
+fn ambiguous_stream() {
+    let mut bench = mixed_bench();
+    report(&mut bench, Some("v1"), 1);
+    report(&mut bench, None, 1);
+    let refused = resume(&mut bench, 1, 1);
+    assert_eq!(reasons(&refused), [RefusalReason::StreamUnknown]);
+}
+
+/// Guards against a guess by a version that alone is left, while another one may still have
+/// streams that are away.
+#[test]
+fn former_version() {
+    let mut bench = mixed_bench();
+    bench.event(OwnerEvent::Targets(vec![versioned("b", "v2")]));
+    let refused = resume(&mut bench, 1, 1);
+    assert_eq!(reasons(&refused), [RefusalReason::StreamUnknown]);
+    bench.tick_after(61_000);
+    assert_eq!(permits(&resume(&mut bench, 2, 2))[0].target, named("b"));
+}
+
+/// Guards against a stream that is refused at once although its crashed target starts again,
+/// and against one that waits without end for a version that is gone.
+#[test]
+fn gone_version() {
+    let mut bench = mixed_bench();
+    report(&mut bench, Some("v1"), 1);
+    report(&mut bench, Some("v1"), 2);
+    bench.event(OwnerEvent::Targets(vec![versioned("b", "v2")]));
+    assert_eq!(permits(&resume(&mut bench, 1, 1)), []);
+    bench.tick_after(1_000);
+    let targets = vec![versioned("b", "v2"), versioned("c", "v1")];
+    let back = bench.event(OwnerEvent::Targets(targets));
+    assert_eq!(permits(&back)[0].target, named("c"));
+    bench.event(OwnerEvent::Targets(vec![versioned("b", "v2")]));
+    assert_eq!(
+        replies(&resume(&mut bench, 2, 2)).len(),
+        1,
+        "its version alone"
+    );
+    assert_eq!(
+        reasons(&bench.tick_after(2_500)),
+        [RefusalReason::VersionGone]
+    );
+}
+
+/// Guards against a record that counts for a stream's version although a later attempt
+/// began the stream elsewhere.
+#[test]
+fn later_attempt() {
+    let mut table = StreamTable::default();
+    let now = Moment::from_millis(1_000);
+    let span = Duration::from_secs(5);
+    table.record(now, stream(1), Some(version("v1")), false, span);
+    table.record(now, stream(1), Some(version("v2")), true, span);
+    table.record(now, stream(1), Some(version("v1")), false, span);
+    let report = table.report_of(now, &[stream(1)]);
+    assert_eq!(report[0].version, Some(version("v2")));
+    table.expire(now.plus(Duration::from_secs(70)));
+    assert!(table.is_empty());
+}
