Do not reserve targets that new streams leave to resumed ones

Resumed streams starved at the two targets of their version while ten others took new work: of 40, nine got a permit, of 400 new ones 280 (LOST asks for half of the share).

Cause: a new stream that waits left these targets alone, but reserved them all the same, and the resumed streams behind it in the queue found none open.

--- a/bergamotswitch-core/src/pool_owner/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_dispatch.rs
@@ -72,7 +72,7 @@
                 });
             }
             blocked.insert(queued.placement.clone());
-            view.reserve_for(&queued.placement, query.cost, times, reserved);
+            view.reserve_for(&query, times, reserved);
         }
         None
     }
--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/slot_routing.rs
@@ -126,7 +126,7 @@
         let mut best: Option<((bool, f64, usize), &TargetLoad)> = None;
         let leaves_wanted = self.leaves_wanted(query);
         for open in self.candidates(query.placement) {
-            if leaves_wanted && self.is_wanted(open.load, query.tier) {
+            if leaves_wanted && is_wanted(&self.wanted, open.load, query.tier) {
                 continue;
             }
             if !self.may_take(now, open, query) {
@@ -153,15 +153,8 @@
     /// continue only there: it may run at another target.
     fn leaves_wanted(&self, query: &RouteQuery<'_>) -> bool {
         let is_bound = query.placement.version.is_some();
-        !is_bound
-            && !self.wanted.is_empty()
-            && self.any_usable(query.placement, |load| !self.is_wanted(load, query.tier))
-    }
-
-    /// Get whether a stream of `tier` or a higher one waits for the version of a target.
-    fn is_wanted(&self, load: &TargetLoad, tier: Tier) -> bool {
-        let wanted = self.wanted.get(&load.target().version);
-        wanted.is_some_and(|wanted| *wanted <= tier)
+        let is_other = |load: &TargetLoad| !is_wanted(&self.wanted, load, query.tier);
+        !is_bound && !self.wanted.is_empty() && self.any_usable(query.placement, is_other)
     }
 
     /// Get whether waiting for a full target is better than the best target
@@ -194,20 +187,23 @@
     /// Reserve the targets that a queued request waits for.
     pub(super) fn reserve_for(
         &mut self,
-        placement: &Placement,
-        cost: TokenCost,
+        query: &RouteQuery<'_>,
         times: RequestTimes,
         reserved: &mut ReservedTargets,
     ) {
+        let placement = query.placement;
+        let leaves_wanted = self.leaves_wanted(query);
+        let wanted = &self.wanted;
         let kept = |load: &TargetLoad| match times.first_token_left {
             // Targets that would be too late for the request stay available to
             // others.
-            Some(_) => times.is_on_time(load, cost),
+            Some(_) => times.is_on_time(load, query.cost),
             None => true,
         };
         let excludes_avoided = self.excludes_avoided(placement);
         self.open.retain(|open| {
-            let allowed = is_allowed(open.load, placement, excludes_avoided);
+            let left = leaves_wanted && is_wanted(wanted, open.load, query.tier);
+            let allowed = !left && is_allowed(open.load, placement, excludes_avoided);
             let reserves =
                 allowed && open.admission == ProbeAdmission::Unrestricted && kept(open.load);
             if reserves {
@@ -256,6 +252,12 @@
     }
 }
 
+/// Get whether a stream of `tier` or a higher one waits for the version of a target.
+fn is_wanted(wanted: &WantedVersions, load: &TargetLoad, tier: Tier) -> bool {
+    let wanted = wanted.get(&load.target().version);
+    wanted.is_some_and(|wanted| *wanted <= tier)
+}
+
 /// Get whether `placement` allows a target; `excludes_avoided` says whether
 /// targets to avoid are excluded.
 fn is_allowed(load: &TargetLoad, placement: &Placement, excludes_avoided: bool) -> bool {
--- a/bergamotswitch-core/tests/stream_versions.rs
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -201,3 +201,71 @@
     table.expire(now.plus(Duration::from_secs(70)));
     assert!(table.is_empty());
 }
+
+/// A `Share` counts streams and those that got a permit.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    asked: u32,
+    granted: u32,
+}
+
+impl Share {
+    fn part(self) -> f64 {
+        f64::from(self.granted) / f64::from(self.asked)
+    }
+}
+
+/// Guards against resumed streams that starve behind new ones at the two targets of their
+/// version, while all other targets take new work.
+#[test]
+fn resumed_under_load() {
+    const RUN_MS: u64 = 400;
+    const STEP_MS: u64 = 10;
+    const STEPS: u64 = 500;
+    const RESUMED: u64 = 40;
+    let mut targets: Vec<PoolTarget> = (0..10).map(|n| versioned(&format!("n{n}"), "v2")).collect();
+    targets.extend([versioned("o0", "v1"), versioned("o1", "v1")]);
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &targets);
+    bench.tick_after(5_000);
+    let (mut new, mut resumed) = (Share::default(), Share::default());
+    let mut running: Vec<(u64, Permit)> = Vec::new();
+    let mut number = 1_000;
+    for step in 0..STEPS {
+        let mut actions = bench.tick_after(STEP_MS);
+        let due = running.iter().position(|(end, _)| *end > step);
+        for (_, permit) in running.drain(..due.unwrap_or(running.len())) {
+            let outcome = ReleaseOutcome::Finished(usage(cost_of(50, 50), RUN_MS as u32));
+            actions.extend(bench.release(&permit, outcome));
+        }
+        // Twice as many new streams as all targets run.
+        let mut requests: Vec<(u64, StreamOrigin)> = Vec::new();
+        for _ in 0..u64::from(step % 5 != 0) {
+            number += 1;
+            requests.push((number, StreamOrigin::Unbegun(stream(number))));
+            new.asked += 1;
+        }
+        if step >= 100 && step < 100 + RESUMED {
+            let origin = StreamOrigin::Begun(Some(stream(step)), version("v1"));
+            requests.push((step, origin));
+            resumed.asked += 1;
+        }
+        for (sequence, origin) in requests {
+            let mut request = with_deadline(permit_request(sequence, 1, "a"), 3_000);
+            request.first_answer_ms = Some(800);
+            actions.extend(request_stream(&mut bench, &request, origin));
+        }
+        for permit in permits(&actions) {
+            let is_new = permit.attempt.request.sequence > 1_000;
+            let share = if is_new { &mut new } else { &mut resumed };
+            share.granted += 1;
+            let is_old = permit.target.as_str().starts_with('o');
+            assert!(is_new || is_old, "{permit:?}");
+            running.push((step + RUN_MS / STEP_MS, permit));
+        }
+    }
+    assert!(new.part() < 0.9, "no load: {new:?}");
+    assert!(
+        resumed.part() * 2.0 >= new.part(),
+        "new {new:?}, resumed {resumed:?}"
+    );
+}
