Bound what degraded owners and idle hosts keep of streams

An owner that serves its own host only kept a list of streams to copy that nobody read, for as long as it was degraded; a host forgot its streams only when targets changed. Found by reading.

--- a/bergamotswitch-core/src/entry/dispatcher/mod.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/mod.rs
@@ -181,6 +181,7 @@
             EntryEvent::Quotas(rates) => self.quota_use.set_rates(now, rates),
             EntryEvent::GraceExpired => self.terminate(now, &mut actions),
             EntryEvent::Tick | EntryEvent::ProcessResumed(_) => {
+                self.expire_streams(now);
                 self.refuse_unfinishable(now, &mut actions)
             }
         }
--- a/bergamotswitch-core/src/entry/dispatcher/streams.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/streams.rs
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Forget the streams that can no longer be resumed.
+    pub(super) fn expire_streams(&mut self, now: Moment) {
+        for table in self.streams.values_mut() {
+            table.expire(now);
+        }
+    }
+
     /// Get the streams at targets that are published with another version than at the
     /// start of the attempt.
     fn changed_streams(&self) -> Vec<RequestId> {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -1,6 +1,7 @@
 //! Provides the shards for which this host acts as owner, either for the fleet or in
 //! degraded mode.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::client_account::AccountName;
@@ -151,16 +152,22 @@
         found.map_or_else(Vec::new, |owned| owned.owner.stream_report(now))
     }
 
-    /// Get the streams that the shard's owner has recorded since the last call; `None` if
-    /// other hosts do not need them.
+    /// Get the streams that each owner has recorded since the last call. Owners whose
+    /// streams no other host needs are left out.
     pub(super) fn take_unshared_streams(
         &mut self,
         now: Moment,
-        shard: &PoolShard,
-    ) -> Option<Vec<VersionStreams>> {
-        let mut owned = self.owned.iter_mut().filter(|owned| !owned.degraded);
-        let found = owned.find(|owned| owned.shard == *shard)?;
-        found.owner.take_unshared_streams(now)
+    ) -> BTreeMap<PoolShard, Vec<VersionStreams>> {
+        let mut unshared = BTreeMap::new();
+        for owned in &mut self.owned {
+            // A degraded owner serves its own host only, which knows the streams.
+            if let Some(streams) = owned.owner.take_unshared_streams(now)
+                && !owned.degraded
+            {
+                unshared.insert(owned.shard.clone(), streams);
+            }
+        }
+        unshared
     }
 
     /// Get whether the shard's owner knows the idempotency key of a claim.
--- a/bergamotswitch-core/src/node/stream_backups.rs
+++ b/bergamotswitch-core/src/node/stream_backups.rs
@@ -23,17 +23,11 @@
     /// Send what the owners of this host have recorded since the last call to the other
     /// candidates of their shards, and all of it to those without a copy.
     pub(super) fn share_streams(&mut self, now: Moment) {
-        let shards = self.membership.acting_shards();
-        self.stream_backups
-            .hosts
-            .retain(|shard, _| shards.contains(shard));
-        for shard in shards {
-            let Some(fresh) = self.shards.take_unshared_streams(now, &shard) else {
-                self.stream_backups.hosts.remove(&shard);
-                continue;
-            };
+        let unshared = self.shards.take_unshared_streams(now);
+        let mut backups = std::mem::take(&mut self.stream_backups.hosts);
+        for (shard, fresh) in unshared {
             let current = self.stream_candidates(&shard);
-            let former = self.stream_backups.hosts.remove(&shard).unwrap_or_default();
+            let former = backups.remove(&shard).unwrap_or_default();
             for host in &current {
                 match former.contains(host) {
                     false => self.send_stream_report(now, &shard, host),
--- a/bergamotswitch-core/tests/stream_versions.rs
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -244,7 +244,7 @@
             requests.push((number, StreamOrigin::Unbegun(stream(number))));
             new.asked += 1;
         }
-        if step >= 100 && step < 100 + RESUMED {
+        if (100..100 + RESUMED).contains(&step) {
             let origin = StreamOrigin::Begun(Some(stream(step)), version("v1"));
             requests.push((step, origin));
             resumed.asked += 1;
