Take a permit alone for no proof of a stream's version

A host that keeps a copy of an owner's record could name a version at which a stream had only got a permit, while the attempt that brought its first event ran at another one, for up to the tenth of a second until the next copy. Hosts now name versions of which an event was passed on; the owner, which granted the permits, decides the others. Found by reading.

--- a/bergamotswitch-core/src/entry/dispatcher/streams.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/streams.rs
@@ -13,7 +13,7 @@
 use crate::pool::{PoolName, PoolShard};
 use crate::refusal::RefusalReason;
 use crate::request::{AttemptId, RequestId};
-use crate::stream_table::{KnownVersion, StreamOrigin, StreamStart, StreamTable, VersionStreams};
+use crate::stream_table::{StreamOrigin, StreamStart, StreamTable, VersionStreams};
 use crate::target::{TargetName, TargetVersion};
 
 impl EntryDispatcher {
@@ -24,10 +24,10 @@
             StreamStart::Resumed(id) => id,
         };
         let table = self.streams.get(pool);
-        let known = id.and_then(|id| Some(table?.recorded_version(id)));
-        match known {
-            Some(KnownVersion::Version(version)) => StreamOrigin::Begun(id, version),
-            _ => StreamOrigin::Unknown(id),
+        let begun = id.and_then(|id| table?.begun_version(id));
+        match begun {
+            Some(version) => StreamOrigin::Begun(id, version.clone()),
+            None => StreamOrigin::Unknown(id),
         }
     }
 
--- a/bergamotswitch-core/src/stream_table.rs
+++ b/bergamotswitch-core/src/stream_table.rs
@@ -212,6 +212,13 @@
         }
     }
 
+    /// Get the version of a stream of which an event was passed on. A permit alone may be
+    /// followed by one for another version, which is not recorded here yet.
+    pub fn begun_version(&self, id: StreamId) -> Option<&TargetVersion> {
+        let record = self.streams.get(&id)?;
+        record.version.as_ref().filter(|_| record.is_begun)
+    }
+
     /// Get the version of a stream: the recorded one, or the only one that may have
     /// streams.
     pub fn version_of(&self, id: Option<StreamId>) -> KnownVersion {
--- a/bergamotswitch-core/tests/stream_versions.rs
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -194,7 +194,9 @@
     let now = Moment::from_millis(1_000);
     let span = Duration::from_secs(5);
     table.record(now, stream(1), Some(version("v1")), false, span);
+    assert_eq!(table.begun_version(stream(1)), None);
     table.record(now, stream(1), Some(version("v2")), true, span);
+    assert_eq!(table.begun_version(stream(1)), Some(&version("v2")));
     table.record(now, stream(1), Some(version("v1")), false, span);
     let report = table.report_of(now, &[stream(1)]);
     assert_eq!(report[0].version, Some(version("v2")));
