Correct a copy of the store also after another host's list of it

A host that had adopted another one's list of the later era took its own first read of the copy as it was: live targets that the copy lacks were dropped, leaving ones used again. A target that was written anew could count as removed at the next restore. Found by reading; the test is copy_after_adoption.

--- a/bergamotswitch-core/src/target_list.rs
+++ b/bergamotswitch-core/src/target_list.rs
@@ -150,6 +150,9 @@
     removed: BTreeMap<TargetName, Moment>,
     /// The store's position up to which the entries are complete.
     as_of: StorePosition,
+    /// The era of the last snapshot that this host read itself. Lists of other hosts may be of
+    /// a later one.
+    read_era: u64,
     /// Whether expired entries were dropped at this revision.
     expired_dropped: bool,
     /// Whether the last call to the store failed.
@@ -167,6 +170,7 @@
         let kept: BTreeSet<&TargetName> = list.targets.iter().map(|entry| &entry.name).collect();
         let gone = self.entries.keys().filter(|name| !kept.contains(name));
         self.removed.extend(gone.map(|name| (name.clone(), now)));
+        self.removed.retain(|name, _| !kept.contains(name));
         self.as_of = as_of;
         self.expired_dropped = !revision.0.is_multiple_of(STEPS_PER_REVISION);
         self.expired.clear();
@@ -243,7 +247,8 @@
         }
         self.removed
             .retain(|_, at| now < at.plus(REMOVAL_RETENTION));
-        let is_copy = self.as_of.era() < as_of.era() && self.as_of != StorePosition::default();
+        let is_copy = self.read_era < as_of.era() && self.as_of != StorePosition::default();
+        self.read_era = as_of.era();
         let entries = match is_copy {
             true => {
                 self.keep_expired_until = now.plus(EXPIRY_GRACE);
@@ -296,10 +301,7 @@
                 continue;
             }
             match change {
-                TargetChange::Set(entry) => {
-                    self.removed.remove(&entry.name);
-                    self.set(entry);
-                }
+                TargetChange::Set(entry) => self.set(entry),
                 TargetChange::Removed(name) => self.expire(now, &name),
                 TargetChange::Unreadable(name) => self.set_unreadable(name),
             }
@@ -318,6 +320,7 @@
         }
         self.expired.remove(&entry.name);
         self.unreadable.remove(&entry.name);
+        self.removed.remove(&entry.name);
         self.entries.insert(entry.name.clone(), entry);
     }
 
--- a/bergamotswitch-core/tests/target_register.rs
+++ b/bergamotswitch-core/tests/target_register.rs
@@ -223,6 +223,29 @@
     assert!(!register.apply(at(30), removed("a", 102)));
 }
 
+/// Guards against a host that drops what a copy lacks, or takes what is outdated in it,
+/// because another host's list of the later era reached it first.
+#[test]
+fn copy_after_adoption() {
+    let leaving = TargetEntry {
+        standing: Standing::Leaving,
+        ..entry("b")
+    };
+    let mut reader = read_up_to(100, &["a", "b", "c"]);
+    reader.apply(at(1), set(leaving, position(101)));
+    let mut other = TargetRegister::default();
+    other.apply(at(2), snapshot(&["a", "b", "c"], 99));
+    other.adopt(at(2), reader.revision(), &reader.list());
+    reader.apply(at(10), copy(vec![entry("a"), entry("b")], 60));
+    other.adopt(at(11), reader.revision(), &reader.list());
+    other.apply(at(12), copy(vec![entry("a"), entry("b")], 60));
+    for register in [&reader, &other] {
+        assert_eq!(names(register), ["a", "b", "c"]);
+        let list = register.list().targets;
+        assert_eq!(list[1].standing, Standing::Leaving);
+    }
+}
+
 /// Guards against live targets that are dropped because a copy lacks them, and against
 /// targets that stay although they are not written again.
 #[test]
