--- a/bergamotswitch/examples/slopes/frames.rs
+++ b/bergamotswitch/examples/slopes/frames.rs
@@ -8,6 +8,8 @@
 use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::revision::{Revision, RevisionMark, RevisionMessage};
 use bergamotswitch_core::rules::Tier;
+use bergamotswitch_core::stream_table::{StreamEntry, StreamId, StreamOrigin, VersionStreams};
+use bergamotswitch_core::target::TargetVersion;
 use bergamotswitch_net::link::codec::encoded_len;
 
 use crate::fixtures::{ask, attempt, claim, incarnation_of, name, prefixes, shard};
@@ -45,6 +47,10 @@
     }
 }
 
+fn stream_id(number: u64) -> StreamId {
+    StreamId::new(&name("account-17"), &format!("{number:016x}"))
+}
+
 fn in_flight_work(sequence: u64) -> InFlightWork {
     let ask = ask(BASE_SEQUENCE + sequence, 17);
     InFlightWork {
@@ -80,6 +86,12 @@
         permit: permit(0),
     });
     report.figure("granted", granted);
+    let stream = to_owner_len(OwnerMessage::Stream {
+        shard: domain_shard(),
+        attempt: permit(0).attempt,
+        origin: StreamOrigin::Unbegun(stream_id(0)),
+    });
+    report.figure("stream of the next ask", stream);
     let usage = Usage {
         prefill: 1_000,
         cached: 500,
@@ -133,6 +145,23 @@
         })
     });
     report.slope("resync, by idempotency keys", &points);
+    let points = measure_at_sizes(&sizes, |count| {
+        let entry = |number| StreamEntry {
+            id: stream_id(number),
+            is_begun: false,
+            seconds_left: 75,
+        };
+        let streams = VersionStreams {
+            version: Some(TargetVersion::from("v1.2")),
+            seconds_left: 0,
+            streams: (0..count as u64).map(entry).collect(),
+        };
+        to_owner_len(OwnerMessage::StreamVersions {
+            shard: domain_shard(),
+            streams: vec![streams],
+        })
+    });
+    report.slope("copy of streams, by streams", &points);
     let points = measure_at_sizes(&[0, 1, 6], |count| {
         let mark = RevisionMark {
             name: name("accounts"),
--- a/bergamotswitch/tests/restored_store.rs
+++ b/bergamotswitch/tests/restored_store.rs
@@ -20,7 +20,7 @@
 const REWRITE: Duration = Duration::from_millis(1_500);
 
 /// The time after a return within which keys are confirmed again: the 2.2 s in which the
-/// store may lack a configuration that revoked a key, and a second to spread the word.
+/// store may lack a configuration that revoked a key, and a second until all hosts know.
 const CONFIRMED: Duration = Duration::from_millis(3_200);
 
 const OTHER_KEY: &str = "another-key-of-the-account";
