Let unknown_origin wait until the shard has its lasting owner

It failed in a run of the checks: a call that resumes an unknown stream had its answer after 1.32 s. The first candidate takes the shard back five seconds after its start, and a new owner holds such a call for up to 1.5 s while hosts report.

--- a/bergamotswitch/tests/stream_versions.rs
+++ b/bergamotswitch/tests/stream_versions.rs
@@ -22,6 +22,10 @@
 /// waits no longer for reports of the others.
 const SETTLED: Duration = Duration::from_secs(2);
 
+/// Until the first candidate has taken the shard back from the host that started first, which
+/// it does after five seconds, and waits no longer for reports.
+const OWNER_SETTLED: Duration = Duration::from_secs(7);
+
 async fn mixed_site(hosts: usize) -> Site {
     let site = Site::start_with(SiteOptions {
         hosts,
@@ -197,6 +201,7 @@
 #[tokio::test]
 async fn unknown_origin() {
     let site = mixed_site(2).await;
+    tokio::time::sleep(OWNER_SETTLED).await;
     begin_and_leave(site.hosts[0].callers, "known").await;
     let none = resumption("none", "x").without("resumes");
     let calls = [
