--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -29,7 +29,7 @@
 use crate::pool_owner::QuotaRate;
 use crate::quarantine::CrashReport;
 use crate::refusal::{Refusal, RefusalReason, RetryReason, WasteCause};
-use crate::request::{AttemptId, CallerKey, PrefixHash, RequestId, TokenCost};
+use crate::request::{AttemptId, CallerKey, PartId, PrefixHash, RequestId, TokenCost};
 use crate::rules::{Tier, Verdict};
 use crate::stream_table::VersionStreams;
 use crate::target::{NamedLimit, TargetName, TargetVersion};
@@ -67,6 +67,8 @@
     pub cost: TokenCost,
     /// The hashes of the prompt's prefixes.
     pub prefixes: Vec<PrefixHash>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub parts: Vec<PartId>,
     /// The time left until the deadline.
     pub deadline_in: Duration,
     /// Whether output is passed on as it arrives. Output of another run must
--- a/bergamotswitch-core/src/request.rs
+++ b/bergamotswitch-core/src/request.rs
@@ -106,6 +106,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PrefixHash(pub u64);
 
+/// A `PartId` is the id of a part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartId(pub u128);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// The size of a prefix block in bytes of prompt text.
 pub const PREFIX_BLOCK_BYTES: usize = 1024;
 
--- a/bergamotswitch-core/tests/entry_support/mod.rs
+++ b/bergamotswitch-core/tests/entry_support/mod.rs
@@ -105,6 +105,7 @@
             decode: 10,
         },
         prefixes: Vec::new(),
+        parts: Vec::new(),
         deadline_in: DEADLINE,
         streaming: false,
     }
--- a/bergamotswitch-core/tests/quota_fleet/values.rs
+++ b/bergamotswitch-core/tests/quota_fleet/values.rs
@@ -115,6 +115,7 @@
             decode: 1,
         },
         prefixes: Vec::new(),
+        parts: Vec::new(),
         deadline_in: Duration::from_secs(10),
         streaming: false,
         options: CallOptions {
--- a/bergamotswitch-core/tests/stop_returns.rs
+++ b/bergamotswitch-core/tests/stop_returns.rs
@@ -136,6 +136,7 @@
         fingerprint: 0,
         cost: TokenCost::default(),
         prefixes: Vec::new(),
+        parts: Vec::new(),
         deadline_in: Duration::from_secs(60),
         streaming: true,
         options: CallOptions::default(),
--- a/bergamotswitch-net/src/caller/engine_check.rs
+++ b/bergamotswitch-net/src/caller/engine_check.rs
@@ -70,6 +70,7 @@
         fingerprint: fingerprint(req.method(), form.path(), &text),
         cost: body.cost,
         prefixes: body.prefixes,
+        parts: Vec::new(),
         streaming: body.stream,
         options: CallOptions::default(),
     };
--- a/bergamotswitch-net/src/caller/service_handler.rs
+++ b/bergamotswitch-net/src/caller/service_handler.rs
@@ -125,6 +125,7 @@
             fingerprint: fingerprint(req.method(), path_and_query, &original.body),
             cost: CALL_COST,
             prefixes: Vec::new(),
+            parts: Vec::new(),
             streaming: false,
             options: CallOptions::default(),
         };
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -223,6 +223,7 @@
             fingerprint,
             cost: cost(call.tokens),
             prefixes: Vec::new(),
+            parts: call.parts.clone(),
             deadline_in: self.time_left,
             streaming: semantics.is_stream(),
             options: CallOptions {
--- a/bergamotswitch-net/src/node/request_log.rs
+++ b/bergamotswitch-net/src/node/request_log.rs
@@ -8,7 +8,7 @@
 use bergamotswitch_core::entry::{Conclusion, Submission};
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::name::AccountName;
-use bergamotswitch_core::request::RequestId;
+use bergamotswitch_core::request::{PartId, RequestId};
 use bergamotswitch_core::rules::{RuleName, Tier};
 use bergamotswitch_core::target::TargetName;
 
@@ -23,6 +23,7 @@
     /// callers receive the internal id.
     caller_id: Option<String>,
     signature: CallSignature,
+    parts: Vec<PartId>,
     rule: RuleName,
     account: AccountName,
     /// The time within which the answer should begin, if the route sets one.
@@ -47,6 +48,7 @@
         RequestLog {
             caller_id: routed.map(|routed| routed.request_id.clone()),
             signature: CallSignature::of(submission),
+            parts: submission.parts.clone(),
             rule: submission.verdict.rule.clone(),
             account: submission.account.clone(),
             first_answer_goal: submission.options.first_token_limit,
@@ -118,7 +120,8 @@
             .map(|at| self.received_at.since(at).as_millis());
         let stopping = stopping.map_or(String::new(), |millis| millis.to_string());
         let max_output = self.max_output_text();
-        let pairs: [(&str, &dyn Display); 19] = [
+        let parts = self.part_ids();
+        let pairs: [(&str, &dyn Display); 20] = [
             ("request", caller_id),
             ("number", &id),
             ("route", &self.rule),
@@ -126,6 +129,7 @@
             ("tier", &self.tier.0),
             ("aim_ms", &goal),
             ("signature", &self.signature),
+            ("parts", &parts),
             ("outcome", &outcome),
             ("reason", &reason),
             ("ran", &ran),
@@ -199,4 +203,9 @@
         let names: Vec<&str> = self.targets.iter().map(TargetName::as_str).collect();
         names.join(",")
     }
+
+    fn part_ids(&self) -> String {
+        let ids: Vec<String> = self.parts.iter().map(PartId::to_string).collect();
+        ids.join(",")
+    }
 }
--- a/bergamotswitch/examples/policies/traffic.rs
+++ b/bergamotswitch/examples/policies/traffic.rs
@@ -473,6 +473,7 @@
             decode: 1,
         },
         prefixes: Vec::new(),
+        parts: Vec::new(),
         deadline_in: Duration::ZERO,
         streaming,
     };
--- a/bergamotswitch/examples/slopes/fixtures.rs
+++ b/bergamotswitch/examples/slopes/fixtures.rs
@@ -285,6 +285,7 @@
             decode: 424,
         },
         prefixes: prefixes(sequence, 4),
+        parts: Vec::new(),
         deadline_in: Duration::from_secs(300),
         streaming: true,
     }
