--- a/bergamotswitch-core/tests/quota_fleet/crashes.rs
+++ b/bergamotswitch-core/tests/quota_fleet/crashes.rs
@@ -83,6 +83,51 @@
             .count()
     }
 
+    /// Get the parts of a work's prompt that other works share.
+    pub fn parts_of(&self, work: u128) -> &[u128] {
+        self.parts.get(&work).map_or(&[], Vec::as_slice)
+    }
+
+    /// Get whether a work crashes the targets that run it.
+    pub fn is_crashing(&self, work: u128) -> bool {
+        let parts = self.parts_of(work);
+        self.crashing.contains(&work) || parts.iter().any(|part| self.crashing_parts.contains(part))
+    }
+
+    /// Get the times of the crashes under works with this part.
+    pub fn part_crashes(&self, part: u128) -> Vec<Moment> {
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| self.parts_of(crash.work).contains(&part));
+        crashes.map(|crash| crash.at).collect()
+    }
+
+    /// Get how often works with this part reached a target later than the contact time
+    /// after the fifth crash under it.
+    pub fn late_part_arrivals(&self, part: u128) -> usize {
+        let Some(fifth) = self.part_crashes(part).get(4).copied() else {
+            return 0;
+        };
+        let bound = fifth.plus(CONTACT);
+        let late = self.arrivals.iter().filter(|(at, _)| *at > bound);
+        late.filter(|(_, work)| self.parts_of(*work).contains(&part))
+            .count()
+    }
+
+    /// Get the share of an account's calls that were answered among those that were sent
+    /// between two moments and crash nothing, and the number of the latter.
+    pub fn answered_share(&self, account: &str, from: Moment, to: Moment) -> (f64, usize) {
+        let calls = self.calls.values();
+        let calls = calls.filter(|call| call.account == account && !self.is_crashing(call.work));
+        let calls = calls.filter(|call| (from..to).contains(&call.sent_at));
+        let sent: Vec<bool> = calls.map(|call| call.answered).collect();
+        let refused = self.early_refusals.iter();
+        let refused =
+            refused.filter(|(at, work, _)| (from..to).contains(at) && !self.is_crashing(*work));
+        let count = sent.len() + refused.count();
+        let answered = sent.iter().filter(|answered| **answered).count();
+        (answered as f64 / count.max(1) as f64, count)
+    }
+
     pub(super) fn is_unreachable(&self, target: &str) -> bool {
         let down_until = self.down_until.get(target);
         self.unreachable.contains(target) || down_until.is_some_and(|until| self.now < *until)
@@ -92,7 +137,7 @@
         let work = self.calls.get(&attempt.request).map_or(0, |call| call.work);
         let in_flight = self.in_flight.entry(target.to_owned()).or_default();
         in_flight.insert((index, attempt));
-        if self.crashing.contains(&work) {
+        if self.is_crashing(work) {
             self.arrivals.push((self.now, work));
             self.count += 1;
             let due = (self.now.plus(CRASH_DELAY), self.count);
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -133,6 +133,10 @@
     pub connect_failures: Vec<Moment>,
     /// The work that crashes each target that runs it.
     pub crashing: BTreeSet<u128>,
+    /// The parts of prompts that crash each target that runs them.
+    pub crashing_parts: BTreeSet<u128>,
+    /// The shared parts of the prompts of works.
+    pub parts: BTreeMap<u128, Vec<u128>>,
     pub crashes: Vec<CrashRecord>,
     /// Whether crashed targets fall silent and leave their connections open.
     pub silent_crashes: bool,
@@ -208,6 +212,8 @@
             unreachable: BTreeSet::new(),
             connect_failures: Vec::new(),
             crashing: BTreeSet::new(),
+            crashing_parts: BTreeSet::new(),
+            parts: BTreeMap::new(),
             crashes: Vec::new(),
             silent_crashes: false,
             lost_runs: BTreeSet::new(),
@@ -394,7 +400,8 @@
         let Some(core) = core.filter(|core| core.is_ready(local_now)) else {
             return false;
         };
-        let (outcome, actions) = core.submit(local_now, submission(account, work));
+        let parts = self.parts.get(&work).map_or(&[][..], Vec::as_slice);
+        let (outcome, actions) = core.submit(local_now, submission(account, work, parts));
         let id = match outcome {
             SubmitOutcome::Accepted(id) => id,
             SubmitOutcome::Refused(refusal) if work > 0 => {
--- a/bergamotswitch-core/tests/quota_fleet/values.rs
+++ b/bergamotswitch-core/tests/quota_fleet/values.rs
@@ -5,7 +5,7 @@
 use bergamotswitch_core::entry::{CallOptions, Submission};
 use bergamotswitch_core::host::Standing;
 use bergamotswitch_core::pool::PoolKind;
-use bergamotswitch_core::request::TokenCost;
+use bergamotswitch_core::request::{PartId, TokenCost};
 use bergamotswitch_core::revision::{PublishedValue, ROUTES_VALUE, Revision, ValueName};
 use bergamotswitch_core::route::{
     AccountQuota, CallSemantics, CallerLimits, EngineSpec, KeyedAccount, PoolSpec, PoolSplit,
@@ -91,7 +91,7 @@
     }
 }
 
-pub(super) fn submission(account: &str, work: u128) -> Submission {
+pub(super) fn submission(account: &str, work: u128, parts: &[u128]) -> Submission {
     Submission {
         account: name(account),
         pool: name("llm"),
@@ -115,7 +115,7 @@
             decode: 1,
         },
         prefixes: Vec::new(),
-        parts: Vec::new(),
+        parts: parts.iter().copied().map(PartId).collect(),
         deadline_in: Duration::from_secs(10),
         streaming: false,
         options: CallOptions {
