Quarantine requests by the parts of their prompts

Cause: the quarantine knew a call by account, method, path and body as one. Requests that share nothing but a part were strangers, and each cost crashes of its own. Change: the record is kept by suspect: the call as a whole, each part of the prompt but the last in its pool, and the same for the account alone. A suspect is to blame for crashes that no other one with as many crashes took part in; those with the same crashes are to blame together, so only requests that have them all are refused. A suspect that had runs which went well is blamed only for crashes apart in time; an answer that has been written for a second, or is complete, clears the crashes before it began. Ruled out: retries within a request and the loss of what an owner knew (the test needs neither).

--- a/bergamotswitch-core/src/call_signature.rs
+++ b/bergamotswitch-core/src/call_signature.rs
@@ -29,8 +29,8 @@
         CallSignature(hash.digest128())
     }
 
-    pub(crate) fn low_bits(self) -> u64 {
-        self.0 as u64
+    pub(crate) fn bits(self) -> u128 {
+        self.0
     }
 }
 
--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -12,6 +12,9 @@
 use crate::target::TargetVersion;
 use crate::target_path::TargetPath;
 
+/// The time after which a target that writes an answer has not crashed under it.
+const LONG_WRITE: Duration = Duration::from_secs(1);
+
 /// A `WaitingState` is the state of a request that waits for a permit.
 #[derive(Debug)]
 pub(super) enum WaitingState {
@@ -111,9 +114,17 @@
     pub(super) brittle_named: bool,
     /// Whether the target asked for rest.
     pub(super) rest_asked: bool,
+    /// Whether the answer was recorded as one that has been written for a while.
+    pub(super) is_recorded_sound: bool,
 }
 
 impl RunningAttempt {
+    /// Get whether the target has been writing the answer for a while.
+    pub(super) fn writes_long(&self, now: Moment) -> bool {
+        let writes_since = self.first_token_at;
+        writes_since.is_some_and(|at| now.since(at) >= LONG_WRITE)
+    }
+
     /// Get the host whose tunnel the attempt uses.
     pub(super) fn tunnel_host(&self) -> Option<&HostName> {
         self.paths.last().and_then(TargetPath::tunnel_host)
--- a/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
@@ -212,7 +212,7 @@
         if now >= record.deadline {
             return Err(RefusalReason::DeadlinePassed);
         }
-        if self.crashes.is_quarantined(record.signature) {
+        if self.crashes.is_quarantined(&record.suspects) {
             return Err(RefusalReason::Quarantined);
         }
         let attempts = record.dispatches - record.reconnects;
@@ -239,7 +239,7 @@
         now: Moment,
         record: &mut RequestRecord,
     ) -> Result<(), RefusalReason> {
-        if self.crashes.is_quarantined(record.signature) {
+        if self.crashes.is_quarantined(&record.suspects) {
             return Err(RefusalReason::Quarantined);
         }
         let in_time = now < record.deadline;
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -84,6 +84,7 @@
             }
             AttemptEvent::Progress(tokens) => {
                 running.decoded = running.decoded.max(tokens);
+                self.record_progress(now, &record, &mut running);
                 self.put_back(record, running);
             }
             AttemptEvent::Resumed => {
@@ -131,7 +132,7 @@
             ReleaseOutcome::Finished(usage),
             actions,
         );
-        self.crashes.record_answer(now, record.signature);
+        self.record_answer(now, &record, &running);
         self.review_limit(&running, actions);
         self.review_brittle(&record, &running, actions);
         self.earn_reconnect(now, &record, &running);
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -182,6 +182,7 @@
             limit_named: false,
             brittle_named: false,
             rest_asked: false,
+            is_recorded_sound: false,
         };
         actions.push(self.start_action(&running));
         self.put_back(record, running);
--- a/bergamotswitch-core/src/entry/dispatcher/retries.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/retries.rs
@@ -146,7 +146,7 @@
         let refusal = match reason {
             RefusalReason::Quarantined => state
                 .refuse(reason)
-                .with_retry_after(self.crashes.retry_after(now, record.signature)),
+                .with_retry_after(self.crashes.retry_after(now, &record.suspects)),
             RefusalReason::RetriesExhausted => state
                 .refuse(reason)
                 .with_retry_after(self.options.retry_after),
--- a/bergamotswitch-core/src/entry/dispatcher/submission.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/submission.rs
@@ -2,7 +2,6 @@
 //! requests that another host incarnation holds.
 
 use super::EntryDispatcher;
-use crate::call_signature::CallSignature;
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::entry::attempt::WaitingState;
@@ -14,6 +13,7 @@
 use crate::entry::{EntryAction, Submission, SubmitOutcome};
 use crate::host::HostIncarnation;
 use crate::incident::Incident;
+use crate::quarantine::RequestSuspects;
 use crate::refusal::{Refusal, RefusalReason};
 use crate::request::{CallerKey, RequestId};
 
@@ -139,8 +139,8 @@
         let Some(shard) = self.pools.shard_for(&query) else {
             return refused(submission.refuse(RefusalReason::NoTarget));
         };
-        let signature = CallSignature::of(&submission);
-        if let Err(retry_after) = self.admit_call(now, signature, &shard, actions) {
+        let suspects = RequestSuspects::of(&submission);
+        if let Err(retry_after) = self.admit_request(now, &suspects, &shard, actions) {
             let refusal = submission.refuse(RefusalReason::Quarantined);
             return refused(refusal.with_retry_after(retry_after));
         }
@@ -176,7 +176,7 @@
                 .stream
                 .map(|start| self.stream_origin(&submission.pool, start)),
             followed: true,
-            signature,
+            suspects,
             submission,
         };
         let state = WaitingState::Fresh(LiveRequest::accept(id));
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -19,7 +19,6 @@
 
 use std::time::Duration;
 
-use crate::call_signature::CallSignature;
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{EntryHost, HostIncarnation, HostName};
@@ -27,7 +26,7 @@
 use crate::permit::{OwnerMessage, OwnerReply, Permit, Usage};
 use crate::pool::{PoolKind, PoolName, PoolShard, TargetPool};
 use crate::pool_owner::QuotaRate;
-use crate::quarantine::CrashReport;
+use crate::quarantine::{CrashReport, QuarantineChange};
 use crate::refusal::{Refusal, RefusalReason, RetryReason, WasteCause};
 use crate::request::{AttemptId, CallerKey, PartId, PrefixHash, RequestId, TokenCost};
 use crate::rules::{Tier, Verdict};
@@ -210,7 +209,7 @@
     Hosts(usize),
     /// The hosts whose tunnels may be used changed.
     TunnelHosts(Vec<EntryHost>),
-    /// Another host reported calls whose runs crashed their targets.
+    /// Another host reported suspects whose runs crashed their targets.
     Crashes(Vec<CrashReport>),
     /// The quotas of client accounts changed.
     Quotas(Vec<(AccountName, QuotaRate)>),
@@ -266,8 +265,8 @@
     LogIncident(Incident, RequestId),
     /// Log an incident of a resumable stream, with its version if it is known.
     LogStream(Incident, RequestId, Option<TargetVersion>),
-    /// Log an incident of a call, with the targets that crashed under it.
-    LogCrashes(Incident, CallSignature, Vec<TargetName>),
+    /// Log an incident of requests under which targets crashed.
+    LogCrashes(Incident, QuarantineChange),
     /// Log the rate limit that a target has named, or that it names none any more.
     LogTargetLimit(TargetName, Option<NamedLimit>),
     /// Log what a target has said of itself for the first time.
--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -7,9 +7,9 @@
 use super::attempt::AttemptStage;
 use super::key_store::KeyId;
 use super::placement::ShardQuery;
-use crate::call_signature::CallSignature;
 use crate::clock::Moment;
 use crate::pool::PoolShard;
+use crate::quarantine::RequestSuspects;
 use crate::request::{AttemptId, RequestId};
 use crate::stream_table::StreamOrigin;
 use crate::target::TargetName;
@@ -25,7 +25,7 @@
 pub(super) struct RequestRecord {
     pub(super) id: RequestId,
     pub(super) submission: Submission,
-    pub(super) signature: CallSignature,
+    pub(super) suspects: RequestSuspects,
     pub(super) key: Option<KeyId>,
     pub(super) shard: PoolShard,
     pub(super) accepted_at: Moment,
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -88,12 +88,12 @@
     RequestEnded = 206, Info, "request ended";
     /// A request is still open although the grace period is nearly over.
     RequestOpen = 207, Warn, "request still open, grace period nearly over";
-    /// A call is refused from now on because its runs crash their targets.
-    CallQuarantined = 208, Warn, "call quarantined, its runs crash targets";
-    /// A call that was quarantined has been answered.
-    CallReleased = 209, Info, "call released from quarantine";
-    /// A quarantined call is admitted once to see whether it still crashes targets.
-    CallTried = 210, Info, "trial of a quarantined call";
+    /// Requests are refused from now on because their runs crash their targets.
+    RequestsQuarantined = 208, Warn, "requests quarantined, their runs crash targets";
+    /// Requests that were quarantined are so no longer.
+    RequestsReleased = 209, Info, "requests released from quarantine";
+    /// A quarantined request is admitted once to see whether it still crashes targets.
+    RequestTried = 210, Info, "trial of a quarantined request";
     /// A stream that its caller resumed has continued.
     StreamTakenUp = 211, Info, "stream taken up at its version";
     /// A stream was refused for want of the version that began it.
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -49,9 +49,13 @@
                 let text = format!("request={id} version={version}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
-            EntryAction::LogCrashes(incident, signature, targets) => {
-                let names: Vec<&str> = targets.iter().map(|target| target.as_str()).collect();
-                let text = format!("signature={signature} targets={}", names.join(","));
+            EntryAction::LogCrashes(incident, change) => {
+                let text = format!(
+                    "signature={} parts={} targets={}",
+                    joined(&change.suspects),
+                    joined(&change.parts),
+                    joined(&change.targets),
+                );
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
             EntryAction::LogTargetLimit(target, limit) => self.log_limit(&target, limit),
@@ -306,3 +310,8 @@
         }
     }
 }
+
+fn joined<T: ToString>(items: &[T]) -> String {
+    let texts: Vec<String> = items.iter().map(T::to_string).collect();
+    texts.join(",")
+}
--- a/bergamotswitch-core/src/quarantine/mod.rs
+++ b/bergamotswitch-core/src/quarantine/mod.rs
@@ -1,16 +1,22 @@
-//! Provides the quarantine of calls whose runs end with the crash of their target.
+//! Provides the quarantine of requests whose runs end with the crash of their target.
 //!
-//! A run that breaks counts as a crash of its target. One crash proves nothing about
-//! the other calls that ran there; a call whose runs keep breaking on different
-//! targets, and that has had no answer in between, is refused for a while and then
-//! admitted again as a single trial.
+//! A run that breaks counts as a crash of its target under all that the request has in
+//! common with others: the call as a whole and the parts of its prompt. One crash proves
+//! nothing, as a target takes all its runs with it. A suspect whose runs keep breaking,
+//! without one that went well, and whose crashes no likelier suspect explains, is
+//! quarantined: requests that have it are refused for a while, and then one is admitted as
+//! a trial.
 
-mod call_record;
-mod proven_calls;
+mod blame;
 mod report;
+mod sound_runs;
+mod suspect;
+mod suspect_record;
 mod table;
 mod trial;
 
+pub use blame::CulpritGroup;
 pub use report::{BrokenRun, CrashReport};
-pub use table::{CrashTable, PendingReport};
+pub use suspect::{CrashSuspect, RequestSuspects};
+pub use table::{CrashTable, PendingReport, QuarantineChange};
 pub use trial::{Admission, TrialPrecedence};
--- a/bergamotswitch-core/src/quarantine/table.rs
+++ b/bergamotswitch-core/src/quarantine/table.rs
@@ -1,4 +1,4 @@
-//! Provides the table of calls whose runs broke.
+//! Provides the table of suspects whose runs broke.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -6,36 +6,36 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::call_record::{CallRecord, Crash};
-use super::proven_calls::ProvenCalls;
+use super::blame::{self, CulpritGroup};
+use super::sound_runs::SoundRuns;
+use super::suspect_record::{Crash, SuspectRecord};
 use super::trial::TRIAL_RETRY;
-use super::{Admission, CrashReport, TrialPrecedence};
-use crate::call_signature::CallSignature;
+use super::{Admission, CrashReport, CrashSuspect, RequestSuspects, TrialPrecedence};
 use crate::clock::Moment;
-use crate::request::AttemptId;
+use crate::request::{AttemptId, PartId};
 use crate::target::TargetName;
 
-/// The time after the last change at which a call is forgotten.
+/// The time after the last change at which a suspect is forgotten.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// The interval at which the table is checked for calls to forget.
+/// The interval at which the table is checked for suspects to forget.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The maximum number of calls in the table.
-const MAX_CALLS: usize = 1_024;
+/// The maximum number of suspects in the table.
+const MAX_SUSPECTS: usize = 1_024;
 
-/// The maximum number of calls in one message.
+/// The maximum number of suspects in one message.
 const MAX_REPORTS: usize = 64;
 
-/// A `CrashTable` is a host's record of the calls whose runs broke, at this host and,
+/// A `CrashTable` is a host's record of the suspects whose runs broke, at this host and,
 /// by their reports, at others.
 #[derive(Debug, Default)]
 pub struct CrashTable {
-    calls: BTreeMap<CallSignature, CallRecord>,
-    proven: ProvenCalls,
-    unsent: BTreeSet<CallSignature>,
-    started: Vec<CallSignature>,
-    ended: Vec<CallSignature>,
+    records: BTreeMap<CrashSuspect, SuspectRecord>,
+    sound: SoundRuns,
+    groups: Vec<CulpritGroup>,
+    unsent: BTreeSet<CrashSuspect>,
+    changes: Vec<QuarantineChange>,
     expire_at: Moment,
 }
 
@@ -48,47 +48,67 @@
     pub is_for_all: bool,
 }
 
+/// A `QuarantineChange` is the start or end of the quarantine of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineChange {
+    /// The suspects of the group.
+    pub suspects: Vec<CrashSuspect>,
+    /// The parts of prompts that they stand for, as far as this host knows them.
+    pub parts: Vec<PartId>,
+    /// The targets that crashed.
+    pub targets: Vec<TargetName>,
+    /// Whether the quarantine has begun.
+    pub has_begun: bool,
+}
+
 impl CrashTable {
     /// Record a run that broke.
-    ///
-    /// A call that was answered here before is spared once: common calls are in
-    /// flight at every target that crashes.
     pub fn record_crash(
         &mut self,
         now: Moment,
-        signature: CallSignature,
+        suspects: &RequestSuspects,
         attempt: AttemptId,
         target: &TargetName,
     ) {
-        if self.proven.remove(signature) {
-            return;
+        for (suspect, part) in suspects.iter() {
+            let crash = Crash {
+                run: xxh3_64(attempt.to_string().as_bytes()),
+                target: target.clone(),
+                at_ms: to_ms(now),
+            };
+            self.change(now, suspect, |record| {
+                record.part = part;
+                record.add(crash)
+            });
         }
-        let crash = Crash {
-            run: xxh3_64(attempt.to_string().as_bytes()),
-            target: target.clone(),
-            at_ms: to_ms(now),
-        };
-        self.change(now, signature, |record| record.add(crash));
     }
 
-    /// Record an answer. The call has not caused the crashes before it.
-    pub fn record_answer(&mut self, now: Moment, signature: CallSignature) {
-        self.proven.insert(signature);
-        let record = self.calls.get(&signature);
-        if record.is_some_and(CallRecord::has_crashed) {
-            self.change(now, signature, |record| record.answer(to_ms(now)));
+    /// Record that a run which began to write at `began` went well under these suspects.
+    /// They have not caused the crashes before it.
+    pub fn record_sound(
+        &mut self,
+        now: Moment,
+        began: Moment,
+        suspects: impl Iterator<Item = (CrashSuspect, Option<PartId>)>,
+    ) {
+        for (suspect, _) in suspects {
+            self.sound.insert(suspect, to_ms(began));
+            let record = self.records.get(&suspect);
+            if record.is_some_and(SuspectRecord::has_crashed) {
+                self.change(now, suspect, |_| false);
+            }
         }
     }
 
     /// Apply the report of another host.
     pub fn merge(&mut self, now: Moment, report: &CrashReport) {
-        self.change(now, report.signature, |record| {
+        self.change(now, report.suspect, |record| {
             record.merge(to_ms(now), report)
         });
     }
 
-    /// Check whether a call may run. Once its quarantine is over, one call is admitted
-    /// as a trial, after a delay that `precedence` determines for this host.
+    /// Check whether a request may run. Once its quarantine is over, one request is
+    /// admitted as a trial, after a delay that `precedence` determines for this host.
     ///
     /// # Errors
     ///
@@ -96,150 +116,197 @@
     pub fn admit(
         &mut self,
         now: Moment,
-        signature: CallSignature,
+        suspects: &RequestSuspects,
         precedence: TrialPrecedence,
     ) -> Result<Admission, Duration> {
-        if !self.is_quarantined(signature) {
+        let groups = self.groups.iter().filter(|group| group.covers(suspects));
+        let members: Vec<CrashSuspect> = groups.flat_map(CulpritGroup::members).collect();
+        if members.is_empty() {
             return Ok(Admission::Regular);
         }
-        let Some(record) = self.calls.get_mut(&signature) else {
-            return Ok(Admission::Regular);
-        };
-        record.try_call(to_ms(now), signature, precedence)?;
-        self.unsent.insert(signature);
+        for (suspect, part) in suspects.iter() {
+            if let Some(record) = self.records.get_mut(&suspect) {
+                record.part = part;
+                record.changed_at = now;
+            }
+        }
+        for member in &members {
+            if let Some(record) = self.records.get(member) {
+                record.check_trial(to_ms(now), *member, precedence)?;
+            }
+        }
+        for member in members {
+            if let Some(record) = self.records.get_mut(&member) {
+                record.begin_trial(to_ms(now));
+                self.unsent.insert(member);
+            }
+        }
         Ok(Admission::Trial)
     }
 
-    /// Get whether a call is quarantined.
-    pub fn is_quarantined(&self, signature: CallSignature) -> bool {
-        let record = self.calls.get(&signature);
-        record.is_some_and(|record| record.is_quarantined(self.calls.values()))
-    }
-
-    /// Get the time after which the caller of a quarantined call should retry.
-    pub fn retry_after(&self, now: Moment, signature: CallSignature) -> Duration {
-        let record = self.calls.get(&signature);
-        record.map_or(TRIAL_RETRY, |record| record.retry_after(to_ms(now)))
+    /// Get whether a request is quarantined.
+    pub fn is_quarantined(&self, suspects: &RequestSuspects) -> bool {
+        self.groups.iter().any(|group| group.covers(suspects))
     }
 
-    /// Get the targets that crashed under a call.
-    pub fn crashed_targets(&self, signature: CallSignature) -> Vec<&TargetName> {
-        let record = self.calls.get(&signature);
-        record
-            .into_iter()
-            .flat_map(CallRecord::crashed_targets)
-            .collect()
+    /// Get the time after which the caller of a quarantined request should retry.
+    pub fn retry_after(&self, now: Moment, suspects: &RequestSuspects) -> Duration {
+        let groups = self.groups.iter().filter(|group| group.covers(suspects));
+        let members = groups.flat_map(CulpritGroup::members);
+        let records = members.filter_map(|member| self.records.get(&member));
+        let waits = records.map(|record| record.retry_after(to_ms(now)));
+        waits.max().unwrap_or(TRIAL_RETRY)
     }
 
-    /// Take the calls whose quarantine has begun since the last time.
-    pub fn take_started(&mut self) -> Vec<CallSignature> {
-        std::mem::take(&mut self.started)
+    /// Get the quarantine of a request that is about to be tried, for the log.
+    pub fn quarantine_of(&self, suspects: &RequestSuspects) -> Option<QuarantineChange> {
+        let group = self.groups.iter().find(|group| group.covers(suspects))?;
+        Some(self.describe(group, true))
     }
 
-    /// Take the calls whose quarantine was ended by an answer since the last time.
-    pub fn take_ended(&mut self) -> Vec<CallSignature> {
-        std::mem::take(&mut self.ended)
+    /// Take the quarantines that have begun or ended since the last time.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
     }
 
-    /// Take the reports of calls that changed, as many as fit into a message, those
+    /// Take the reports of suspects that changed, as many as fit into a message, those
     /// with the most crashes first. The others stay for the next time.
     pub fn take_unsent(&mut self, now: Moment) -> Vec<PendingReport> {
         let changed = self.unsent.iter();
-        let changed = changed.filter_map(|call| Some((*call, self.calls.get(call)?)));
+        let changed = changed.filter_map(|suspect| Some((*suspect, self.records.get(suspect)?)));
         let pending = first_reports(changed.collect());
-        let pending = pending.map(|(call, record)| PendingReport {
-            report: record.report(to_ms(now), call),
-            is_for_all: record.is_suspect,
+        let pending = pending.map(|(suspect, record)| PendingReport {
+            report: record.report(to_ms(now), suspect),
+            is_for_all: record.is_shared,
         });
         let pending: Vec<PendingReport> = pending.collect();
         for sent in &pending {
-            self.unsent.remove(&sent.report.signature);
+            self.unsent.remove(&sent.report.suspect);
         }
         pending
     }
 
-    /// Get the reports of all calls, as many as fit into a message, those with the
+    /// Get the reports of all suspects, as many as fit into a message, those with the
     /// most crashes first.
     pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
-        let known = self.calls.iter().map(|(call, record)| (*call, record));
+        let known = self.records.iter();
+        let known = known.map(|(suspect, record)| (*suspect, record));
         let first = first_reports(known.collect());
         first
-            .map(|(call, record)| record.report(to_ms(now), call))
+            .map(|(suspect, record)| record.report(to_ms(now), suspect))
             .collect()
     }
 
-    /// Forget the calls that have not changed for the retention time.
+    /// Forget the suspects that have not changed for the retention time.
     pub fn expire(&mut self, now: Moment) {
         if now < self.expire_at {
             return;
         }
         self.expire_at = now.plus(EXPIRY_INTERVAL);
-        let is_recent = |record: &CallRecord| now.since(record.changed_at) < RETENTION;
-        self.calls.retain(|_, record| is_recent(record));
-        let calls = &self.calls;
-        self.unsent.retain(|call| calls.contains_key(call));
+        let count = self.records.len();
+        let is_recent = |record: &SuspectRecord| now.since(record.changed_at) < RETENTION;
+        self.records.retain(|_, record| is_recent(record));
+        if self.records.len() < count {
+            let records = &self.records;
+            self.unsent.retain(|suspect| records.contains_key(suspect));
+            self.review();
+        }
     }
 
-    /// Get the number of calls in quarantine.
+    /// Get the number of groups of suspects in quarantine.
     pub fn quarantined(&self) -> usize {
-        let records = self.calls.values();
-        records
-            .filter(|record| record.is_quarantined(self.calls.values()))
-            .count()
+        self.groups.len()
     }
 
-    /// Get the number of calls in the table.
+    /// Get the number of suspects in the table.
     pub fn len(&self) -> usize {
-        self.calls.len()
+        self.records.len()
     }
 
     /// Get whether the table is empty.
     pub fn is_empty(&self) -> bool {
-        self.calls.is_empty()
+        self.records.is_empty()
     }
 
+    /// Change a record, and apply what this host knows of sound runs. A suspect of which
+    /// another host reports crashes may have had some here.
     fn change(
         &mut self,
         now: Moment,
-        signature: CallSignature,
-        change: impl FnOnce(&mut CallRecord) -> bool,
+        suspect: CrashSuspect,
+        change: impl FnOnce(&mut SuspectRecord) -> bool,
     ) {
-        if !self.calls.contains_key(&signature) && self.calls.len() >= MAX_CALLS {
+        if !self.records.contains_key(&suspect) && self.records.len() >= MAX_SUSPECTS {
             self.evict();
         }
-        let was_quarantined = self.is_quarantined(signature);
-        let record = self.calls.entry(signature).or_default();
-        if !change(record) {
+        let sound_at_ms = self.sound.get(suspect);
+        let record = self.records.entry(suspect).or_default();
+        let was_open = record.may_be_quarantined();
+        let is_cleared = sound_at_ms.is_some_and(|at_ms| record.clear(at_ms));
+        let is_changed = change(record) || is_cleared;
+        if !is_changed {
             if record.is_empty() {
-                self.calls.remove(&signature);
+                self.records.remove(&suspect);
             }
             return;
         }
         record.changed_at = now;
-        match (was_quarantined, self.is_quarantined(signature)) {
-            (false, true) => self.started.push(signature),
-            (true, false) => self.ended.push(signature),
-            _ => {}
+        let is_open = record.may_be_quarantined();
+        self.unsent.insert(suspect);
+        if was_open || is_open {
+            self.review();
+        }
+    }
+
+    /// Find out who is to blame, and note which quarantines begin or end.
+    fn review(&mut self) {
+        let groups = blame::review(&self.records, &self.groups);
+        let before = std::mem::replace(&mut self.groups, groups);
+        for group in &before {
+            let goes_on =
+                |known: &CulpritGroup| group.members().any(|member| known.contains(member));
+            if !self.groups.iter().any(goes_on) {
+                self.changes.push(self.describe(group, false));
+            }
+        }
+        for group in self.groups.iter().filter(|group| !before.contains(group)) {
+            self.changes.push(self.describe(group, true));
+        }
+    }
+
+    fn describe(&self, group: &CulpritGroup, has_begun: bool) -> QuarantineChange {
+        let records = || {
+            group
+                .members()
+                .filter_map(|member| self.records.get(&member))
+        };
+        let parts: BTreeSet<PartId> = records().filter_map(|record| record.part).collect();
+        let targets = records().next().into_iter();
+        let targets = targets.flat_map(SuspectRecord::crashed_targets).cloned();
+        QuarantineChange {
+            suspects: group.members().collect(),
+            parts: parts.into_iter().collect(),
+            targets: targets.collect(),
+            has_begun,
         }
-        self.unsent.insert(signature);
     }
 
-    /// Remove the call of the lowest rank.
+    /// Remove the suspect of the lowest rank.
     fn evict(&mut self) {
-        let least = self.calls.iter().min_by_key(|(_, record)| record.rank());
-        if let Some(signature) = least.map(|(signature, _)| *signature) {
-            self.calls.remove(&signature);
-            self.unsent.remove(&signature);
+        let least = self.records.iter().min_by_key(|(_, record)| record.rank());
+        if let Some(suspect) = least.map(|(suspect, _)| *suspect) {
+            self.records.remove(&suspect);
+            self.unsent.remove(&suspect);
         }
     }
 }
 
-/// Get the calls of the highest ranks, as many as fit into a message.
+/// Get the suspects of the highest ranks, as many as fit into a message.
 fn first_reports(
-    mut calls: Vec<(CallSignature, &CallRecord)>,
-) -> impl Iterator<Item = (CallSignature, &CallRecord)> {
-    calls.sort_by_key(|(_, record)| Reverse(record.rank()));
-    calls.into_iter().take(MAX_REPORTS)
+    mut records: Vec<(CrashSuspect, &SuspectRecord)>,
+) -> impl Iterator<Item = (CrashSuspect, &SuspectRecord)> {
+    records.sort_by_key(|(_, record)| Reverse(record.rank()));
+    records.into_iter().take(MAX_REPORTS)
 }
 
 fn to_ms(now: Moment) -> i64 {
--- a/bergamotswitch-core/src/quarantine/trial.rs
+++ b/bergamotswitch-core/src/quarantine/trial.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use crate::call_signature::CallSignature;
+use super::CrashSuspect;
 
 /// The time after which a trial without a result counts as abandoned.
 pub(super) const TRIAL_TIMEOUT_MS: i64 = 60_000;
 
-/// The retry delay of calls that wait for the result of a trial.
+/// The retry delay of requests that wait for the result of a trial.
 pub(super) const TRIAL_RETRY: Duration = Duration::from_secs(5);
 
 /// The time over which hosts spread their trials, so that one host's trial is known
@@ -25,21 +25,19 @@
 
 impl TrialPrecedence {
     /// Get the delay of the host's trial after the end of a quarantine.
-    pub(super) fn delay_ms(self, signature: CallSignature) -> i64 {
+    pub(super) fn delay_ms(self, suspect: CrashSuspect) -> i64 {
         match self {
             TrialPrecedence::Owner => 0,
-            TrialPrecedence::Other(hash) => {
-                ((hash ^ signature.low_bits()) % TRIAL_SPREAD_MS) as i64
-            }
+            TrialPrecedence::Other(hash) => ((hash ^ suspect.low_bits()) % TRIAL_SPREAD_MS) as i64,
         }
     }
 }
 
-/// An `Admission` is how a call is admitted.
+/// An `Admission` is how a request is admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// The call is not in quarantine.
+    /// The request is not in quarantine.
     Regular,
-    /// The call is the trial that decides whether its quarantine goes on.
+    /// The request is the trial that decides whether its quarantine goes on.
     Trial,
 }
--- a/bergamotswitch-core/tests/crash_table.rs
+++ b/bergamotswitch-core/tests/crash_table.rs
@@ -5,13 +5,17 @@
 use bergamotswitch_core::call_signature::CallSignature;
 use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::host::Incarnation;
-use bergamotswitch_core::quarantine::{Admission, CrashTable, TrialPrecedence};
+use bergamotswitch_core::quarantine::{Admission, CrashTable, RequestSuspects, TrialPrecedence};
 use bergamotswitch_core::request::{AttemptId, RequestId};
 
 fn signature(work: u128) -> CallSignature {
     CallSignature::new(&"crew".to_owned().try_into().expect("name"), work)
 }
 
+fn suspects(work: u128) -> RequestSuspects {
+    signature(work).into()
+}
+
 fn secs(count: u64) -> Moment {
     Moment::from_millis(count * 1_000)
 }
@@ -26,7 +30,7 @@
         attempt: 0,
     };
     let target = target.to_owned().try_into().expect("name");
-    table.record_crash(at, signature(work), attempt, &target);
+    table.record_crash(at, &suspects(work), attempt, &target);
 }
 
 fn quarantined(work: u128) -> CrashTable {
@@ -40,7 +44,7 @@
             number,
         );
     }
-    assert!(table.is_quarantined(signature(work)));
+    assert!(table.is_quarantined(&suspects(work)));
     table
 }
 
@@ -52,7 +56,7 @@
     for number in 0..12 {
         crash(&mut table, secs(10), 1, "t1", number);
     }
-    assert!(!table.is_quarantined(signature(1)));
+    assert!(!table.is_quarantined(&suspects(1)));
 }
 
 /// Guards against a target that comes back under its name and whose later crashes are
@@ -63,7 +67,7 @@
     for number in 0..3 {
         crash(&mut table, secs(10 + 3 * number), 1, "t1", number);
     }
-    assert!(table.is_quarantined(signature(1)));
+    assert!(table.is_quarantined(&suspects(1)));
 }
 
 /// Guards against reports that count a crash again, also when they arrive late.
@@ -79,7 +83,7 @@
             second.merge(secs(at), report);
         }
     }
-    assert!(!second.is_quarantined(signature(1)));
+    assert!(!second.is_quarantined(&suspects(1)));
     assert_eq!(second.take_unsent(secs(30)).len(), 1);
     for report in &reports {
         second.merge(secs(31), report);
@@ -109,7 +113,7 @@
     for report in &reports {
         owner.merge(secs(1), report);
     }
-    assert!(owner.is_quarantined(signature(1)));
+    assert!(owner.is_quarantined(&suspects(1)));
 }
 
 /// Guards against a caller whose many different bodies displace a quarantined call
@@ -121,10 +125,10 @@
         crash(&mut table, secs(20), 1_000 + work, "t9", work as u64);
     }
     assert!(table.len() <= 1_024, "{} calls", table.len());
-    assert!(table.is_quarantined(signature(1)));
+    assert!(table.is_quarantined(&suspects(1)));
     let reports = table.reports(secs(21));
     assert!(reports.len() <= 64, "{} reports", reports.len());
-    assert_eq!(reports[0].signature, signature(1));
+    assert_eq!(reports[0].suspect, signature(1).into());
 }
 
 /// Guards against an answer that does not end a quarantine, and against older reports
@@ -133,15 +137,15 @@
 fn answered_call() {
     let mut table = quarantined(1);
     let stale = table.reports(secs(13));
-    table.record_answer(secs(60), signature(1));
-    assert!(!table.is_quarantined(signature(1)));
+    table.record_sound(secs(60), secs(60), suspects(1).iter());
+    assert!(!table.is_quarantined(&suspects(1)));
     for mut report in stale {
         for run in &mut report.runs {
             run.age_ms += 48_000;
         }
         table.merge(secs(61), &report);
     }
-    assert!(!table.is_quarantined(signature(1)));
+    assert!(!table.is_quarantined(&suspects(1)));
 }
 
 /// Guards against more than one trial at a time, and against trials that follow each
@@ -149,12 +153,12 @@
 #[test]
 fn spaced_trials() {
     let mut table = quarantined(1);
-    let mut admit = |at| table.admit(secs(at), signature(1), TrialPrecedence::Owner);
+    let mut admit = |at| table.admit(secs(at), &suspects(1), TrialPrecedence::Owner);
     assert_eq!(admit(13), Err(Duration::from_secs(29)));
     assert_eq!(admit(42), Ok(Admission::Trial));
     assert!(admit(43).is_err());
     crash(&mut table, secs(44), 1, "t3", 9);
-    let mut admit = |at| table.admit(secs(at), signature(1), TrialPrecedence::Owner);
+    let mut admit = |at| table.admit(secs(at), &suspects(1), TrialPrecedence::Owner);
     assert_eq!(admit(45), Err(Duration::from_secs(119)));
     assert_eq!(admit(164), Ok(Admission::Trial));
 }
@@ -164,13 +168,13 @@
 fn shared_trial() {
     let mut owner = quarantined(1);
     let precedence = TrialPrecedence::Owner;
-    let trial = owner.admit(secs(42), signature(1), precedence);
+    let trial = owner.admit(secs(42), &suspects(1), precedence);
     assert_eq!(trial, Ok(Admission::Trial));
     let mut other = CrashTable::default();
     for pending in owner.take_unsent(secs(42)) {
         other.merge(secs(5), &pending.report);
     }
-    let late = other.admit(secs(50), signature(1), TrialPrecedence::Other(7));
+    let late = other.admit(secs(50), &suspects(1), TrialPrecedence::Other(7));
     assert!(late.is_err());
 }
 
@@ -184,7 +188,7 @@
     }
     crash(&mut table, secs(14), 7, "t2", 200);
     let first = table.take_unsent(secs(15));
-    assert_eq!(first[0].report.signature, signature(7));
+    assert_eq!(first[0].report.suspect, signature(7).into());
     assert!(first[0].is_for_all);
     assert!(!first[1].is_for_all);
     let second = table.take_unsent(secs(15));
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -203,7 +203,7 @@
         age_ms: 120,
     };
     LinkMessage::Crashes(vec![CrashReport {
-        signature: CallSignature::new(&"equipo".try_into().unwrap(), 272_162),
+        suspect: CallSignature::new(&"equipo".try_into().unwrap(), 272_162).into(),
         runs: vec![run],
         answered_ms_ago: None,
         tried_ms_ago: Some(4_000),
