Judge suspects whose evidence belongs together at once

hostile_account failed: an account that crashes targets by other means shut a part out for others, because the part had its third crash a moment before the account's own use of it had the same one, and stayed to blame alone. Now all suspects of a run or a message change before anyone is judged, and a group takes in those that turn out to have the same crashes. The tests of the fleet for two bad parts, parts beside, accounts, other crashes, hosts that are replaced, recovery and endless requests pass.

--- a/bergamotswitch-core/src/entry/dispatcher/quarantine.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/quarantine.rs
@@ -32,9 +32,7 @@
     }
 
     pub(super) fn merge_crashes(&mut self, now: Moment, reports: &[CrashReport]) {
-        for report in reports {
-            self.crashes.merge(now, report);
-        }
+        self.crashes.merge(now, reports);
     }
 
     /// Record that an attempt broke off with its target. An answer that was written for a
--- a/bergamotswitch-core/src/quarantine/blame.rs
+++ b/bergamotswitch-core/src/quarantine/blame.rs
@@ -14,6 +14,8 @@
 /// The maximum number of suspects that are compared, those with the most crashes first.
 const MAX_CANDIDATES: usize = 64;
 
+type Records = BTreeMap<CrashSuspect, SuspectRecord>;
+
 /// A `CulpritGroup` is a set of suspects that took part in the same crashes. Requests that
 /// have all of them are quarantined.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,14 +31,23 @@
         self.0.contains(&suspect)
     }
 
+    /// Add the suspects that have the same crashes as all members. The reports of suspects
+    /// that belong together may arrive apart.
+    fn extend(&mut self, records: &Records, candidates: &[(CrashSuspect, &SuspectRecord)]) {
+        let members: Vec<_> = self.members().filter_map(|it| records.get(&it)).collect();
+        let alike = candidates.iter().filter(|(_, record)| {
+            let mut members = members.iter();
+            members.all(|member| member.has_same_crashes(record))
+        });
+        self.0.extend(alike.map(|(suspect, _)| *suspect));
+    }
+
     /// Get whether a request has all suspects of the group.
     pub(super) fn covers(&self, suspects: &RequestSuspects) -> bool {
         self.members().all(|suspect| suspects.contains(suspect))
     }
 }
 
-type Records = BTreeMap<CrashSuspect, SuspectRecord>;
-
 /// Get the groups that are to blame now. A group that was to blame before stays so while
 /// its suspects have their crashes.
 pub(super) fn review(records: &Records, before: &[CulpritGroup]) -> Vec<CulpritGroup> {
@@ -47,6 +58,9 @@
     };
     let mut groups: Vec<CulpritGroup> = before.to_vec();
     groups.retain(|group| group.members().all(is_open));
+    for group in &mut groups {
+        group.extend(records, &candidates);
+    }
     for (suspect, record) in &candidates {
         let own = record.crashes().iter().filter(|crash| {
             let in_group = |group: &CulpritGroup| {
--- a/bergamotswitch-core/src/quarantine/table.rs
+++ b/bergamotswitch-core/src/quarantine/table.rs
@@ -34,6 +34,8 @@
     records: BTreeMap<CrashSuspect, SuspectRecord>,
     sound: SoundRuns,
     groups: Vec<CulpritGroup>,
+    /// Whether the groups follow from the records as they are.
+    is_reviewed: bool,
     unsent: BTreeSet<CrashSuspect>,
     changes: Vec<QuarantineChange>,
     expire_at: Moment,
@@ -81,6 +83,7 @@
                 record.add(crash)
             });
         }
+        self.review();
     }
 
     /// Record that a run which began to write at `began` went well under these suspects.
@@ -98,13 +101,17 @@
                 self.change(now, suspect, |_| false);
             }
         }
+        self.review();
     }
 
-    /// Apply the report of another host.
-    pub fn merge(&mut self, now: Moment, report: &CrashReport) {
-        self.change(now, report.suspect, |record| {
-            record.merge(to_ms(now), report)
-        });
+    /// Apply reports of another host.
+    pub fn merge(&mut self, now: Moment, reports: &[CrashReport]) {
+        for report in reports {
+            self.change(now, report.suspect, |record| {
+                record.merge(to_ms(now), report)
+            });
+        }
+        self.review();
     }
 
     /// Check whether a request may run. Once its quarantine is over, one request is
@@ -209,6 +216,7 @@
         if self.records.len() < count {
             let records = &self.records;
             self.unsent.retain(|suspect| records.contains_key(suspect));
+            self.is_reviewed = false;
             self.review();
         }
     }
@@ -254,12 +262,16 @@
         let is_open = record.may_be_quarantined();
         self.unsent.insert(suspect);
         if was_open || is_open {
-            self.review();
+            self.is_reviewed = false;
         }
     }
 
-    /// Find out who is to blame, and note which quarantines begin or end.
+    /// Find out who is to blame if the evidence has changed, and note which quarantines
+    /// begin or end.
     fn review(&mut self) {
+        if std::mem::replace(&mut self.is_reviewed, true) {
+            return;
+        }
         let groups = blame::review(&self.records, &self.groups);
         let before = std::mem::replace(&mut self.groups, groups);
         for group in &before {
--- a/bergamotswitch-core/tests/crash_table.rs
+++ b/bergamotswitch-core/tests/crash_table.rs
@@ -79,15 +79,11 @@
     let reports = first.reports(secs(11));
     let mut second = CrashTable::default();
     for at in [1, 2, 30] {
-        for report in &reports {
-            second.merge(secs(at), report);
-        }
+        second.merge(secs(at), &reports);
     }
     assert!(!second.is_quarantined(&suspects(1)));
     assert_eq!(second.take_unsent(secs(30)).len(), 1);
-    for report in &reports {
-        second.merge(secs(31), report);
-    }
+    second.merge(secs(31), &reports);
     assert!(second.take_unsent(secs(31)).is_empty(), "reports circulate");
 }
 
@@ -110,9 +106,7 @@
         .flat_map(|table| table.reports(secs(12)))
         .collect();
     let mut owner = CrashTable::default();
-    for report in &reports {
-        owner.merge(secs(1), report);
-    }
+    owner.merge(secs(1), &reports);
     assert!(owner.is_quarantined(&suspects(1)));
 }
 
@@ -143,7 +137,7 @@
         for run in &mut report.runs {
             run.age_ms += 48_000;
         }
-        table.merge(secs(61), &report);
+        table.merge(secs(61), &[report]);
     }
     assert!(!table.is_quarantined(&suspects(1)));
 }
@@ -172,7 +166,7 @@
     assert_eq!(trial, Ok(Admission::Trial));
     let mut other = CrashTable::default();
     for pending in owner.take_unsent(secs(42)) {
-        other.merge(secs(5), &pending.report);
+        other.merge(secs(5), &[pending.report]);
     }
     let late = other.admit(secs(50), &suspects(1), TrialPrecedence::Other(7));
     assert!(late.is_err());
--- a/bergamotswitch-core/tests/crashing_parts.rs
+++ b/bergamotswitch-core/tests/crashing_parts.rs
@@ -105,3 +105,223 @@
         assert_contained(&fleet, BAD, &format!("{prompt:x?}"));
     }
 }
+
+/// Guards against a part whose requests come so fast that many targets crash before the
+/// first news of it.
+#[test]
+fn rapid_requests() {
+    for every in [20, 50, 1_000, 3_000] {
+        let mut fleet = start(&[BAD]);
+        let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+        traffic.bad_every_ms = every;
+        fleet.pass(Duration::from_secs(100), |fleet| traffic.send(fleet));
+        assert_contained(&fleet, BAD, &format!("every {every} ms"));
+    }
+}
+
+/// Guards against two bad parts of which one hides the other, apart and in one prompt.
+#[test]
+fn two_parts() {
+    let prompts: [&[&[u128]]; 3] = [
+        &[&[COMMON, BAD], &[COMMON, BAD + 1]],
+        &[&[COMMON, BAD, BAD + 1]],
+        &[&[COMMON, BAD, BAD + 1], &[BAD + 1], &[BAD]],
+    ];
+    for prompt in prompts {
+        let mut fleet = start(&[BAD, BAD + 1]);
+        let mut traffic = PartTraffic::new(prompt);
+        fleet.pass(Duration::from_secs(60), |fleet| traffic.send(fleet));
+        for part in [BAD, BAD + 1] {
+            assert_contained(&fleet, part, &format!("{part:x} of {prompt:x?}"));
+        }
+    }
+}
+
+/// Guards against a sound part that is refused because it stands beside a bad one in each
+/// prompt that crashes targets.
+#[test]
+fn part_beside() {
+    const BESIDE: u128 = 0xbe;
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[BESIDE, BAD]]);
+    fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+    let begin = fleet.now;
+    fleet.pass(Duration::from_secs(30), |fleet| {
+        traffic.send(fleet);
+        let millis = fleet.now.as_micros() / 1_000;
+        if millis.is_multiple_of(500) {
+            traffic.send_work(fleet, millis as usize / 500, "beside", vec![BESIDE]);
+        }
+    });
+    assert_contained(&fleet, BAD, "beside");
+    let (share, sent) = fleet.answered_share("beside", begin, fleet.now);
+    assert!(share > 0.95, "{share:.2} of {sent} answered");
+}
+
+/// Guards against a part that several accounts send and that counts for each by itself.
+#[test]
+fn several_accounts() {
+    const ACCOUNTS: [&str; 3] = ["late", "calm", "beside"];
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[]);
+    fleet.pass(Duration::from_secs(60), |fleet| {
+        traffic.send(fleet);
+        let millis = fleet.now.as_micros() / 1_000;
+        if millis.is_multiple_of(200) {
+            let turn = millis as usize / 200;
+            traffic.send_work(fleet, turn, ACCOUNTS[turn % 3], vec![COMMON, BAD]);
+        }
+    });
+    assert_contained(&fleet, BAD, "three accounts");
+}
+
+/// Guards against an account that makes targets crash by other means and so shuts out a
+/// part that others use.
+#[test]
+fn hostile_account() {
+    const SHARED: u128 = 0x5a;
+    let mut fleet = start(&[]);
+    let mut traffic = PartTraffic::new(&[]);
+    let begin = fleet.now;
+    fleet.pass(Duration::from_secs(40), |fleet| {
+        traffic.send(fleet);
+        let millis = fleet.now.as_micros() / 1_000;
+        if millis.is_multiple_of(500) {
+            let work = traffic.sent + 1;
+            fleet.crashing.insert(work);
+            traffic.send_work(fleet, millis as usize / 500, "hostile", vec![SHARED]);
+        }
+        if millis.is_multiple_of(3_000) {
+            traffic.send_work(fleet, millis as usize / 3_000, "beside", vec![SHARED]);
+        }
+    });
+    let refused = fleet.quarantined_accounts();
+    assert!(
+        !refused.contains("beside") && !refused.contains(ACCOUNT),
+        "{refused:?}"
+    );
+    let (_, sent) = fleet.answered_share("beside", begin, fleet.now);
+    assert!(sent > 10);
+}
+
+/// Guards against sound parts that are refused because targets crash for other reasons
+/// while requests with them run.
+#[test]
+fn other_crashes() {
+    const HOT: u128 = 0x407;
+    for at_once in [1, 5, 18] {
+        let mut fleet = start(&[]);
+        let mut traffic = PartTraffic::new(&[]);
+        let mut round = 0;
+        fleet.pass(Duration::from_secs(20), |fleet| {
+            traffic.send(fleet);
+            let millis = fleet.now.as_micros() / 1_000;
+            if millis.is_multiple_of(50) {
+                traffic.send_work(fleet, millis as usize / 50, ACCOUNT, vec![COMMON, HOT]);
+            }
+            if millis.is_multiple_of(333 * at_once) && round < 15 {
+                for target in 0..at_once {
+                    fleet.crash_target(&format!("t{}", (round + target) % 18), 0);
+                }
+                round += at_once;
+            }
+        });
+        let refused = fleet.quarantined_accounts();
+        assert!(refused.is_empty(), "{at_once} at once: {refused:?}");
+    }
+}
+
+/// Guards against a new part that is refused because all targets are lost at one moment,
+/// beside others that are.
+#[test]
+fn lost_together() {
+    let mut fleet = start(&[]);
+    let mut traffic = PartTraffic::new(&[]);
+    for round in 0..6_u128 {
+        fleet.pass(Duration::from_millis(100), |fleet| {
+            traffic.send(fleet);
+            let millis = fleet.now.as_micros() / 1_000;
+            traffic.send_work(
+                fleet,
+                millis as usize / 5,
+                ACCOUNT,
+                vec![COMMON, 0xe0 + round],
+            );
+        });
+        for target in 0..18 {
+            fleet.crash_target(&format!("t{target}"), 0);
+        }
+        fleet.pass(Duration::from_secs(6), |fleet| traffic.send(fleet));
+    }
+    let refused = fleet.quarantined_accounts();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
+/// Guards against a quarantine that is lost with the owner of the shard, or unknown to a
+/// host that starts or comes back.
+#[test]
+fn hosts_replaced() {
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+    fleet.pass(Duration::from_secs(5), |fleet| traffic.send(fleet));
+    for host in 0..HOSTS {
+        fleet.end(host);
+        fleet.pass(Duration::from_millis(700), |fleet| traffic.send(fleet));
+        fleet.restart(host);
+        fleet.pass(Duration::from_secs(3), |fleet| traffic.send(fleet));
+    }
+    let owner = fleet.owner();
+    fleet.pause(owner);
+    fleet.pass(Duration::from_secs(4), |fleet| traffic.send(fleet));
+    fleet.resume(owner);
+    fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+    assert_contained(&fleet, BAD, "replaced");
+}
+
+/// Guards against a bad part that hides behind other crashes at the same time.
+#[test]
+fn crashes_beside() {
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+    let mut at = 0;
+    fleet.pass(Duration::from_secs(40), |fleet| {
+        traffic.send(fleet);
+        let millis = fleet.now.as_micros() / 1_000;
+        if millis.is_multiple_of(400) {
+            at = (at + 5) % 18;
+            fleet.crash_target(&format!("t{at}"), 0);
+        }
+    });
+    assert_contained(&fleet, BAD, "beside crashes");
+    let bad = |work: &u128| fleet.is_crashing(*work);
+    let refused: Vec<_> = fleet.quarantined_works().into_iter().collect();
+    assert!(refused.iter().all(bad), "sound requests refused");
+}
+
+/// Guards against a part that stays refused although it no longer crashes targets.
+#[test]
+fn part_recovers() {
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+    fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+    fleet.crashing_parts.clear();
+    fleet.pass(Duration::from_secs(60), |fleet| traffic.send(fleet));
+    let refused = fleet.quarantined_works().len();
+    fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+    assert_eq!(fleet.quarantined_works().len(), refused, "still refused");
+}
+
+/// Guards against trials that go on for as long as requests with the part come.
+#[test]
+fn endless_requests() {
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+    traffic.bad_every_ms = 1_000;
+    fleet.pass(Duration::from_secs(1_500), |fleet| {
+        if fleet.now.as_micros().is_multiple_of(1_000_000) {
+            traffic.send(fleet);
+        }
+    });
+    let late = fleet.late_part_arrivals(BAD);
+    assert!(late <= MAX_LATE, "{late} late arrivals");
+}
--- a/bergamotswitch-core/tests/quota_fleet/crashes.rs
+++ b/bergamotswitch-core/tests/quota_fleet/crashes.rs
@@ -59,6 +59,13 @@
         early.chain(accepted.map(|call| call.work)).collect()
     }
 
+    /// Get the accounts of which a call was refused as quarantined.
+    pub fn quarantined_accounts(&self) -> BTreeSet<&'static str> {
+        let works = self.quarantined_works();
+        let accounts = works.iter().filter_map(|work| self.accounts.get(work));
+        accounts.copied().collect()
+    }
+
     /// Get the number of calls of a work that were refused as quarantined.
     pub fn quarantined(&self, work: u128) -> usize {
         let early = self.early_refusals.iter();
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -137,6 +137,8 @@
     pub crashing_parts: BTreeSet<u128>,
     /// The shared parts of the prompts of works.
     pub parts: BTreeMap<u128, Vec<u128>>,
+    /// The account that last sent each work.
+    accounts: BTreeMap<u128, &'static str>,
     pub crashes: Vec<CrashRecord>,
     /// Whether crashed targets fall silent and leave their connections open.
     pub silent_crashes: bool,
@@ -214,6 +216,7 @@
             crashing: BTreeSet::new(),
             crashing_parts: BTreeSet::new(),
             parts: BTreeMap::new(),
+            accounts: BTreeMap::new(),
             crashes: Vec::new(),
             silent_crashes: false,
             lost_runs: BTreeSet::new(),
@@ -400,6 +403,7 @@
         let Some(core) = core.filter(|core| core.is_ready(local_now)) else {
             return false;
         };
+        self.accounts.insert(work, account);
         let parts = self.parts.get(&work).map_or(&[][..], Vec::as_slice);
         let (outcome, actions) = core.submit(local_now, submission(account, work, parts));
         let id = match outcome {
