--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::loopback_listener::LoopbackListener;
+use crate::loopback_listener::{ListenerControl, LoopbackListener};
 use crate::target_control::lock;
 
 /// The version of a target's software unless another one is set.
@@ -93,6 +93,34 @@
     leaving: AtomicBool,
     rest: Mutex<Option<HeaderValue>>,
     version: Mutex<String>,
+    fatal_part: Mutex<Option<FatalPart>>,
+    crashes: Mutex<Vec<Instant>>,
+    control: OnceLock<ListenerControl>,
+}
+
+/// A `FatalPart` is a part of a prompt that crashes the target when it begins to answer.
+#[derive(Clone, Debug)]
+struct FatalPart {
+    id: String,
+    down: Duration,
+}
+
+impl TargetShared {
+    fn crash(&self, down: Duration) {
+        lock(&self.crashes).push(Instant::now());
+        if let Some(control) = self.control.get() {
+            control.crash(down);
+        }
+    }
+
+    /// Get how long the target is down after it has begun to answer a call, if the call
+    /// crashes it.
+    fn crash_under(&self, call: &RecordedCall) -> Option<Duration> {
+        let fatal = lock(&self.fatal_part).clone()?;
+        let mut parts = call.field("prompt-prefix").split(',');
+        let has_part = parts.any(|part| part.split(':').next() == Some(fatal.id.as_str()));
+        has_part.then_some(fatal.down)
+    }
 }
 
 /// A `TargetInstance` is one incarnation of a target, as its registration
@@ -144,10 +172,15 @@
             leaving: AtomicBool::new(false),
             rest: Mutex::default(),
             version: Mutex::new(DEFAULT_VERSION.to_owned()),
+            fatal_part: Mutex::default(),
+            crashes: Mutex::default(),
+            control: OnceLock::new(),
         });
         let served = Arc::clone(&shared);
         let handler = move |request| handle(Arc::clone(&served), request);
         let listener = LoopbackListener::start(handler).await?;
+        // Nothing else sets it.
+        let _ = shared.control.set(listener.control.clone());
         Ok(GatewayTargetStandin { listener, shared })
     }
 
@@ -165,7 +198,7 @@
     /// abort all calls, and start a new instance whose registrations count from
     /// zero.
     pub fn restart(&self) {
-        self.listener.close_connections();
+        self.listener.control.close_connections();
         let mut instance = lock(&self.shared.instance);
         *instance = TargetInstance::starting_after(instance.started_ms);
     }
@@ -218,6 +251,23 @@
         lock(&self.shared.version).clone()
     }
 
+    /// Crash the target whenever it begins an answer to a prompt with this part, and
+    /// refuse connections for `down` afterwards.
+    pub fn set_fatal_part(&self, id: &str, down: Duration) {
+        let id = id.to_owned();
+        *lock(&self.shared.fatal_part) = Some(FatalPart { id, down });
+    }
+
+    /// Crash the target, and refuse connections for `down`.
+    pub fn crash(&self, down: Duration) {
+        self.shared.crash(down);
+    }
+
+    /// Get the times of all crashes so far.
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.shared.crashes).clone()
+    }
+
     /// Get all calls received so far, in order of arrival.
     pub fn calls(&self) -> Vec<RecordedCall> {
         lock(&self.shared.calls).clone()
@@ -300,6 +350,10 @@
         ResponseMode::NoResponse => sleep(Duration::from_secs(3_600)).await,
         ResponseMode::TruncateAfter(_) | ResponseMode::PauseAfter(..) => {}
     }
+    if let Some(down) = shared.crash_under(&call) {
+        sleep(shared.gap).await;
+        shared.crash(down);
+    }
     let is_stream = !call.field("token-count").is_empty();
     let response = match is_stream {
         true => event_response(&shared, &call, &mode, index),
--- a/bergamotswitch-standin/src/loopback_listener.rs
+++ b/bergamotswitch-standin/src/loopback_listener.rs
@@ -6,13 +6,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response, server};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::sleep;
 
 use crate::target_control::lock;
 
@@ -21,8 +24,15 @@
 #[derive(Debug)]
 pub(crate) struct LoopbackListener {
     pub(crate) address: SocketAddr,
+    pub(crate) control: ListenerControl,
     task: JoinHandle<()>,
+}
+
+/// A `ListenerControl` closes the connections and the port of a listener.
+#[derive(Clone, Debug)]
+pub(crate) struct ListenerControl {
     connections: OpenConnections,
+    outages: mpsc::UnboundedSender<Duration>,
 }
 
 /// The tasks of the accepted connections.
@@ -57,8 +67,10 @@
         let address = listener.local_addr()?;
         let connections = OpenConnections::default();
         let open = Arc::clone(&connections);
+        let (outages, mut requested) = mpsc::unbounded_channel();
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut listener = listener;
+            while let Ok(stream) = accept(&mut listener, &mut requested).await {
                 let service = service_fn(handler.clone());
                 let builder = server::conn::http1::Builder::new();
                 let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -73,10 +85,22 @@
         });
         Ok(LoopbackListener {
             address,
+            control: ListenerControl {
+                connections,
+                outages,
+            },
             task,
-            connections,
         })
     }
+}
+
+impl ListenerControl {
+    /// Close all connections and refuse new ones for this time, as a crash does.
+    pub(crate) fn crash(&self, down: Duration) {
+        // Sending fails only if the listener has stopped.
+        let _ = self.outages.send(down);
+        self.close_connections();
+    }
 
     /// Close all connections and abort their requests, as a process exit does.
     pub(crate) fn close_connections(&self) {
@@ -85,3 +109,22 @@
         }
     }
 }
+
+/// Accept the next connection. During an outage the port is closed.
+async fn accept(
+    listener: &mut TcpListener,
+    outages: &mut mpsc::UnboundedReceiver<Duration>,
+) -> io::Result<TcpStream> {
+    let address = listener.local_addr()?;
+    loop {
+        let down = tokio::select! {
+            biased;
+            Some(down) = outages.recv() => down,
+            accepted = listener.accept() => return accepted.map(|(stream, _)| stream),
+        };
+        let free = TcpListener::bind(("127.0.0.1", 0)).await?;
+        drop(std::mem::replace(listener, free));
+        sleep(down).await;
+        *listener = TcpListener::bind(address).await?;
+    }
+}
