--- a/bergamotswitch-core/src/entry/dispatcher/completion.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/completion.rs
@@ -87,6 +87,7 @@
         conclusion: Conclusion,
         actions: &mut Vec<EntryAction>,
     ) {
+        self.end_trial(&record, &conclusion);
         actions.push(EntryAction::Conclude(record.id, conclusion.clone()));
         actions.push(EntryAction::CountEnd {
             tier: record.submission.verdict.tier,
--- a/bergamotswitch-core/src/entry/dispatcher/quarantine.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/quarantine.rs
@@ -6,14 +6,14 @@
 
 use super::EntryDispatcher;
 use crate::clock::Moment;
-use crate::entry::EntryAction;
 use crate::entry::attempt::{AttemptStage, RunningAttempt};
 use crate::entry::request_table::{LiveEntry, RequestRecord};
+use crate::entry::{Conclusion, EntryAction};
 use crate::host::HostName;
 use crate::incident::Incident;
 use crate::pool::PoolShard;
 use crate::quarantine::{Admission, CrashReport, PendingReport, RequestSuspects, TrialPrecedence};
-use crate::refusal::RefusalReason;
+use crate::refusal::{RefusalReason, RunClaim};
 
 impl EntryDispatcher {
     /// Take the reports of crashes that changed since the last call.
@@ -84,6 +84,18 @@
             .record_sound(now, began, record.suspects.parts());
     }
 
+    /// Record the end of a request that may have been a trial. One that did not run proved
+    /// nothing.
+    pub(super) fn end_trial(&mut self, record: &RequestRecord, conclusion: &Conclusion) {
+        let has_run = match conclusion {
+            Conclusion::Refused(refusal) => refusal.claim() != RunClaim::NotRun,
+            Conclusion::Answered | Conclusion::TargetError => true,
+        };
+        if record.admission == Admission::Trial && !has_run {
+            self.crashes.end_trial(&record.suspects);
+        }
+    }
+
     /// Check whether a request may run.
     ///
     /// # Errors
@@ -95,7 +107,7 @@
         suspects: &RequestSuspects,
         shard: &PoolShard,
         actions: &mut Vec<EntryAction>,
-    ) -> Result<(), Duration> {
+    ) -> Result<Admission, Duration> {
         let host = &self.identity.host;
         let precedence = match self.owners.get(shard) == Some(host) {
             true => TrialPrecedence::Owner,
@@ -107,7 +119,7 @@
         {
             actions.push(EntryAction::LogCrashes(Incident::RequestTried, change));
         }
-        Ok(())
+        Ok(admission)
     }
 
     /// Log the quarantines that have begun or ended, and refuse requests that wait.
--- a/bergamotswitch-core/src/entry/dispatcher/submission.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/submission.rs
@@ -140,10 +140,13 @@
             return refused(submission.refuse(RefusalReason::NoTarget));
         };
         let suspects = RequestSuspects::of(&submission);
-        if let Err(retry_after) = self.admit_request(now, &suspects, &shard, actions) {
-            let refusal = submission.refuse(RefusalReason::Quarantined);
-            return refused(refusal.with_retry_after(retry_after));
-        }
+        let admission = match self.admit_request(now, &suspects, &shard, actions) {
+            Ok(admission) => admission,
+            Err(retry_after) => {
+                let refusal = submission.refuse(RefusalReason::Quarantined);
+                return refused(refusal.with_retry_after(retry_after));
+            }
+        };
         self.counts.accepted = sequence;
         let id = RequestId {
             incarnation: self.identity.incarnation,
@@ -177,6 +180,7 @@
                 .map(|start| self.stream_origin(&submission.pool, start)),
             followed: true,
             suspects,
+            admission,
             submission,
         };
         let state = WaitingState::Fresh(LiveRequest::accept(id));
--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -9,7 +9,7 @@
 use super::placement::ShardQuery;
 use crate::clock::Moment;
 use crate::pool::PoolShard;
-use crate::quarantine::RequestSuspects;
+use crate::quarantine::{Admission, RequestSuspects};
 use crate::request::{AttemptId, RequestId};
 use crate::stream_table::StreamOrigin;
 use crate::target::TargetName;
@@ -26,6 +26,8 @@
     pub(super) id: RequestId,
     pub(super) submission: Submission,
     pub(super) suspects: RequestSuspects,
+    /// Whether the request is the trial of a quarantine.
+    pub(super) admission: Admission,
     pub(super) key: Option<KeyId>,
     pub(super) shard: PoolShard,
     pub(super) accepted_at: Moment,
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -132,6 +132,8 @@
     pub(super) roster: Option<Roster>,
     pub(super) register: TargetRegister,
     last_event_at: Moment,
+    /// When crash reports may be sent again.
+    pub(super) crash_reports_at: Moment,
     queue: VecDeque<QueuedAction>,
     pub(super) actions: Vec<NodeAction>,
 }
@@ -181,6 +183,7 @@
             kept_keys: KeptKeys::default(),
             stream_backups: StreamBackups::default(),
             last_event_at: now,
+            crash_reports_at: Moment::START,
             queue: VecDeque::new(),
             actions: Vec::new(),
             identity,
--- a/bergamotswitch-core/src/node/crash_reports.rs
+++ b/bergamotswitch-core/src/node/crash_reports.rs
@@ -5,6 +5,7 @@
 //! targets from several hosts is refused by all.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::NodeAction;
 use super::core::NodeCore;
@@ -13,9 +14,16 @@
 use crate::link::LinkMessage;
 use crate::quarantine::CrashReport;
 
+/// The interval at which an owner sends reports.
+const OWNER_INTERVAL: Duration = Duration::from_millis(250);
+
 impl NodeCore {
-    /// Send the reports that changed since the last call.
+    /// Send the reports that changed since the last call. An owner collects those of all
+    /// hosts for a while, as it sends each to all of them.
     pub(super) fn share_crash_reports(&mut self, now: Moment) {
+        if now < self.crash_reports_at {
+            return;
+        }
         let pending = self.entry.take_crash_reports(now);
         if pending.is_empty() {
             return;
@@ -29,6 +37,7 @@
         if self.membership.acting_shards().is_empty() {
             return;
         }
+        self.crash_reports_at = now.plus(OWNER_INTERVAL);
         let for_all = pending.into_iter().filter(|pending| pending.is_for_all);
         let for_all: Vec<CrashReport> = for_all.map(|pending| pending.report).collect();
         let others: Vec<HostName> = self
--- a/bergamotswitch-core/src/quarantine/suspect_record.rs
+++ b/bergamotswitch-core/src/quarantine/suspect_record.rs
@@ -37,7 +37,7 @@
 const TRIAL_GAP_MS: i64 = 20_000;
 
 /// The maximum number of crashes that are kept of a suspect.
-const MAX_CRASHES: usize = 16;
+const MAX_CRASHES: usize = 8;
 
 /// A `Crash` is a broken run on this host's clock. Its time is negative if it happened
 /// before this process started.
@@ -160,18 +160,19 @@
     }
 
     /// Record that a run which began to write at `at_ms` went well, which clears the
-    /// crashes before it. Get whether it was unknown.
+    /// crashes before it. Get whether that changes what other hosts should know.
     pub(super) fn clear(&mut self, at_ms: i64) -> bool {
         if self.sound_at_ms.is_some_and(|known| known >= at_ms) {
             return false;
         }
-        self.sound_at_ms = Some(at_ms);
+        let is_first = self.sound_at_ms.replace(at_ms).is_none();
         let count = self.crashes.len();
         self.crashes.retain(|crash| crash.at_ms > at_ms);
-        if self.crashes.len() < count {
+        let is_cleared = self.crashes.len() < count;
+        if is_cleared {
             self.tried_at_ms = None;
         }
-        true
+        is_first || is_cleared
     }
 
     /// Apply the report of another host. Get whether anything was unknown.
@@ -227,6 +228,11 @@
         self.tried_at_ms = Some(now_ms);
     }
 
+    /// Record the end of a trial that did not run, so that another one may follow.
+    pub(super) fn end_trial(&mut self) {
+        self.tried_at_ms = None;
+    }
+
     /// Get the time after which the caller of a quarantined request should retry.
     pub(super) fn retry_after(&self, now_ms: i64) -> Duration {
         if self.failed_trials() >= MAX_TRIALS {
--- a/bergamotswitch-core/src/quarantine/table.rs
+++ b/bergamotswitch-core/src/quarantine/table.rs
@@ -151,6 +151,15 @@
         Ok(Admission::Trial)
     }
 
+    /// Record that the trial of a request has ended without a run.
+    pub fn end_trial(&mut self, suspects: &RequestSuspects) {
+        for (suspect, _) in suspects.iter() {
+            if let Some(record) = self.records.get_mut(&suspect) {
+                record.end_trial();
+            }
+        }
+    }
+
     /// Get whether a request is quarantined.
     pub fn is_quarantined(&self, suspects: &RequestSuspects) -> bool {
         self.groups.iter().any(|group| group.covers(suspects))
