--- a/bergamotswitch-core/tests/crashing_parts.rs
+++ b/bergamotswitch-core/tests/crashing_parts.rs
@@ -325,3 +325,37 @@
     let late = fleet.late_part_arrivals(BAD);
     assert!(late <= MAX_LATE, "{late} late arrivals");
 }
+
+/// Guards against a part that is taken for sound as targets had served it before.
+#[test]
+fn turned_bad() {
+    for every in [50, 200, 1_000] {
+        let mut fleet = start(&[]);
+        let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+        traffic.bad_every_ms = every;
+        fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+        fleet.crashing_parts.insert(BAD);
+        fleet.pass(Duration::from_secs(100), |fleet| traffic.send(fleet));
+        assert_contained(&fleet, BAD, &format!("every {every} ms"));
+    }
+}
+
+/// Guards against a fleet that starts anew and goes on to crash targets once its hosts are in
+/// touch.
+#[test]
+fn fleet_restarted() {
+    let mut fleet = start(&[BAD]);
+    let mut traffic = PartTraffic::new(&[&[COMMON, BAD]]);
+    fleet.pass(Duration::from_secs(10), |fleet| traffic.send(fleet));
+    for host in 0..HOSTS {
+        fleet.end(host);
+    }
+    for host in 0..HOSTS {
+        fleet.restart(host);
+    }
+    let in_touch = fleet.now.plus(CONTACT);
+    fleet.pass(Duration::from_secs(60), |fleet| traffic.send(fleet));
+    let late = fleet.arrivals.iter().filter(|(at, _)| *at > in_touch);
+    let late = late.count();
+    assert!(late <= MAX_LATE, "{late} late arrivals");
+}
