--- a/bergamotswitch-core/src/quarantine/suspect_record.rs
+++ b/bergamotswitch-core/src/quarantine/suspect_record.rs
@@ -110,16 +110,6 @@
         self.weight() >= QUARANTINE_CRASHES
     }
 
-    pub(super) fn has_crash(&self, crash: &Crash) -> bool {
-        self.crashes.iter().any(|known| known.is_same(crash))
-    }
-
-    /// Get whether the same crashes are known of two suspects.
-    pub(super) fn has_same_crashes(&self, other: &SuspectRecord) -> bool {
-        self.crashes.len() == other.crashes.len()
-            && self.crashes.iter().all(|crash| other.has_crash(crash))
-    }
-
     pub(super) fn has_crashed(&self) -> bool {
         !self.crashes.is_empty()
     }
--- a/bergamotswitch-core/tests/crashing_parts.rs
+++ b/bergamotswitch-core/tests/crashing_parts.rs
@@ -17,6 +17,9 @@
 /// The number of arrivals allowed later than the contact time after the fifth crash.
 const MAX_LATE: usize = 3;
 
+/// The time after which all hosts have to act on what one of them learned.
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// The time from the fifth crash from which sound requests begin again, twice the
 /// contact time, and the least share that does.
 const RECOVERY: Duration = Duration::from_secs(6);
--- a/bergamotswitch-core/tests/quota_fleet/crashes.rs
+++ b/bergamotswitch-core/tests/quota_fleet/crashes.rs
@@ -12,7 +12,7 @@
 use super::{Delivery, QuotaFleet};
 
 /// The time after which all hosts have to act on what one of them learned.
-pub const CONTACT: Duration = Duration::from_secs(3);
+pub(super) const CONTACT: Duration = Duration::from_secs(3);
 
 /// The time from the arrival of crashing work to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(100);
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -26,7 +26,7 @@
 use bergamotswitch_core::revision::PublishedValue;
 use bergamotswitch_core::roster::RosterMessage;
 use bergamotswitch_core::target::NamedLimit;
-pub use crashes::{CONTACT, CrashRecord};
+pub use crashes::CrashRecord;
 pub use cuts::CutWay;
 use rate_limits::LimitHistory;
 use setup::{host_entry, index_of, options, usage};
