Keep the crashes that explain those of others

many_crashes failed: the record kept eight crashes of a suspect, so those of a part that ended 40 targets no longer explained the crashes of a part that had run beside it, and that one was blamed. 64 are kept; a report of a change has the newest eight, and a host that connects gets all.

--- a/bergamotswitch-core/src/quarantine/suspect_record.rs
+++ b/bergamotswitch-core/src/quarantine/suspect_record.rs
@@ -36,8 +36,9 @@
 /// A crash at least this long after the one before counts as a failed trial.
 const TRIAL_GAP_MS: i64 = 20_000;
 
-/// The maximum number of crashes that are kept of a suspect.
-const MAX_CRASHES: usize = 8;
+/// The maximum number of crashes that are kept of a suspect. Those of the guilty one
+/// explain the crashes of all others.
+const MAX_CRASHES: usize = 64;
 
 /// A `Crash` is a broken run on this host's clock. Its time is negative if it happened
 /// before this process started.
@@ -249,10 +250,16 @@
         last + hold.as_millis() as i64
     }
 
-    /// Get the report for other hosts.
-    pub(super) fn report(&self, now_ms: i64, suspect: CrashSuspect) -> CrashReport {
+    /// Get the report for other hosts, with at most `max_runs` crashes, the newest ones.
+    pub(super) fn report(
+        &self,
+        now_ms: i64,
+        suspect: CrashSuspect,
+        max_runs: usize,
+    ) -> CrashReport {
         let age_ms = |at_ms: i64| u32::try_from(now_ms - at_ms).unwrap_or(0);
-        let runs = self.crashes.iter().map(|crash| BrokenRun {
+        let newest = self.crashes.len().saturating_sub(max_runs);
+        let runs = self.crashes[newest..].iter().map(|crash| BrokenRun {
             run: crash.run,
             target: crash.target.clone(),
             age_ms: age_ms(crash.at_ms),
--- a/bergamotswitch-core/src/quarantine/table.rs
+++ b/bergamotswitch-core/src/quarantine/table.rs
@@ -27,6 +27,10 @@
 /// The maximum number of suspects in one message.
 const MAX_REPORTS: usize = 64;
 
+/// The maximum number of crashes in the report of a change. Earlier ones were reported
+/// before.
+const MAX_CHANGED_RUNS: usize = 8;
+
 /// A `CrashTable` is a host's record of the suspects whose runs broke, at this host and,
 /// by their reports, at others.
 #[derive(Debug, Default)]
@@ -192,7 +196,7 @@
         let changed = changed.filter_map(|suspect| Some((*suspect, self.records.get(suspect)?)));
         let pending = first_reports(changed.collect());
         let pending = pending.map(|(suspect, record)| PendingReport {
-            report: record.report(to_ms(now), suspect),
+            report: record.report(to_ms(now), suspect, MAX_CHANGED_RUNS),
             is_for_all: record.is_shared,
         });
         let pending: Vec<PendingReport> = pending.collect();
@@ -209,7 +213,7 @@
         let known = known.map(|(suspect, record)| (*suspect, record));
         let first = first_reports(known.collect());
         first
-            .map(|(suspect, record)| record.report(to_ms(now), suspect))
+            .map(|(suspect, record)| record.report(to_ms(now), suspect, usize::MAX))
             .collect()
     }
 
--- a/bergamotswitch-core/tests/crash_blame.rs
+++ b/bergamotswitch-core/tests/crash_blame.rs
@@ -237,3 +237,40 @@
     let trial = table.admit(at(60_000), &bad, TrialPrecedence::Owner);
     assert_eq!(trial, Ok(Admission::Trial));
 }
+
+/// Get an attempt that no other crash belongs to.
+fn attempt_of(number: u64) -> AttemptId {
+    AttemptId {
+        request: RequestId {
+            incarnation: Incarnation(3),
+            sequence: number,
+        },
+        attempt: 0,
+    }
+}
+
+/// Guards against a part that is blamed for crashes of which the guilty one has too many to
+/// be kept or told at once.
+#[test]
+fn many_crashes() {
+    const BYSTANDER: u128 = 0xb5;
+    let mut table = CrashTable::default();
+    let mut other = CrashTable::default();
+    for number in 0..40 {
+        let now = at(10_000 + 100 * number);
+        let target = name(&format!("t{number}"));
+        let bad = suspects(number.into(), &[BAD]);
+        table.record_crash(now, &bad, attempt_of(number), &target);
+        if (12..17).contains(&number) {
+            let beside = suspects(1_000 + u128::from(number), &[BYSTANDER]);
+            table.record_crash(now, &beside, attempt_of(1_000 + number), &target);
+        }
+        other.merge(now, &reports_of(&mut table, now));
+    }
+    let mut started = CrashTable::default();
+    started.merge(at(500), &table.reports(at(14_000)));
+    for table in [&table, &other, &started] {
+        assert!(table.is_quarantined(&suspects(2_000, &[BAD])));
+        assert!(!table.is_quarantined(&suspects(2_000, &[BYSTANDER])));
+    }
+}
