--- a/bergamotswitch/tests/unframed_answers.rs
+++ b/bergamotswitch/tests/unframed_answers.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpListener;
 use users::{Answer, Call, Site, SiteOptions, until};
 
+/// The signature of the target.
+const SEAL: &str = "seal-of-raw";
+
 /// A target that answers each call with this body and then closes the connection.
 async fn start_target(body: String) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
@@ -25,7 +28,7 @@
                 let id = head.split("request-id: ").nth(1).unwrap_or_default();
                 let id = id.lines().next().unwrap_or_default();
                 let answer = format!(
-                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal\r\n\r\n{body}"
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {SEAL}\r\n\r\n{body}"
                 );
                 // The host may have left.
                 let _ = stream.write_all(answer.as_bytes()).await;
@@ -56,11 +59,15 @@
     let mut answer = None;
     until("an answer of the target", async || {
         let sent = call.clone().send(site.address()).await;
-        answer = sent.ok().filter(|answer| answer.status == StatusCode::OK);
+        // A host that has not read the store yet sends the call to a removed target.
+        let is_from_target = |answer: &Answer| answer.field("response-seal") == SEAL;
+        answer = sent.ok().filter(is_from_target);
         answer.is_some()
     })
     .await;
-    answer.expect("an answer")
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    answer
 }
 
 /// Guards against a plain answer that is refused or cut because it has no length.
