--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -90,7 +90,7 @@
     RequestOpen = 207, Warn, "request still open, grace period nearly over";
     /// Requests are refused from now on because their runs crash their targets.
     RequestsQuarantined = 208, Warn, "requests quarantined, their runs crash targets";
-    /// Requests that were quarantined are so no longer.
+    /// Requests are no longer refused as quarantined.
     RequestsReleased = 209, Info, "requests released from quarantine";
     /// A quarantined request is admitted once to see whether it still crashes targets.
     RequestTried = 210, Info, "trial of a quarantined request";
--- a/bergamotswitch-core/tests/crash_blame.rs
+++ b/bergamotswitch-core/tests/crash_blame.rs
@@ -249,8 +249,8 @@
     }
 }
 
-/// Guards against a part that is blamed for crashes of which the guilty one has too many to
-/// be kept or told at once.
+/// Guards against a part that is blamed for crashes that another part caused, because these
+/// are more than a report holds.
 #[test]
 fn many_crashes() {
     const BYSTANDER: u128 = 0xb5;
