Test cold targets and evacuated domains at real hosts, and in the soak

The stand-in of a target turns cold, crashes far above what it bears, tells how long in its registration and its health answer, and stands in a failure domain of its choice. The soak draws both as faults from seed 6000 on and checks both rules from what the targets saw; 6000 to 6002 run with the checks.

--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -22,9 +22,18 @@
 use crate::loopback_listener::{ListenerControl, LoopbackListener};
 use crate::target_control::lock;
 
+/// The failure domain of a target unless another one is set.
+const DEFAULT_ZONE: &str = "hall-1";
+
+/// How long a target that crashed because it was cold is down.
+const COLD_CRASH_TIME: Duration = Duration::from_secs(1);
+
 /// The version of a target's software unless another one is set.
 const DEFAULT_VERSION: &str = "v1";
 
+/// The path of health checks.
+const HEALTH_PATH: &str = "/healthz";
+
 /// A `ResponseMode` is the way in which a target answers one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -93,11 +102,30 @@
     leaving: AtomicBool,
     rest: Mutex<Option<HeaderValue>>,
     version: Mutex<String>,
+    zone: Mutex<String>,
+    warmth: Mutex<TargetWarmth>,
     fatal_part: Mutex<Option<FatalPart>>,
     crashes: Mutex<Vec<Instant>>,
     control: OnceLock<ListenerControl>,
 }
 
+/// A `TargetWarmth` is until when a target is cold, and how many calls in a second crash it
+/// until then.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetWarmth {
+    cold_until: Option<Instant>,
+    fatal_calls: Option<usize>,
+}
+
+impl TargetWarmth {
+    fn remaining_ms(&self) -> u64 {
+        let left = self
+            .cold_until
+            .map(|until| until.saturating_duration_since(Instant::now()));
+        left.map_or(0, |left| left.as_millis() as u64)
+    }
+}
+
 /// A `FatalPart` is a part of a prompt that crashes the target when it begins to answer.
 #[derive(Clone, Debug)]
 struct FatalPart {
@@ -113,6 +141,23 @@
         }
     }
 
+    /// Crash the target if it is cold and has got too many calls in the last second.
+    fn crash_if_cold(&self) {
+        let warmth = *lock(&self.warmth);
+        let Some(fatal) = warmth.fatal_calls.filter(|_| warmth.remaining_ms() > 0) else {
+            return;
+        };
+        let recent = lock(&self.calls)
+            .iter()
+            .rev()
+            .take_while(|call| call.received_at.elapsed() < Duration::from_secs(1))
+            .filter(|call| call.ran)
+            .count();
+        if recent > fatal {
+            self.crash(COLD_CRASH_TIME);
+        }
+    }
+
     /// Get how long the target is down after it has begun to answer a call, if the call
     /// crashes it.
     fn crash_under(&self, call: &RecordedCall) -> Option<Duration> {
@@ -172,6 +217,8 @@
             leaving: AtomicBool::new(false),
             rest: Mutex::default(),
             version: Mutex::new(DEFAULT_VERSION.to_owned()),
+            zone: Mutex::new(DEFAULT_ZONE.to_owned()),
+            warmth: Mutex::default(),
             fatal_part: Mutex::default(),
             crashes: Mutex::default(),
             control: OnceLock::new(),
@@ -209,8 +256,9 @@
         let mut instance = lock(&self.shared.instance);
         instance.sequence += 1;
         json!({
-            "service": service, "address": address.to_string(), "zone": "hall-1",
-            "version": *lock(&self.shared.version), "slots": 4, "state": state, "coldRemainingMs": 0,
+            "service": service, "address": address.to_string(), "zone": *lock(&self.shared.zone),
+            "version": *lock(&self.shared.version), "slots": 4, "state": state,
+            "coldRemainingMs": lock(&self.shared.warmth).remaining_ms(),
             "sequence": instance.sequence, "born": instance.started_ms,
         })
     }
@@ -246,6 +294,20 @@
         *lock(&self.shared.version) = version.to_owned();
     }
 
+    /// Set the failure domain in further registrations.
+    pub fn set_zone(&self, zone: &str) {
+        *lock(&self.shared.zone) = zone.to_owned();
+    }
+
+    /// Turn cold for `span`. Meanwhile more than `fatal_calls` in a second crash the target,
+    /// if given.
+    pub fn turn_cold(&self, span: Duration, fatal_calls: Option<usize>) {
+        *lock(&self.shared.warmth) = TargetWarmth {
+            cold_until: Some(Instant::now() + span),
+            fatal_calls,
+        };
+    }
+
     /// Get the version of the target's software.
     pub fn version(&self) -> String {
         lock(&self.shared.version).clone()
@@ -280,6 +342,9 @@
     shared: Arc<TargetShared>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, io::Error> {
+    if request.uri().path() == HEALTH_PATH {
+        return Ok(health_response(&shared));
+    }
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let mut call = RecordedCall {
@@ -308,6 +373,7 @@
             &[],
         ));
     }
+    shared.crash_if_cold();
     if let Some(rest) = rest {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         let mut response = plain_response(status, &call, "resting", &[("not-executed", "1")]);
@@ -362,6 +428,19 @@
     Ok(with_seal(&shared, response))
 }
 
+/// Get the answer to a health check, which names the target and how long it stays cold.
+fn health_response(shared: &TargetShared) -> Response<ResponseBody> {
+    let body = Full::new(Bytes::new());
+    let mut response = Response::new(body.map_err(|never: Infallible| match never {}).boxed());
+    let cold_ms = lock(&shared.warmth).remaining_ms();
+    let headers = response.headers_mut();
+    headers.insert("cold-ms", cold_ms.into());
+    if let Ok(name) = HeaderValue::from_str(&shared.name) {
+        headers.insert("instance-id", name);
+    }
+    response
+}
+
 fn plain_response(
     status: StatusCode,
     call: &RecordedCall,
--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -137,6 +137,15 @@
     );
 }
 
+// Failure domains are evacuated and targets turn cold, in one run while all hosts stop.
+#[test]
+fn short_domains() {
+    assert_eq!(
+        failed_seeds(6_000..6_003, SHORT_RUN_HOSTS, 2),
+        Vec::<u64>::new()
+    );
+}
+
 #[test]
 #[ignore = "takes minutes; run manually, with seeds from SOAK_SEEDS"]
 fn many_seeds() {
--- a/bergamotswitch/tests/soak_world/checks.rs
+++ b/bergamotswitch/tests/soak_world/checks.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 
 use super::callers::{CallEnd, CallKind, CallRecord, ObservedResponse, body_of};
+use super::domains::{overrun_cold, sent_to_evacuated};
 use super::stops::lost_at_stop;
 use super::{SoakWorld, overlaps};
 use crate::users::REVOKE_MS;
@@ -26,7 +27,7 @@
 
 /// A `TargetRun` is one execution of a call, started by a target.
 pub struct TargetRun {
-    target: usize,
+    pub target: usize,
     pub call: RecordedCall,
 }
 
@@ -65,12 +66,19 @@
                     altered_request(call, run),
                     revoked_key_used(world, call, run),
                     sent_after_drain(world, call, run),
+                    sent_to_evacuated(world, call.host, run),
+                ],
+                None => [
+                    Some(format!("UNASKED: no caller sent {id}")),
+                    None,
+                    None,
+                    None,
                 ],
-                None => [Some(format!("UNASKED: no caller sent {id}")), None, None],
             };
             problems.extend(found.into_iter().flatten());
         }
     }
+    problems.extend(overrun_cold(world, &runs));
     problems.extend(not_recovered(world, &calls));
     problems
 }
@@ -224,7 +232,7 @@
 
 /// Get whether a host and the store were free of faults from [`SETTLE_TIME`]
 /// before `from` until `until`.
-fn is_settled(world: &SoakWorld, host: usize, from: Instant, until: Instant) -> bool {
+pub fn is_settled(world: &SoakWorld, host: usize, from: Instant, until: Instant) -> bool {
     let from = settle_start(from);
     let store = overlaps(&world.store_disturbances.borrow(), from, until);
     !store && !world.is_disturbed(host, from, until)
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod checks;
+mod domains;
 mod plan;
 mod stall;
 mod stops;
@@ -21,6 +22,7 @@
 use crate::relay::{Flow, Relay};
 use crate::users::{self, HostProcess, KEY, SiteOptions, start_host_with};
 use callers::{CallRecord, SECOND_KEY, run_caller};
+use domains::{ColdSpan, EvacuationSpan};
 use plan::{RunPlan, SiteFault, TimedFault};
 use stall::StallMonitor;
 use stops::HostStop;
@@ -105,6 +107,8 @@
     routes: RefCell<Vec<AddedRoute>>,
     revocations: RefCell<Vec<FaultSpan>>,
     departures: RefCell<Vec<TargetDeparture>>,
+    evacuations: RefCell<Vec<EvacuationSpan>>,
+    cold_spans: RefCell<Vec<ColdSpan>>,
     store_disturbances: RefCell<Vec<FaultSpan>>,
     calls: RefCell<Vec<CallRecord>>,
     problems: RefCell<Vec<String>>,
@@ -152,6 +156,7 @@
             let name = format!("{service}-{number}");
             let target = GatewayTargetStandin::start(&name, events, EVENT_GAP).await;
             let target = target.expect("target");
+            target.set_zone(domains::domain_of(number));
             let (relay, address) = Relay::start_on_free_port(target.address());
             targets.push(WorldTarget {
                 relay,
@@ -191,6 +196,8 @@
             routes: RefCell::default(),
             revocations: RefCell::default(),
             departures: RefCell::default(),
+            evacuations: RefCell::default(),
+            cold_spans: RefCell::default(),
             store_disturbances: RefCell::default(),
             calls: RefCell::default(),
             problems: RefCell::default(),
@@ -370,6 +377,12 @@
             SiteFault::AddRoute => self.add_route(),
             SiteFault::Drain { target } => self.drain(target).await,
             SiteFault::Restart { target } => self.restart(target).await,
+            SiteFault::Evacuate {
+                domain,
+                duration,
+                cold,
+            } => self.evacuate(domain, duration, cold).await,
+            SiteFault::Cold { target } => self.turn_cold(target).await,
             SiteFault::OverwriteEntry { target, bytes } => self.overwrite(target, bytes).await,
         }
     }
--- a/bergamotswitch/tests/soak_world/plan.rs
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -39,8 +39,15 @@
 const FIRST_ALL_KINDS_SEED: u64 = 1_000;
 /// The number of fault kinds that seeds below [`FIRST_ALL_KINDS_SEED`] draw from.
 const EARLY_KINDS: u32 = 13;
-/// The number of all fault kinds.
+/// The number of fault kinds that seeds below [`FIRST_DOMAIN_SEED`] draw from.
 const ALL_KINDS: u32 = 17;
+/// The first seed that evacuates failure domains and turns targets cold, in every second run
+/// while all hosts are stopped. Lower seeds must keep drawing the same faults.
+const FIRST_DOMAIN_SEED: u64 = 6_000;
+/// The number of all fault kinds.
+const DOMAIN_KINDS: u32 = 21;
+/// How long a domain is evacuated, in milliseconds: longer than it may still get calls.
+const EVACUATION_MS: std::ops::Range<u64> = 5_500..8_000;
 /// The invalid entries that another writer stores under a target's key.
 const FOREIGN_ENTRIES: [&str; 3] = [
     "\u{fffd}\u{0}no registration",
@@ -92,6 +99,14 @@
     Drain { target: usize },
     /// A target restarts under its name.
     Restart { target: usize },
+    /// A failure domain is evacuated and taken back. Its targets may be cold then.
+    Evacuate {
+        domain: usize,
+        duration: Duration,
+        cold: bool,
+    },
+    /// A target turns cold while it serves.
+    Cold { target: usize },
     /// Another writer overwrites a target's store entry.
     OverwriteEntry { target: usize, bytes: &'static str },
 }
@@ -105,6 +120,7 @@
                 | SiteFault::Reload { .. }
                 | SiteFault::AddRoute
                 | SiteFault::Drain { .. }
+                | SiteFault::Evacuate { .. }
         )
     }
 }
@@ -128,15 +144,16 @@
 
 /// Draw the plan of a run from its seed.
 pub fn plan(seed: u64, hosts: usize, targets: usize) -> RunPlan {
-    if seed >= FIRST_STOP_SEED {
+    let stops = match seed < FIRST_DOMAIN_SEED {
+        true => seed >= FIRST_STOP_SEED,
+        false => seed.is_multiple_of(2),
+    };
+    if stops {
         return plan_stops(seed, hosts, targets);
     }
     let mut rng = StdRng::seed_from_u64(seed);
     let planned = seed.is_multiple_of(PLANNED_ONE_IN);
-    let kinds = match seed < FIRST_ALL_KINDS_SEED {
-        true => EARLY_KINDS,
-        false => ALL_KINDS,
-    };
+    let kinds = kinds(seed);
     let count = rng.random_range(FAULT_COUNT);
     let mut faults = Vec::new();
     while faults.len() < count {
@@ -151,16 +168,29 @@
     }
 }
 
+/// Get the number of fault kinds that a seed draws from.
+fn kinds(seed: u64) -> u32 {
+    match seed {
+        ..FIRST_ALL_KINDS_SEED => EARLY_KINDS,
+        FIRST_ALL_KINDS_SEED..FIRST_DOMAIN_SEED => ALL_KINDS,
+        _ => DOMAIN_KINDS,
+    }
+}
+
 /// Draw the plan of a run in which every host is stopped during other faults.
 fn plan_stops(seed: u64, hosts: usize, targets: usize) -> RunPlan {
     let mut rng = StdRng::seed_from_u64(seed);
-    let planned = seed.is_multiple_of(STOP_PLANNED_ONE_IN);
+    let planned = match seed < FIRST_DOMAIN_SEED {
+        true => seed.is_multiple_of(STOP_PLANNED_ONE_IN),
+        false => seed.is_multiple_of(PLANNED_ONE_IN),
+    };
+    let kinds = kinds(seed);
     let grace = GRACE_PERIODS_S[rng.random_range(0..GRACE_PERIODS_S.len())];
     let mut faults = draw_stops(&mut rng, hosts);
     let last = faults.last().map_or(FAULT_WINDOW, |fault| fault.at);
     let count = faults.len() + rng.random_range(FAULT_COUNT);
     while faults.len() < count {
-        let fault = draw_fault(&mut rng, hosts, targets, ALL_KINDS);
+        let fault = draw_fault(&mut rng, hosts, targets, kinds);
         faults.extend(draw_time(&mut rng, fault, last, planned));
     }
     faults.sort_by_key(|fault| fault.at);
@@ -244,6 +274,12 @@
         },
         12 => SiteFault::Drain { target },
         13 | 14 => SiteFault::Restart { target },
+        17 | 18 => SiteFault::Evacuate {
+            domain: rng.random_range(0..2),
+            duration: Duration::from_millis(rng.random_range(EVACUATION_MS)),
+            cold: rng.random_bool(0.5),
+        },
+        19 | 20 => SiteFault::Cold { target },
         _ => SiteFault::OverwriteEntry {
             target,
             bytes: FOREIGN_ENTRIES[rng.random_range(0..FOREIGN_ENTRIES.len())],
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -42,6 +42,14 @@
 /// How long a revoked API key may still be accepted.
 pub const REVOKE_MS: u64 = 3_000;
 
+/// The requests per second that a cold target bears, and how far they may be exceeded: a
+/// factor, and a number of requests.
+pub const COLD_PER_SECOND: u32 = 10;
+pub const COLD_FACTOR: f64 = 1.5;
+pub const COLD_SLACK: f64 = 5.0;
+/// The requests that a cold target may get in any second.
+pub const COLD_ALLOWED: usize = 20;
+
 /// A `SiteOptions` is the configuration of a site.
 #[derive(Clone, Debug)]
 pub struct SiteOptions {
@@ -326,8 +334,10 @@
         "routes": routes,
         "services": [
             {"name": "drafting", "healthPath": "/healthz", "maxConnections": 100,
-             "engine": {"slots": options.slots, "kvCapacityTokens": 100_000}},
-            {"name": "desk", "healthPath": "/healthz", "maxConnections": 100},
+             "engine": {"slots": options.slots, "kvCapacityTokens": 100_000},
+             "coldStartS": 3, "coldPerS": COLD_PER_SECOND},
+            {"name": "desk", "healthPath": "/healthz", "maxConnections": 100,
+             "coldStartS": 3, "coldPerS": COLD_PER_SECOND},
         ],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
@@ -425,6 +435,7 @@
             "metrics_address": metrics, "store_address": store, "seeds": [seed],
             "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
             "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
+            "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
         },
         "grace_s": grace.as_secs_f64(),
         "log": {"output": "stdout", "format": "json"},
