--- a/bergamotswitch-core/src/node/view.rs
+++ b/bergamotswitch-core/src/node/view.rs
@@ -5,6 +5,7 @@
 use super::{NodeCore, NodeCounts};
 use crate::clock::Moment;
 use crate::entry::EntryView;
+use crate::failure_domain::DomainName;
 use crate::membership::PeerView;
 use crate::pool::PoolShard;
 use crate::pool_owner::ShardView;
@@ -30,6 +31,10 @@
     pub revisions: RevisionStatus,
     /// Inconsistencies between values that are each valid.
     pub cross_findings: Vec<String>,
+    /// The evacuated failure domains.
+    pub evacuated: Vec<DomainName>,
+    /// The number of cold targets.
+    pub cold_targets: usize,
     /// The requests at this host.
     #[serde(rename = "desk")]
     pub entry: EntryView,
@@ -62,6 +67,8 @@
                 .iter()
                 .map(ToString::to_string)
                 .collect(),
+            evacuated: self.evacuated().domains.into_iter().collect(),
+            cold_targets: self.publication.cold_count(now),
             entry: self.entry.view(),
             owns: self.membership.acting_shards(),
             shards: self.shards.views(),
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -43,6 +43,9 @@
     /// The limit of its request rate that the target named, in requests per 1,000
     /// seconds.
     pub rate_limit: Option<RequestRate>,
+    /// How long the target stays cold, and limited for that reason, in milliseconds; 0 if it
+    /// is warm.
+    pub cold_ms: u64,
     /// Whether the target gets nothing but probes.
     pub backed_off: bool,
     /// Whether the target gets no new requests.
@@ -137,6 +140,9 @@
                 limit: load.limit(self.now),
                 speed: load.speed(self.now) as u64,
                 rate_limit: load.rate_limit(),
+                cold_ms: load
+                    .warm_at()
+                    .map_or(0, |at| at.since(self.now).as_millis() as u64),
                 backed_off: load.back_off().is_active(),
                 leaving: load.is_draining(),
             })
--- a/bergamotswitch-core/src/publication/mod.rs
+++ b/bergamotswitch-core/src/publication/mod.rs
@@ -176,6 +176,16 @@
         self.warmth.take_back(now, entries, &self.routes)
     }
 
+    /// Get the number of cold targets.
+    pub(crate) fn cold_count(&self, now: Moment) -> usize {
+        let entries = self.registered_targets.targets.iter();
+        let is_cold = |entry: &&TargetEntry| {
+            let limit = self.warmth.limit_of(now, entry, &self.routes);
+            limit.is_some()
+        };
+        entries.filter(is_cold).count()
+    }
+
     /// Get the cold targets of a pool with their limits.
     pub fn cold_targets(&self, now: Moment, pool: &PoolName) -> Vec<(TargetName, ColdTarget)> {
         let entries = self.registered_targets.targets.iter();
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -86,6 +86,8 @@
     crashed_calls: Gauge,
     quarantined_calls: Gauge,
     limited_targets: Gauge,
+    cold_targets: Gauge,
+    evacuated_domains: Gauge,
     lost_paths: Gauge,
     open_tunnels: Gauge,
 }
@@ -125,6 +127,8 @@
             crashed_calls: Gauge::default(),
             quarantined_calls: Gauge::default(),
             limited_targets: Gauge::default(),
+            cold_targets: Gauge::default(),
+            evacuated_domains: Gauge::default(),
             lost_paths: Gauge::default(),
             open_tunnels: Gauge::default(),
         };
@@ -304,6 +308,16 @@
         self.limited_targets.set(count as i64);
     }
 
+    /// Set the number of targets that are cold.
+    pub fn set_cold_targets(&self, count: usize) {
+        self.cold_targets.set(count as i64);
+    }
+
+    /// Set the number of failure domains that are evacuated.
+    pub fn set_evacuated_domains(&self, count: usize) {
+        self.evacuated_domains.set(count as i64);
+    }
+
     /// Set the number of targets that this host reaches only through other hosts.
     pub fn set_lost_paths(&self, count: usize) {
         self.lost_paths.set(count as i64);
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -142,6 +142,16 @@
             "Targets that have named a rate limit to this host",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold, so that their owner limits their rate",
+            self.cold_targets.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose targets get no new requests",
+            self.evacuated_domains.clone(),
+        );
         registry.register(
             "lost_paths",
             "Targets that this host reaches only through other hosts",
--- a/bergamotswitch-net/src/node/gauges.rs
+++ b/bergamotswitch-net/src/node/gauges.rs
@@ -28,4 +28,6 @@
     metrics.set_crashed_calls(entry.crashed_calls, entry.quarantined_calls);
     metrics.set_limited_targets(entry.limited_targets);
     metrics.set_lost_paths(entry.lost_paths);
+    metrics.set_cold_targets(view.cold_targets);
+    metrics.set_evacuated_domains(view.evacuated.len());
 }
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -166,6 +166,19 @@
     Ok(())
 }
 
+fn target_state(target: &Value) -> &'static str {
+    if target["leaving"] == true {
+        return "leaving";
+    }
+    if target["backed_off"] == true {
+        return "backed off";
+    }
+    match target["cold_ms"].as_u64() {
+        None | Some(0) => "in use",
+        Some(_) => "cold",
+    }
+}
+
 fn target_table(targets: &Value) -> TextTable {
     let head = [
         "target",
@@ -179,11 +192,7 @@
     ];
     let mut table = TextTable::new(&head).with_indent(2);
     for target in items(targets) {
-        let state = match (target["leaving"] == true, target["backed_off"] == true) {
-            (true, _) => "leaving",
-            (false, true) => "backed off",
-            (false, false) => "in use",
-        };
+        let state = target_state(target);
         table.add(vec![
             text(&target["name"]),
             state.to_owned(),
--- a/bergamotswitch/tests/cold_targets.rs
+++ b/bergamotswitch/tests/cold_targets.rs
@@ -6,7 +6,7 @@
 
 use bergamotswitch_standin::gateway_target::GatewayTargetStandin;
 use http::StatusCode;
-use users::{COLD_ALLOWED, Call, HostProcess, Site, SiteOptions, start_host_with};
+use users::{COLD_ALLOWED, Call, HostProcess, Site, SiteOptions, start_host_with, wait_metric};
 
 /// How long after its registration a state is known to all hosts.
 const HEARD: Duration = Duration::from_millis(300);
@@ -86,6 +86,7 @@
     let cold = &site.desks[0];
     let from = Instant::now();
     turn_cold(&site, "desk", &[cold]);
+    wait_metric(site.hosts[0].metrics, "bergamot_cold_targets 1").await;
     let (sent, served) = send(&hosts, "/status/1", "cold", Duration::from_secs(3)).await;
     assert_bound(cold, from + HEARD, from + COLD);
     assert!(
--- a/bergamotswitch/tests/evacuations.rs
+++ b/bergamotswitch/tests/evacuations.rs
@@ -7,7 +7,9 @@
 use bergamotswitch_standin::gateway_target::GatewayTargetStandin;
 use http::StatusCode;
 use serde_json::json;
-use users::{Answer, COLD_ALLOWED, Call, Site, SiteOptions, start_host_with, until, wait_logged};
+use users::{
+    Answer, COLD_ALLOWED, Call, Site, SiteOptions, start_host_with, until, wait_logged, wait_metric,
+};
 
 /// The time after which an evacuated domain gets no new calls.
 const EVACUATE_BOUND: Duration = Duration::from_secs(5);
@@ -87,6 +89,7 @@
     assert_eq!(calls_since(&site.desks[1], since), 0);
     for host in &site.hosts {
         wait_logged(host.metrics, 716).await;
+        wait_metric(host.metrics, "bergamot_evacuated_domains 1").await;
     }
     site.store.remove(EVACUATED);
     site.store.compact();
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -487,6 +487,15 @@
     .await;
 }
 
+/// Wait until the host with this metrics address shows a series with its value.
+pub async fn wait_metric(metrics: SocketAddr, line: &str) {
+    until(line, async || {
+        let page = Call::get("/metrics").send(metrics).await;
+        page.is_ok_and(|page| page.text().lines().any(|shown| shown == line))
+    })
+    .await;
+}
+
 /// Write a settings file atomically, since a host may be watching it.
 fn write_settings(path: &Path, settings: &Value) {
     let draft = path.with_extension("draft");
