Publish each newer read of the evacuations, and build findings in one place

A host that read the same domains again at a later position did not publish them, so a peer's list of a position in between, which differed, replaced its own and stayed until the next change.

--- a/bergamotswitch-core/src/cold_targets.rs
+++ b/bergamotswitch-core/src/cold_targets.rs
@@ -106,14 +106,9 @@
                 },
             };
             let was_cold = earlier.is_some_and(|earlier| earlier.until > now);
-            if !was_cold && let Some(cold) = limit(now, warmth, &spec(routes, entry)) {
-                let target = entry.name.clone();
-                let cause = ColdCause::Registration;
-                findings.push(ColdFinding {
-                    target,
-                    cold,
-                    cause,
-                });
+            if !was_cold {
+                let cold = limit(now, warmth, &spec(routes, entry));
+                findings.extend(finding(entry, cold, ColdCause::Registration));
             }
             known.insert(entry.name.clone(), warmth);
         }
@@ -137,15 +132,8 @@
             };
             let until = now.plus(Duration::from_millis(spec.start_ms).min(MAX_COLD_TIME));
             known.until = known.until.max(until);
-            if let Some(cold) = limit(now, *known, &spec) {
-                let target = entry.name.clone();
-                let cause = ColdCause::TakenBack;
-                findings.push(ColdFinding {
-                    target,
-                    cold,
-                    cause,
-                });
-            }
+            let cold = limit(now, *known, &spec);
+            findings.extend(finding(entry, cold, ColdCause::TakenBack));
         }
         findings
     }
@@ -162,6 +150,14 @@
     }
 }
 
+fn finding(entry: &TargetEntry, cold: Option<ColdTarget>, cause: ColdCause) -> Option<ColdFinding> {
+    Some(ColdFinding {
+        target: entry.name.clone(),
+        cold: cold?,
+        cause,
+    })
+}
+
 fn spec(routes: &RouteTable, entry: &TargetEntry) -> ColdSpec {
     let spec = routes.pool(&entry.pool);
     spec.map_or_else(ColdSpec::default, |spec| spec.cold)
--- a/bergamotswitch-core/src/evacuation.rs
+++ b/bergamotswitch-core/src/evacuation.rs
@@ -98,16 +98,19 @@
         self.kept.clear();
     }
 
-    /// Apply an update of the store; get whether the list has to be published.
+    /// Apply an update of the store; get whether the list has to be published. That of a
+    /// newer snapshot always has to: a peer may publish an earlier one that differs.
     pub fn apply(&mut self, now: Moment, update: EvacuationUpdate) -> bool {
-        let before = self.as_of.map(|_| self.list());
         match update {
             EvacuationUpdate::Snapshot { domains, as_of } => {
-                self.apply_snapshot(now, domains, as_of);
+                self.apply_snapshot(now, domains, as_of)
+            }
+            EvacuationUpdate::Changes { changes, as_of } => {
+                let before = self.list();
+                self.apply_changes(changes, as_of);
+                before != self.list()
             }
-            EvacuationUpdate::Changes { changes, as_of } => self.apply_changes(changes, as_of),
         }
-        before != Some(self.list())
     }
 
     /// Drop the kept evacuations once their grace period is over; get whether there were
@@ -142,19 +145,24 @@
         }
     }
 
-    fn apply_snapshot(&mut self, now: Moment, domains: BTreeSet<DomainName>, as_of: StorePosition) {
-        let known = self.as_of.unwrap_or_default();
+    /// Apply a snapshot; get whether it is newer than what is known.
+    fn apply_snapshot(
+        &mut self,
+        now: Moment,
+        domains: BTreeSet<DomainName>,
+        as_of: StorePosition,
+    ) -> bool {
         // A delayed snapshot must not undo later changes.
-        if as_of < known {
-            return;
+        if self.as_of.is_some_and(|known| as_of <= known) {
+            return false;
         }
-        let is_restored = self.as_of.is_some() && known.era() < as_of.era();
-        if is_restored {
+        if self.as_of.is_some_and(|known| known.era() < as_of.era()) {
             self.kept = self.domains.difference(&domains).cloned().collect();
             self.keep_until = now.plus(RESTORE_GRACE);
         }
         self.domains = domains;
         self.advance(as_of);
+        true
     }
 
     fn apply_changes(
