--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -34,6 +34,7 @@
 mod target_change;
 mod target_limits;
 pub mod target_load;
+mod target_pace;
 mod tier_floor;
 mod token_limit;
 mod view;
