--- a/bergamotswitch-core/src/pool_owner/attached_hosts.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/attached_hosts.rs
@@ -17,7 +17,7 @@
 /// time, each owner grants the portion of the hosts that use it, and the
 /// portions of all owners add up to one quota.
 #[derive(Debug, Default)]
-pub(super) struct AttachedHosts {
+pub(in crate::pool_owner) struct AttachedHosts {
     hosts: BTreeSet<HostName>,
     /// The hosts that may use another owner, with the time until which that is
     /// assumed.
@@ -37,7 +37,7 @@
 impl AttachedHosts {
     /// Set the hosts of the fleet that are not stopping. New ones may use
     /// another owner, except for `own_name`.
-    pub(super) fn set_hosts(
+    pub(in crate::pool_owner) fn set_hosts(
         &mut self,
         now: Moment,
         own_name: &HostName,
@@ -59,7 +59,7 @@
     /// Record that a host uses this owner. Messages that queued up while this
     /// process was paused are ignored, since the host may use another owner
     /// by now.
-    pub(super) fn attach(&mut self, now: Moment, host: &HostName) {
+    pub(in crate::pool_owner) fn attach(&mut self, now: Moment, host: &HostName) {
         if !self.detached.is_empty() && now >= self.stale_until {
             self.detached.remove(host);
         }
@@ -67,7 +67,12 @@
 
     /// Record that a host's process has terminated: its next one may use
     /// another owner.
-    pub(super) fn detach(&mut self, now: Moment, host: &HostName, overlap: Duration) {
+    pub(in crate::pool_owner) fn detach(
+        &mut self,
+        now: Moment,
+        host: &HostName,
+        overlap: Duration,
+    ) {
         if self.hosts.contains(host) {
             self.detached.insert(host.clone(), now.plus(overlap));
             self.update_first_expiry();
@@ -75,7 +80,12 @@
     }
 
     /// Record that every host except this one may use another owner.
-    pub(super) fn detach_others(&mut self, now: Moment, own_name: &HostName, overlap: Duration) {
+    pub(in crate::pool_owner) fn detach_others(
+        &mut self,
+        now: Moment,
+        own_name: &HostName,
+        overlap: Duration,
+    ) {
         let until = now.plus(overlap);
         let others = self.hosts.iter().filter(|host| *host != own_name);
         self.detached = others.map(|host| (host.clone(), until)).collect();
@@ -85,20 +95,20 @@
 
     /// Get whether the set of hosts is empty: this owner serves its own host
     /// only.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::pool_owner) fn is_empty(&self) -> bool {
         self.hosts.is_empty()
     }
 
     /// Count all hosts as users of this owner at once: the previous owner stops
     /// or does not respond, so all of them use this one.
-    pub(super) fn attach_all(&mut self) {
+    pub(in crate::pool_owner) fn attach_all(&mut self) {
         self.detached.clear();
         self.update_first_expiry();
     }
 
     /// Grant nothing from now on but what is left in the token buckets, since
     /// the next owner's buckets begin to fill.
-    pub(super) fn stop(&mut self) {
+    pub(in crate::pool_owner) fn stop(&mut self) {
         self.stopping = true;
     }
 
@@ -106,7 +116,7 @@
     ///
     /// A host that sends nothing is counted after a timeout: it may have no
     /// requests, and by then there is no second owner that it could use.
-    pub(super) fn quota_portion(&mut self, now: Moment) -> f64 {
+    pub(in crate::pool_owner) fn quota_portion(&mut self, now: Moment) -> f64 {
         if now >= self.first_expiry {
             self.detached.retain(|_, until| now < *until);
             self.update_first_expiry();
--- a/bergamotswitch-core/src/pool_owner/quota_recovery.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/quota_recovery.rs
@@ -11,8 +11,7 @@
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::permit::QuotaLevel;
-
-use super::owner::ShardOwner;
+use crate::pool_owner::owner::ShardOwner;
 
 /// How long after its start an owner accepts usage reports. Hosts that report
 /// later have used another owner meanwhile.
@@ -21,13 +20,13 @@
 /// A `QuotaRecovery` is the set of entry hosts that have reported their usage
 /// to a new owner.
 #[derive(Debug)]
-pub(super) struct QuotaRecovery {
+pub(in crate::pool_owner) struct QuotaRecovery {
     started_at: Moment,
     reported: BTreeSet<HostName>,
 }
 
 impl QuotaRecovery {
-    pub(super) fn new(now: Moment) -> Self {
+    pub(in crate::pool_owner) fn new(now: Moment) -> Self {
         QuotaRecovery {
             started_at: now,
             reported: BTreeSet::new(),
@@ -37,7 +36,7 @@
 
 impl ShardOwner {
     /// Apply the quota usage of an entry host's callers, once for each host.
-    pub(super) fn on_quota_use(
+    pub(in crate::pool_owner) fn on_quota_use(
         &mut self,
         now: Moment,
         host: HostName,
--- a/bergamotswitch-core/src/pool_owner/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -5,16 +5,19 @@
 use crate::clock::Moment;
 use crate::host::{HostIncarnation, HostName};
 use crate::permit::{OwnerReply, PermitRequest};
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
 use crate::rules::Tier;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
-
 impl ShardOwner {
     /// Refuse the queued requests whose waiting time is over.
-    pub(super) fn expire_requests(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn expire_requests(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<OwnerAction>,
+    ) {
         while let Some(attempt) = self.queue.expired(now) {
             let queued = self.queue.get(&attempt);
             let tier = queued.map_or(Tier(0), |queued| queued.request.tier);
@@ -31,7 +34,7 @@
     }
 
     /// Refuse a queued request. It was not run under a permit of this owner.
-    pub(super) fn refuse_queued(
+    pub(in crate::pool_owner) fn refuse_queued(
         &mut self,
         attempt: &AttemptId,
         reason: RefusalReason,
@@ -49,7 +52,7 @@
             self.refuse(queued.host, *attempt, reason, retry_after, actions);
         }
     }
-    pub(super) fn refuse(
+    pub(in crate::pool_owner) fn refuse(
         &mut self,
         host: HostName,
         attempt: AttemptId,
@@ -68,7 +71,7 @@
     }
 
     /// Reply that another run holds the request's key.
-    pub(super) fn reply_key_held(
+    pub(in crate::pool_owner) fn reply_key_held(
         &mut self,
         host: HostName,
         attempt: AttemptId,
@@ -81,7 +84,7 @@
     }
 
     /// Release the key and the quota units of a request that got no permit.
-    pub(super) fn release_unused(&mut self, request: &PermitRequest) {
+    pub(in crate::pool_owner) fn release_unused(&mut self, request: &PermitRequest) {
         if let Some(claim) = &request.claim {
             self.keys.release_unused(claim);
         }
--- a/bergamotswitch-core/src/pool_owner/stream_requests.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
@@ -7,17 +7,16 @@
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::permit::{OwnerReply, PermitRequest};
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::order::queue::Placement;
+use crate::pool_owner::order::wait_plan::WaitPlan;
+use crate::pool_owner::owner::ShardOwner;
+use crate::pool_owner::placement::routing::{allowed, in_domains};
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
 use crate::stream_table::{KnownVersion, StreamId, StreamOrigin, VersionStreams};
 use crate::target::TargetName;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
-use super::queue::Placement;
-use super::routing::{allowed, in_domains};
-use super::wait_plan::WaitPlan;
-
 /// How long a new owner waits for the reports of the hosts before it refuses to resume a
 /// stream that it does not know.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -40,7 +39,7 @@
 
 /// A `StreamRequests` is the permit requests for streams that are not queued yet.
 #[derive(Debug, Default)]
-pub(super) struct StreamRequests {
+pub(in crate::pool_owner) struct StreamRequests {
     /// What each host knows of the stream of its next permit request.
     announced: BTreeMap<HostName, (AttemptId, StreamOrigin)>,
     held: BTreeMap<AttemptId, HeldRequest>,
@@ -48,18 +47,22 @@
 
 impl StreamRequests {
     /// Take what a host announced of the stream of its permit request.
-    pub(super) fn take(&mut self, host: &HostName, attempt: &AttemptId) -> Option<StreamOrigin> {
+    pub(in crate::pool_owner) fn take(
+        &mut self,
+        host: &HostName,
+        attempt: &AttemptId,
+    ) -> Option<StreamOrigin> {
         let (announced, origin) = self.announced.remove(host)?;
         (announced == *attempt).then_some(origin)
     }
 
     /// Drop a held permit request.
-    pub(super) fn withdraw(&mut self, attempt: &AttemptId) {
+    pub(in crate::pool_owner) fn withdraw(&mut self, attempt: &AttemptId) {
         self.held.remove(attempt);
     }
 
     /// Drop the permit requests of one incarnation of an entry host.
-    pub(super) fn drop_incarnation(&mut self, incarnation: Incarnation) {
+    pub(in crate::pool_owner) fn drop_incarnation(&mut self, incarnation: Incarnation) {
         self.announced
             .retain(|_, (attempt, _)| attempt.request.incarnation != incarnation);
         self.held
@@ -67,7 +70,7 @@
     }
 
     /// Get whether no permit request is held.
-    pub(super) fn is_empty(&self) -> bool {
+    pub(in crate::pool_owner) fn is_empty(&self) -> bool {
         self.held.is_empty()
     }
 }
@@ -75,7 +78,7 @@
 impl ShardOwner {
     /// Record what a host knows of the stream of its next permit request, and reply with
     /// the version if only this owner knows it.
-    pub(super) fn on_stream(
+    pub(in crate::pool_owner) fn on_stream(
         &mut self,
         host: HostName,
         attempt: AttemptId,
@@ -118,7 +121,7 @@
 
     /// Hold a permit request to resume an unknown stream while hosts may still report it,
     /// and refuse it otherwise.
-    pub(super) fn hold_or_refuse(
+    pub(in crate::pool_owner) fn hold_or_refuse(
         &mut self,
         now: Moment,
         host: HostName,
@@ -146,7 +149,11 @@
     }
 
     /// Queue or refuse the held permit requests that can be decided now.
-    pub(super) fn review_held_streams(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn review_held_streams(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<OwnerAction>,
+    ) {
         if self.stream_requests.is_empty() {
             return;
         }
@@ -167,7 +174,7 @@
     }
 
     /// Queue a permit request for a stream.
-    pub(super) fn place_stream(
+    pub(in crate::pool_owner) fn place_stream(
         &mut self,
         now: Moment,
         host: HostName,
@@ -182,7 +189,7 @@
     }
 
     /// Record the version at which a stream begins or continues.
-    pub(super) fn record_stream(
+    pub(in crate::pool_owner) fn record_stream(
         &mut self,
         now: Moment,
         origin: &StreamOrigin,
@@ -219,7 +226,7 @@
 
     /// Get whether no target serves a request, now or soon. The targets of a version may
     /// be absent for a while only.
-    pub(super) fn is_unplaceable(&self, placement: &Placement) -> bool {
+    pub(in crate::pool_owner) fn is_unplaceable(&self, placement: &Placement) -> bool {
         match placement.version {
             Some(_) => {
                 let any_version = placement.clone().with_version(None);
@@ -230,12 +237,12 @@
     }
 
     /// Get whether no target has the version that a request needs.
-    pub(super) fn lacks_version(&self, placement: &Placement) -> bool {
+    pub(in crate::pool_owner) fn lacks_version(&self, placement: &Placement) -> bool {
         placement.version.is_some() && in_domains(&self.targets, placement).next().is_none()
     }
 
     /// Limit the wait of a request whose version no target has.
-    pub(super) fn with_version_timeout(
+    pub(in crate::pool_owner) fn with_version_timeout(
         &self,
         now: Moment,
         plan: WaitPlan,
--- a/bergamotswitch-core/src/pool_owner/failed_targets.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/failed_targets.rs
@@ -9,9 +9,9 @@
 use crate::clock::Moment;
 use crate::incident::Incident;
 use crate::permit::FailedTarget;
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::owner::ShardOwner;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
 use super::target_change::is_later;
 
 impl ShardOwner {
@@ -35,7 +35,7 @@
     /// ignored if the target has completed a run here, if they concern an
     /// earlier process of the target, or if most targets would be backed off:
     /// the sender may have been partitioned from working targets.
-    pub(super) fn on_failed_targets(
+    pub(in crate::pool_owner) fn on_failed_targets(
         &mut self,
         now: Moment,
         failed: &[FailedTarget],
@@ -63,7 +63,7 @@
 
     /// Get whether more than half of the targets would be backed off if one
     /// more were.
-    pub(super) fn would_exceed_back_off_limit(&self) -> bool {
+    pub(in crate::pool_owner) fn would_exceed_back_off_limit(&self) -> bool {
         let live = self.targets.values().filter(|load| !load.is_draining());
         let backed_off = live.clone().filter(|load| load.back_off().is_active());
         (backed_off.count() + 1) * 2 > live.count()
--- a/bergamotswitch-core/src/pool_owner/host_reports.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/host_reports.rs
@@ -18,7 +18,7 @@
 /// A `HostReports` is the recent reports of different hosts about one target. A failure
 /// that one host alone meets may lie between that host and the target.
 #[derive(Clone, Debug, Default)]
-pub(super) struct HostReports {
+pub(in crate::pool_owner) struct HostReports {
     /// The latest success, and the latest one of another host.
     successes: [Option<HostReport>; 2],
     /// The latest failure since the last success, and the latest one of another host.
@@ -27,14 +27,14 @@
 
 impl HostReports {
     /// Record that a host finished a run.
-    pub(super) fn record_success(&mut self, now: Moment, host: &HostName) {
+    pub(in crate::pool_owner) fn record_success(&mut self, now: Moment, host: &HostName) {
         record(&mut self.successes, now, host);
         self.failures = [None, None];
     }
 
     /// Record that a host met a failure. Get whether it shows that the target failed:
     /// no other host has recently finished a run there, or another one met a failure too.
-    pub(super) fn record_failure(&mut self, now: Moment, host: &HostName) -> bool {
+    pub(in crate::pool_owner) fn record_failure(&mut self, now: Moment, host: &HostName) -> bool {
         record(&mut self.failures, now, host);
         !has_other(&self.successes, now, host) || has_other(&self.failures, now, host)
     }
--- a/bergamotswitch-core/src/pool_owner/leaving_targets.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/leaving_targets.rs
@@ -1,15 +1,15 @@
 //! Provides the handling of targets that said in an answer that they leave.
 
 use crate::permit::LeavingTarget;
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::owner::ShardOwner;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
 use super::target_change::is_later;
 
 impl ShardOwner {
     /// Grant no more permits for targets that leave, until their next start. Their
     /// published state may be older.
-    pub(super) fn on_leaving_targets(
+    pub(in crate::pool_owner) fn on_leaving_targets(
         &mut self,
         leaving: Vec<LeavingTarget>,
         actions: &mut Vec<OwnerAction>,
--- a/bergamotswitch-core/src/pool_owner/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -6,16 +6,16 @@
 use crate::host::{HostName, Incarnation};
 use crate::incident::Incident;
 use crate::permit::{InFlightWork, KeyClaim, OwnerReply, PermitId, Release, ReleaseOutcome, Usage};
+use crate::pool_owner::owner::ShardOwner;
+use crate::pool_owner::placement::permit_table::GrantedPermit;
+use crate::pool_owner::{FailureReport, OwnerAction};
 use crate::request::AttemptId;
 use crate::target::TargetName;
 
-use super::owner::ShardOwner;
-use super::permit_table::GrantedPermit;
 use super::run_time_estimator::RunSample;
-use super::{FailureReport, OwnerAction};
 
 impl ShardOwner {
-    pub(super) fn on_release(
+    pub(in crate::pool_owner) fn on_release(
         &mut self,
         now: Moment,
         release: &Release,
@@ -59,7 +59,7 @@
 
     /// Take over the work that an entry host holds under permits of previous
     /// owners.
-    pub(super) fn on_resync(
+    pub(in crate::pool_owner) fn on_resync(
         &mut self,
         now: Moment,
         host: HostName,
@@ -133,7 +133,7 @@
     }
 
     /// Reclaim the permits that a host, asked by an audit, does not hold.
-    pub(super) fn on_not_held(
+    pub(in crate::pool_owner) fn on_not_held(
         &mut self,
         now: Moment,
         host: &HostName,
@@ -158,7 +158,11 @@
     /// Drop the queued requests and free the permits of an incarnation of an
     /// entry host that has terminated. Its keys stay claimed, since the outcome of its
     /// requests is not known.
-    pub(super) fn drop_incarnation(&mut self, now: Moment, incarnation: Incarnation) {
+    pub(in crate::pool_owner) fn drop_incarnation(
+        &mut self,
+        now: Moment,
+        incarnation: Incarnation,
+    ) {
         self.stream_requests.drop_incarnation(incarnation);
         for attempt in self.queue.of_incarnation(incarnation) {
             self.drop_queued(&attempt);
@@ -181,7 +185,7 @@
 
     /// Ask the holders of old permits whether they still hold them. A slot is
     /// never freed by a timeout alone, since the request may still be running.
-    pub(super) fn audit(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn audit(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         let next = now.plus(self.opts.audit_after);
         for (host, permits) in self.permits.due_audits(now, next) {
             let shard = self.shard.clone();
@@ -200,7 +204,7 @@
         Some(permit)
     }
 
-    pub(super) fn remove_if_drained(&mut self, target: &TargetName) {
+    pub(in crate::pool_owner) fn remove_if_drained(&mut self, target: &TargetName) {
         let load = self.targets.get(target);
         if load.is_some_and(|load| load.is_draining() && load.permits() == 0) {
             self.targets.remove(target);
@@ -302,7 +306,11 @@
         }
     }
 
-    pub(super) fn incident_action(&self, incident: Incident, target: &TargetName) -> OwnerAction {
+    pub(in crate::pool_owner) fn incident_action(
+        &self,
+        incident: Incident,
+        target: &TargetName,
+    ) -> OwnerAction {
         OwnerAction::LogIncident(incident, self.shard.clone(), Some(target.clone()), None)
     }
 }
--- a/bergamotswitch-core/src/pool_owner/run_time_estimator.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/run_time_estimator.rs
@@ -116,12 +116,12 @@
 }
 
 /// Get a duration in milliseconds.
-pub(super) fn as_millis(span: Duration) -> f64 {
+pub(in crate::pool_owner) fn as_millis(span: Duration) -> f64 {
     span.as_secs_f64() * 1_000.0
 }
 
 /// Get the duration of this many milliseconds.
-pub(super) fn from_millis(millis: f64) -> Duration {
+pub(in crate::pool_owner) fn from_millis(millis: f64) -> Duration {
     Duration::from_secs_f64(millis / 1_000.0)
 }
 
--- a/bergamotswitch-core/src/pool_owner/speed_estimator.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/speed_estimator.rs
@@ -138,7 +138,7 @@
 }
 
 /// Get the weight that is left after `age`, from 1 downwards.
-pub(super) fn decay(age: Duration, half_life: Duration) -> f64 {
+pub(in crate::pool_owner) fn decay(age: Duration, half_life: Duration) -> f64 {
     let halves = age.as_secs_f64() / half_life.as_secs_f64();
     (-halves).exp2()
 }
--- a/bergamotswitch-core/src/pool_owner/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 
 use crate::clock::Moment;
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::order::queue::Placement;
+use crate::pool_owner::owner::{NO_TARGET_RETRY, ShardOwner};
 use crate::refusal::RefusalReason;
 use crate::target::{PoolTarget, TargetName};
 
-use super::OwnerAction;
 use super::back_off::BackOff;
-use super::owner::{NO_TARGET_RETRY, ShardOwner};
-use super::queue::Placement;
 use super::target_load::TargetLoad;
 
 impl ShardOwner {
     /// Apply the set of targets that accept new requests. In-flight requests on
     /// a removed target are counted until they end.
-    pub(super) fn on_targets(
+    pub(in crate::pool_owner) fn on_targets(
         &mut self,
         now: Moment,
         published: Vec<PoolTarget>,
@@ -88,7 +88,7 @@
     }
 
     /// Refuse the queued requests for which no target is left.
-    pub(super) fn refuse_unplaceable(&mut self, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn refuse_unplaceable(&mut self, actions: &mut Vec<OwnerAction>) {
         let placements = self.queue.placements();
         let unplaceable: Vec<Arc<Placement>> = placements
             .filter(|placement| self.is_unplaceable(placement))
@@ -108,7 +108,7 @@
 
 /// Get whether `start` is later than `known`. If either is missing, a restart
 /// cannot be detected.
-pub(super) fn is_later(start: Option<u64>, known: Option<u64>) -> bool {
+pub(in crate::pool_owner) fn is_later(start: Option<u64>, known: Option<u64>) -> bool {
     match (start, known) {
         (Some(start), Some(known)) => start > known,
         _ => false,
--- a/bergamotswitch-core/src/pool_owner/target_limits.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_limits.rs
@@ -7,18 +7,17 @@
 use crate::cold_targets::ColdTarget;
 use crate::incident::Incident;
 use crate::permit::{PermitId, TargetLimit};
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::owner::ShardOwner;
+use crate::pool_owner::placement::permit_table::GrantedPermit;
+use crate::pool_owner::placement::request_pace::PacePortion;
 use crate::target::TargetName;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
-use super::permit_table::GrantedPermit;
-use super::request_pace::PacePortion;
-
 impl ShardOwner {
     /// Apply limits that targets named to an entry host, for one permit or before.
     /// `hosts` is the number of hosts that share them if this owner serves its own
     /// host only.
-    pub(super) fn on_target_limits(
+    pub(in crate::pool_owner) fn on_target_limits(
         &mut self,
         now: Moment,
         hosts: u32,
@@ -43,7 +42,7 @@
 
     /// End the limit of a target that gave a complete answer without one. Requests
     /// sent before the limit was named prove nothing.
-    pub(super) fn review_limit(&mut self, now: Moment, permit: &GrantedPermit) {
+    pub(in crate::pool_owner) fn review_limit(&mut self, now: Moment, permit: &GrantedPermit) {
         if permit.limit_named {
             return;
         }
@@ -53,7 +52,11 @@
     }
 
     /// Apply the cold targets of the pool, some of which may not be known yet.
-    pub(super) fn on_cold_targets(&mut self, now: Moment, cold: Vec<(TargetName, ColdTarget)>) {
+    pub(in crate::pool_owner) fn on_cold_targets(
+        &mut self,
+        now: Moment,
+        cold: Vec<(TargetName, ColdTarget)>,
+    ) {
         self.cold = cold.into_iter().collect();
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
         for name in names {
@@ -62,7 +65,7 @@
     }
 
     /// Limit the request rate of a target that is cold.
-    pub(super) fn limit_cold(&mut self, now: Moment, name: &TargetName) {
+    pub(in crate::pool_owner) fn limit_cold(&mut self, now: Moment, name: &TargetName) {
         let portion = self.pace_portion(now);
         let Some(load) = self.targets.get_mut(name) else {
             return;
@@ -75,7 +78,11 @@
     }
 
     /// End the limits of targets that are warm by now.
-    pub(super) fn review_cold(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn review_cold(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<OwnerAction>,
+    ) {
         if self.cold.is_empty() {
             return;
         }
@@ -92,7 +99,7 @@
 
     /// Adjust the pace of limited targets to the part of the fleet that uses this
     /// owner, as two owners may serve a shard for a time.
-    pub(super) fn adjust_pace(&mut self, now: Moment) {
+    pub(in crate::pool_owner) fn adjust_pace(&mut self, now: Moment) {
         if self.limited.is_empty() {
             return;
         }
--- a/bergamotswitch-core/src/pool_owner/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_load.rs
@@ -5,13 +5,13 @@
 
 use crate::clock::Moment;
 use crate::permit::Usage;
+use crate::pool_owner::placement::request_pace::RequestPace;
 use crate::request::TokenCost;
 use crate::target::{LoadReport, PoolTarget};
 
 use super::back_off::BackOff;
 use super::host_reports::HostReports;
 use super::load_history::LoadHistory;
-use super::request_pace::RequestPace;
 use super::run_time_estimator::{RunSample, RunTimeEstimator};
 use super::slot_limit::SlotLimit;
 use super::speed_estimator::{ExpectedEnd, SpeedEstimator};
@@ -88,7 +88,7 @@
     /// cached, since it is read for each request and target.
     extra_slots: usize,
     /// The pace of requests, while the target limits their rate.
-    pub(super) pace: Option<RequestPace>,
+    pub(in crate::pool_owner) pace: Option<RequestPace>,
 }
 
 impl TargetLoad {
@@ -130,7 +130,7 @@
     }
 
     /// Record that the target said that it leaves, until its next start.
-    pub(super) fn mark_leaving(&mut self) {
+    pub(in crate::pool_owner) fn mark_leaving(&mut self) {
         self.leaving = true;
     }
 
@@ -162,7 +162,7 @@
     }
 
     /// Get the recent reports of entry hosts for modification.
-    pub(super) fn reports_mut(&mut self) -> &mut HostReports {
+    pub(in crate::pool_owner) fn reports_mut(&mut self) -> &mut HostReports {
         &mut self.reports
     }
 
@@ -400,7 +400,7 @@
 
     /// Set how many requests the target can turn away in a second; `None` if it is not
     /// brittle.
-    pub(super) fn set_brittle(&mut self, refusals_per_second: Option<u32>) {
+    pub(in crate::pool_owner) fn set_brittle(&mut self, refusals_per_second: Option<u32>) {
         self.brittle = refusals_per_second;
         self.extra_slots = self.compute_extra_slots();
     }
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -1,49 +1,27 @@
 //! Provides the owner of a pool shard: one host that queues the permit requests
 //! of all entry hosts and grants permits.
+//!
+//! A permit request passes through the modules in this order: `admission` checks
+//! its key and its account's quota and refuses it if there is not enough capacity,
+//! `order` holds it in the queue, `placement` assigns it a slot of a target, and
+//! `learning` updates the state of the target from the permit's release.
 
-mod attached_hosts;
-pub mod back_off;
-mod cold_tolerance;
-mod cost_sample;
-mod dispatch;
-mod failed_targets;
-mod fair_queue;
-mod host_reports;
-pub mod key_table;
-mod leaving_targets;
-mod load_history;
+mod admission;
+mod learning;
 mod options;
+mod order;
 mod owner;
-pub mod permit_table;
-mod preemption;
-pub mod prefix_table;
-pub mod queue;
-mod quota;
-mod quota_recovery;
-mod refusals;
-mod release;
-mod release_rate;
-mod request_pace;
-pub mod routing;
-mod run_time_estimator;
-mod slot_dispatch;
-pub mod slot_limit;
-mod slot_routing;
-mod speed_estimator;
-mod stream_requests;
-mod target_change;
-mod target_limits;
-pub mod target_load;
-mod target_pace;
-mod tier_floor;
-mod token_limit;
+mod placement;
 mod view;
-pub mod wait_plan;
 
-pub use cold_tolerance::ColdTolerance;
+pub use admission::key_table;
+pub use admission::quota::{QuotaRate, QuotaTolerance};
+pub use learning::{back_off, slot_limit, target_load};
 pub use options::OwnerOptions;
+pub use order::{queue, wait_plan};
 pub use owner::ShardOwner;
-pub use quota::{QuotaRate, QuotaTolerance};
+pub use placement::cold_tolerance::ColdTolerance;
+pub use placement::{permit_table, prefix_table, routing, token_routing};
 pub use view::{RefusalCount, ShardView, TargetView, TierView};
 
 use crate::client_account::AccountName;
--- a/bergamotswitch-core/src/pool_owner/options.rs
+++ b/bergamotswitch-core/src/pool_owner/options.rs
@@ -4,8 +4,8 @@
 
 use crate::publication::FleetLimits;
 
-use super::cold_tolerance::ColdTolerance;
-use super::quota::QuotaTolerance;
+use super::admission::quota::QuotaTolerance;
+use super::placement::cold_tolerance::ColdTolerance;
 
 /// The minimum time for which a second owner is assumed beside this one: twice
 /// the time that a candidate with precedence has to respond before the current
--- a/bergamotswitch-core/src/pool_owner/fair_queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/fair_queue.rs
@@ -17,30 +17,30 @@
 /// A `QueueRank` is a request's position within its account; lower ranks are
 /// served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct QueueRank {
+pub(in crate::pool_owner) struct QueueRank {
     /// Whether the request can no longer be answered on time.
-    pub(super) late: bool,
+    pub(in crate::pool_owner) late: bool,
     /// The time by which requests of equal `late` are ordered.
-    pub(super) sort_key: Moment,
+    pub(in crate::pool_owner) sort_key: Moment,
     /// When the request began to wait, in microseconds; negative if that was
     /// before the clock's start.
-    pub(super) arrived: i64,
+    pub(in crate::pool_owner) arrived: i64,
     /// The request's arrival number at this owner.
-    pub(super) sequence: u64,
-    pub(super) attempt: AttemptId,
+    pub(in crate::pool_owner) sequence: u64,
+    pub(in crate::pool_owner) attempt: AttemptId,
 }
 
 /// A `TierEntry` is the data of one queued request that the tier's order
 /// depends on.
 #[derive(Clone, Debug)]
-pub(super) struct TierEntry {
-    pub(super) account: AccountName,
-    pub(super) share: u32,
-    pub(super) tokens: u64,
-    pub(super) placement: Arc<Placement>,
+pub(in crate::pool_owner) struct TierEntry {
+    pub(in crate::pool_owner) account: AccountName,
+    pub(in crate::pool_owner) share: u32,
+    pub(in crate::pool_owner) tokens: u64,
+    pub(in crate::pool_owner) placement: Arc<Placement>,
     /// When the request is removed from the queue.
-    pub(super) expires: Moment,
-    pub(super) rank: QueueRank,
+    pub(in crate::pool_owner) expires: Moment,
+    pub(in crate::pool_owner) rank: QueueRank,
 }
 
 /// An `AccountQueue` is the queued requests of one client account within a
@@ -73,7 +73,7 @@
 
 /// A `TierQueue` is the queue of one tier.
 #[derive(Debug, Default)]
-pub(super) struct TierQueue {
+pub(in crate::pool_owner) struct TierQueue {
     virtual_time: u128,
     accounts: BTreeMap<AccountName, AccountQueue>,
     by_start: BTreeSet<(u128, AccountName)>,
@@ -83,20 +83,20 @@
 }
 
 impl TierQueue {
-    pub(super) fn tokens(&self) -> u64 {
+    pub(in crate::pool_owner) fn tokens(&self) -> u64 {
         self.tokens
     }
 
-    pub(super) fn requests(&self) -> usize {
+    pub(in crate::pool_owner) fn requests(&self) -> usize {
         self.by_deadline.len()
     }
 
     /// Get the queued requests by expiry time, earliest first.
-    pub(super) fn by_deadline(&self) -> impl Iterator<Item = &(Moment, AttemptId)> {
+    pub(in crate::pool_owner) fn by_deadline(&self) -> impl Iterator<Item = &(Moment, AttemptId)> {
         self.by_deadline.iter()
     }
 
-    pub(super) fn push(&mut self, entry: &TierEntry) {
+    pub(in crate::pool_owner) fn push(&mut self, entry: &TierEntry) {
         let account = self.accounts.entry(entry.account.clone()).or_default();
         if account.ranks.is_empty() {
             // An account that was idle starts at the current virtual time:
@@ -120,7 +120,10 @@
     }
 
     /// Get the next request in order whose placement is not blocked.
-    pub(super) fn next(&self, blocked: &BTreeSet<Arc<Placement>>) -> Option<AttemptId> {
+    pub(in crate::pool_owner) fn next(
+        &self,
+        blocked: &BTreeSet<Arc<Placement>>,
+    ) -> Option<AttemptId> {
         let accounts = self.by_start.iter().filter_map(|(_, name)| {
             let account = self.accounts.get(name)?;
             account.first(blocked)
@@ -130,14 +133,14 @@
 
     /// Get the request to shed first: the last-ranked one of the account with
     /// the most queued tokens per share.
-    pub(super) fn next_to_shed(&self) -> Option<AttemptId> {
+    pub(in crate::pool_owner) fn next_to_shed(&self) -> Option<AttemptId> {
         let (_, name) = self.by_queued_per_share.last()?;
         let rank = self.accounts.get(name)?.last()?;
         Some(rank.attempt)
     }
 
     /// Remove a request; if it was served, its cost is charged to its account.
-    pub(super) fn remove(&mut self, entry: &TierEntry, served: bool) {
+    pub(in crate::pool_owner) fn remove(&mut self, entry: &TierEntry, served: bool) {
         let Some(account) = self.accounts.get_mut(&entry.account) else {
             return;
         };
--- a/bergamotswitch-core/src/pool_owner/preemption.rs
+++ b/bergamotswitch-core/src/pool_owner/order/preemption.rs
@@ -6,14 +6,14 @@
 
 use crate::clock::Moment;
 use crate::permit::{OwnerReply, PermitId};
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::learning::target_load::TargetLoad;
+use crate::pool_owner::owner::ShardOwner;
+use crate::pool_owner::placement::permit_table::GrantedPermit;
+use crate::pool_owner::placement::routing::allowed;
 use crate::rules::Tier;
 
-use super::OwnerAction;
-use super::owner::ShardOwner;
-use super::permit_table::GrantedPermit;
 use super::queue::QueuedRequest;
-use super::routing::allowed;
-use super::target_load::TargetLoad;
 
 /// The tier for which streams are preempted.
 const TOP_TIER: Tier = Tier(0);
@@ -32,7 +32,7 @@
 
 impl ShardOwner {
     /// Preempt streams for top-tier requests at risk, a few at a time.
-    pub(super) fn preempt(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn preempt(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         let is_waiting = self.queue.by_deadline(TOP_TIER).next().is_some();
         // A check iterates over all permits for each target; it is skipped if
         // no stream may be preempted, since it would take noticeable processor
--- a/bergamotswitch-core/src/pool_owner/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -8,13 +8,13 @@
 use crate::failure_domain::DomainName;
 use crate::host::{HostName, Incarnation};
 use crate::permit::PermitRequest;
+use crate::pool_owner::placement::slot_routing::WantedVersions;
 use crate::request::AttemptId;
 use crate::rules::Tier;
 use crate::stream_table::StreamOrigin;
 use crate::target::{PoolTarget, TargetName, TargetVersion};
 
 use super::fair_queue::{QueueRank, TierEntry, TierQueue};
-use super::slot_routing::WantedVersions;
 use super::tier_floor::{TierFloor, TierPosition};
 use super::wait_plan::WaitPlan;
 
@@ -289,7 +289,7 @@
     }
 
     /// Get the versions that queued requests need, with the highest tier of these requests.
-    pub(super) fn wanted_versions(&self) -> WantedVersions {
+    pub(in crate::pool_owner) fn wanted_versions(&self) -> WantedVersions {
         let versions = self.version_requests.iter();
         let wanted = versions.filter_map(|(version, tiers)| {
             let (tier, _) = tiers.first_key_value()?;
@@ -299,13 +299,13 @@
     }
 
     /// Count a request as served or refused.
-    pub(super) fn record_outcome(&mut self, now: Moment, tier: Tier, served: bool) {
+    pub(in crate::pool_owner) fn record_outcome(&mut self, now: Moment, tier: Tier, served: bool) {
         self.floor.record(now, tier, served);
     }
 
     /// Get whether a tier is below its floor and few enough of its requests are
     /// queued.
-    pub(super) fn is_below_floor(&self, tier: Tier) -> bool {
+    pub(in crate::pool_owner) fn is_below_floor(&self, tier: Tier) -> bool {
         let waiting = self.tiers.get(&tier).map_or(0, TierQueue::requests);
         waiting <= MAX_WAITING_BELOW_FLOOR && self.floor.position(tier) == TierPosition::BelowFloor
     }
--- a/bergamotswitch-core/src/pool_owner/tier_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/order/tier_floor.rs
@@ -25,7 +25,7 @@
 /// A `TierPosition` is a tier's position in the order in which slots are
 /// assigned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum TierPosition {
+pub(in crate::pool_owner) enum TierPosition {
     /// No higher tier has had a significant number of requests recently.
     Top,
     /// The tier is below its guaranteed service ratio.
@@ -37,7 +37,7 @@
 impl TierPosition {
     /// The order in which slots are assigned; tiers of the same position are
     /// served by rank.
-    pub(super) const ORDER: [TierPosition; 3] = [
+    pub(in crate::pool_owner) const ORDER: [TierPosition; 3] = [
         TierPosition::Top,
         TierPosition::BelowFloor,
         TierPosition::ByRank,
@@ -60,14 +60,14 @@
 
 /// A `TierFloor` is the recent service ratios of the tiers.
 #[derive(Debug, Default)]
-pub(super) struct TierFloor {
+pub(in crate::pool_owner) struct TierFloor {
     tiers: BTreeMap<Tier, TierShare>,
     decayed_at: Moment,
 }
 
 impl TierFloor {
     /// Count a request as served or refused.
-    pub(super) fn record(&mut self, now: Moment, tier: Tier, served: bool) {
+    pub(in crate::pool_owner) fn record(&mut self, now: Moment, tier: Tier, served: bool) {
         self.decay(now);
         let share = self.tiers.entry(tier).or_default();
         share.requested += 1.0;
@@ -75,7 +75,7 @@
     }
 
     /// Get the position of a tier.
-    pub(super) fn position(&self, tier: Tier) -> TierPosition {
+    pub(in crate::pool_owner) fn position(&self, tier: Tier) -> TierPosition {
         let above = self.tiers.range(..tier).rev();
         let mut above = above.filter(|(_, share)| share.requested >= MIN_REQUESTS);
         let Some((_, next)) = above.next() else {
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -15,20 +15,20 @@
 use crate::stream_table::{StreamId, StreamOrigin, StreamTable};
 use crate::target::TargetName;
 
-use super::attached_hosts::AttachedHosts;
-use super::cost_sample::CostSample;
-use super::key_table::{KeyTable, KeyVerdict};
+use super::admission::attached_hosts::AttachedHosts;
+use super::admission::cost_sample::CostSample;
+use super::admission::key_table::{KeyTable, KeyVerdict};
+use super::admission::quota::QuotaBuckets;
+use super::admission::quota_recovery::QuotaRecovery;
+use super::admission::stream_requests::StreamRequests;
+use super::learning::release_rate::ReleaseRate;
+use super::learning::run_time_estimator::from_millis;
 use super::options::OwnerOptions;
-use super::permit_table::PermitTable;
-use super::prefix_table::PrefixTable;
-use super::queue::{Placement, QueuedRequest, RequestQueue};
-use super::quota::QuotaBuckets;
-use super::quota_recovery::QuotaRecovery;
-use super::release_rate::ReleaseRate;
-use super::routing::TargetSet;
-use super::run_time_estimator::from_millis;
-use super::stream_requests::StreamRequests;
-use super::wait_plan::WaitPlan;
+use super::order::queue::{Placement, QueuedRequest, RequestQueue};
+use super::order::wait_plan::WaitPlan;
+use super::placement::permit_table::PermitTable;
+use super::placement::prefix_table::PrefixTable;
+use super::placement::routing::TargetSet;
 use super::{OwnerAction, OwnerEvent};
 
 /// The interval at which a non-empty queue is dispatched without an event:
--- a/bergamotswitch-core/src/pool_owner/cold_tolerance.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/cold_tolerance.rs
@@ -28,12 +28,12 @@
 
 impl ColdTolerance {
     /// Get the rate at which requests are granted, per second.
-    pub(super) fn per_second(self, rate: RequestRate) -> f64 {
+    pub(in crate::pool_owner) fn per_second(self, rate: RequestRate) -> f64 {
         rate.per_second().min(self.in_one_second(rate))
     }
 
     /// Get how many requests may be granted at once after a pause.
-    pub(super) fn burst(self, rate: RequestRate) -> f64 {
+    pub(in crate::pool_owner) fn burst(self, rate: RequestRate) -> f64 {
         (self.in_one_second(rate) - self.per_second(rate)) * BURST_PART
     }
 
--- a/bergamotswitch-core/src/pool_owner/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
@@ -6,12 +6,11 @@
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::permit::{KeyClaim, PermitId};
+use crate::pool_owner::learning::speed_estimator::ExpectedEnd;
 use crate::request::{AttemptId, PrefixHash, TokenCost};
 use crate::rules::Tier;
 use crate::target::TargetName;
 
-use super::speed_estimator::ExpectedEnd;
-
 /// A `GrantedPermit` is a permit held by an entry host.
 #[derive(Clone, Debug)]
 pub struct GrantedPermit {
--- a/bergamotswitch-core/src/pool_owner/request_pace.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/request_pace.rs
@@ -33,17 +33,17 @@
 
 /// A `PacePortion` is the part of the limits that this owner may use, from 0 to 1.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct PacePortion {
+pub(in crate::pool_owner) struct PacePortion {
     /// The part of a named limit.
-    pub(super) named: f64,
+    pub(in crate::pool_owner) named: f64,
     /// The part of the limit of a cold target.
-    pub(super) cold: f64,
+    pub(in crate::pool_owner) cold: f64,
 }
 
 /// A `RequestPace` is a token bucket for the requests to one target. It starts empty,
 /// since another owner may have just used the limit.
 #[derive(Debug)]
-pub(super) struct RequestPace {
+pub(in crate::pool_owner) struct RequestPace {
     named: Option<NamedRate>,
     cold: Option<ColdRate>,
     portion: PacePortion,
@@ -53,7 +53,7 @@
 
 impl RequestPace {
     /// Create the pace of a target without a limit.
-    pub(super) fn new(now: Moment, portion: PacePortion) -> Self {
+    pub(in crate::pool_owner) fn new(now: Moment, portion: PacePortion) -> Self {
         RequestPace {
             named: None,
             cold: None,
@@ -64,22 +64,22 @@
     }
 
     /// Get whether any limit is in force.
-    pub(super) fn is_limited(&self) -> bool {
+    pub(in crate::pool_owner) fn is_limited(&self) -> bool {
         self.named.is_some() || self.cold.is_some()
     }
 
     /// Get the limit that the target named.
-    pub(super) fn named_rate(&self) -> Option<RequestRate> {
+    pub(in crate::pool_owner) fn named_rate(&self) -> Option<RequestRate> {
         self.named.map(|named| named.rate)
     }
 
     /// Get when the target is warm; `None` if it is not cold.
-    pub(super) fn warm_at(&self) -> Option<Moment> {
+    pub(in crate::pool_owner) fn warm_at(&self) -> Option<Moment> {
         self.cold.map(|cold| cold.cold.until)
     }
 
     /// Get the rate of this owner, in requests per second.
-    pub(super) fn per_second(&self) -> f64 {
+    pub(in crate::pool_owner) fn per_second(&self) -> f64 {
         let named = self.named.map(|named| {
             let rate = named.rate.per_second().max(MIN_RATE);
             rate * self.portion.named
@@ -90,7 +90,12 @@
 
     /// Set the limit that the target named at `named_at`; an earlier one than the
     /// present is ignored.
-    pub(super) fn set_named(&mut self, now: Moment, rate: RequestRate, named_at: Moment) {
+    pub(in crate::pool_owner) fn set_named(
+        &mut self,
+        now: Moment,
+        rate: RequestRate,
+        named_at: Moment,
+    ) {
         if self.named.is_some_and(|named| named_at < named.named_at) {
             return;
         }
@@ -99,7 +104,7 @@
     }
 
     /// End the named limit if it was named before `sent_at`. Get whether it ended.
-    pub(super) fn end_named(&mut self, now: Moment, sent_at: Moment) -> bool {
+    pub(in crate::pool_owner) fn end_named(&mut self, now: Moment, sent_at: Moment) -> bool {
         self.fill(now);
         self.named
             .take_if(|named| named.named_at < sent_at)
@@ -107,7 +112,7 @@
     }
 
     /// Set the limit of a cold target; `None` if it is warm.
-    pub(super) fn set_cold(
+    pub(in crate::pool_owner) fn set_cold(
         &mut self,
         now: Moment,
         cold: Option<ColdTarget>,
@@ -122,12 +127,12 @@
     }
 
     /// End the limit of a target that is warm by now. Get whether it was cold.
-    pub(super) fn end_cold(&mut self, now: Moment) -> bool {
+    pub(in crate::pool_owner) fn end_cold(&mut self, now: Moment) -> bool {
         self.fill(now);
         self.cold.take_if(|cold| cold.cold.until <= now).is_some()
     }
 
-    pub(super) fn set_portion(&mut self, now: Moment, portion: PacePortion) {
+    pub(in crate::pool_owner) fn set_portion(&mut self, now: Moment, portion: PacePortion) {
         if portion != self.portion {
             self.fill(now);
             self.portion = portion;
@@ -135,12 +140,12 @@
     }
 
     /// Get whether a request may be sent.
-    pub(super) fn is_open(&self, now: Moment) -> bool {
+    pub(in crate::pool_owner) fn is_open(&self, now: Moment) -> bool {
         self.level_at(now) >= 1.0
     }
 
     /// Take one request.
-    pub(super) fn take(&mut self, now: Moment) {
+    pub(in crate::pool_owner) fn take(&mut self, now: Moment) {
         self.fill(now);
         self.level -= 1.0;
     }
--- a/bergamotswitch-core/src/pool_owner/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 
 use crate::clock::Moment;
+use crate::pool_owner::OwnerAction;
+use crate::pool_owner::learning::run_time_estimator::as_millis;
+use crate::pool_owner::order::queue::{Placement, QueuedRequest};
+use crate::pool_owner::owner::ShardOwner;
 use crate::request::AttemptId;
 
-use super::OwnerAction;
 use super::dispatch::route_query;
-use super::owner::ShardOwner;
 use super::prefix_table::WarmTarget;
-use super::queue::{Placement, QueuedRequest};
 use super::routing::{ReservedTargets, Route};
-use super::run_time_estimator::as_millis;
 use super::slot_routing::{RequestTimes, SlotView};
 
 /// The safety factors by which a predicted run time is multiplied before it is
@@ -34,7 +34,11 @@
 
 impl ShardOwner {
     /// Grant permits in queue order until no queued request finds a slot.
-    pub(super) fn dispatch_slots(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+    pub(in crate::pool_owner) fn dispatch_slots(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<OwnerAction>,
+    ) {
         let mut blocked = BTreeSet::new();
         let mut reserved = ReservedTargets::default();
         while let Some(choice) = self.next_choice(now, &mut blocked, &mut reserved) {
--- a/bergamotswitch-core/src/pool_owner/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_routing.rs
@@ -10,14 +10,14 @@
 use std::collections::BTreeMap;
 
 use crate::clock::Moment;
+use crate::pool_owner::learning::back_off::ProbeAdmission;
+use crate::pool_owner::learning::target_load::TargetLoad;
+use crate::pool_owner::order::queue::Placement;
 use crate::request::TokenCost;
 use crate::rules::Tier;
 use crate::target::TargetVersion;
 
-use super::back_off::ProbeAdmission;
-use super::queue::Placement;
 use super::routing::{ReservedTargets, Route, RouteQuery, TargetSet, in_domains};
-use super::target_load::TargetLoad;
 
 /// The maximum number of permits for a target before its first completed run.
 /// Without samples a target seems the fastest; a slow one would fill up before
@@ -30,19 +30,19 @@
 
 /// A `RequestTimes` is the time limits of a request, in milliseconds.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RequestTimes {
+pub(in crate::pool_owner) struct RequestTimes {
     /// The time left until its first token is due; `None` if the request is
     /// late or has no such limit.
-    pub(super) first_token_left: Option<f64>,
+    pub(in crate::pool_owner) first_token_left: Option<f64>,
     /// The time left until its deadline.
-    pub(super) run_left: f64,
+    pub(in crate::pool_owner) run_left: f64,
     /// The safety factor by which predicted run times are multiplied.
-    pub(super) safety_factor: f64,
+    pub(in crate::pool_owner) safety_factor: f64,
 }
 
 impl RequestTimes {
     /// Get whether a run at a target is predicted to end before the deadline.
-    pub(super) fn is_feasible(&self, load: &TargetLoad, cost: TokenCost) -> bool {
+    pub(in crate::pool_owner) fn is_feasible(&self, load: &TargetLoad, cost: TokenCost) -> bool {
         load.run_ms(cost) * self.safety_factor <= self.run_left
     }
 
@@ -55,7 +55,7 @@
 
 /// A `WantedVersions` is the versions for which streams wait that have begun there, with
 /// the highest tier of these streams.
-pub(super) type WantedVersions = BTreeMap<TargetVersion, Tier>;
+pub(in crate::pool_owner) type WantedVersions = BTreeMap<TargetVersion, Tier>;
 
 /// An `OpenTarget` is a target that may accept a request now.
 #[derive(Clone, Copy, Debug)]
@@ -70,7 +70,7 @@
 /// target for each kind of request would be too slow in a burst, so targets
 /// without a free slot are filtered out first.
 #[derive(Debug)]
-pub(super) struct SlotView<'a> {
+pub(in crate::pool_owner) struct SlotView<'a> {
     targets: &'a TargetSet,
     open: Vec<OpenTarget<'a>>,
     wanted: WantedVersions,
@@ -79,7 +79,7 @@
 impl<'a> SlotView<'a> {
     /// Create the view of `targets`, without those in `reserved`, which are kept
     /// for earlier requests.
-    pub(super) fn new(
+    pub(in crate::pool_owner) fn new(
         now: Moment,
         targets: &'a TargetSet,
         reserved: &ReservedTargets,
@@ -110,14 +110,14 @@
     }
 
     /// Get whether no target may accept any request.
-    pub(super) fn is_full(&self) -> bool {
+    pub(in crate::pool_owner) fn is_full(&self) -> bool {
         self.open.is_empty()
     }
 
     /// Get the best target with capacity; `None` if the request has to wait. If
     /// no target is predicted to meet the deadline, the best one is returned
     /// all the same, and the caller has to check it.
-    pub(super) fn choose(
+    pub(in crate::pool_owner) fn choose(
         &self,
         now: Moment,
         query: &RouteQuery<'_>,
@@ -185,7 +185,7 @@
     }
 
     /// Reserve the targets that a queued request waits for.
-    pub(super) fn reserve_for(
+    pub(in crate::pool_owner) fn reserve_for(
         &mut self,
         query: &RouteQuery<'_>,
         times: RequestTimes,
--- a/bergamotswitch-core/src/pool_owner/target_pace.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/target_pace.rs
@@ -2,16 +2,16 @@
 
 use crate::clock::Moment;
 use crate::cold_targets::ColdTarget;
+use crate::pool_owner::learning::target_load::TargetLoad;
 use crate::target::RequestRate;
 
 use super::cold_tolerance::ColdTolerance;
 use super::request_pace::{PacePortion, RequestPace};
-use super::target_load::TargetLoad;
 
 impl TargetLoad {
     /// Limit the request rate, as named by the target at `named_at`. `portion` is the
     /// part of it that this owner may use.
-    pub(super) fn limit_rate(
+    pub(in crate::pool_owner) fn limit_rate(
         &mut self,
         now: Moment,
         rate: RequestRate,
@@ -25,7 +25,7 @@
     }
 
     /// End the limit of the request rate if it was named before `sent_at`.
-    pub(super) fn end_rate_limit(&mut self, now: Moment, sent_at: Moment) {
+    pub(in crate::pool_owner) fn end_rate_limit(&mut self, now: Moment, sent_at: Moment) {
         if let Some(pace) = &mut self.pace {
             pace.end_named(now, sent_at);
             self.pace.take_if(|pace| !pace.is_limited());
@@ -33,7 +33,7 @@
     }
 
     /// Limit the request rate of a cold target; `None` if it is warm.
-    pub(super) fn set_cold(
+    pub(in crate::pool_owner) fn set_cold(
         &mut self,
         now: Moment,
         cold: Option<ColdTarget>,
@@ -51,7 +51,7 @@
     }
 
     /// End the limit of a target that is warm by now. Get whether it was cold.
-    pub(super) fn end_cold(&mut self, now: Moment) -> bool {
+    pub(in crate::pool_owner) fn end_cold(&mut self, now: Moment) -> bool {
         let pace = self.pace.as_mut();
         let ended = pace.is_some_and(|pace| pace.end_cold(now));
         self.pace.take_if(|pace| !pace.is_limited());
@@ -65,7 +65,11 @@
 
     /// Set the part of the rate limits that this owner may use. Get whether there is a
     /// limit.
-    pub(super) fn set_pace_portion(&mut self, now: Moment, portion: PacePortion) -> bool {
+    pub(in crate::pool_owner) fn set_pace_portion(
+        &mut self,
+        now: Moment,
+        portion: PacePortion,
+    ) -> bool {
         if let Some(pace) = &mut self.pace {
             pace.set_portion(now, portion);
         }
@@ -73,17 +77,17 @@
     }
 
     /// Get whether the target's request rate is limited.
-    pub(super) fn is_rate_limited(&self) -> bool {
+    pub(in crate::pool_owner) fn is_rate_limited(&self) -> bool {
         self.pace.is_some()
     }
 
     /// Get whether the rate limit allows another request now.
-    pub(super) fn is_pace_open(&self, now: Moment) -> bool {
+    pub(in crate::pool_owner) fn is_pace_open(&self, now: Moment) -> bool {
         self.pace.as_ref().is_none_or(|pace| pace.is_open(now))
     }
 
     /// Count a request against the rate limit.
-    pub(super) fn take_pace(&mut self, now: Moment) {
+    pub(in crate::pool_owner) fn take_pace(&mut self, now: Moment) {
         if let Some(pace) = &mut self.pace {
             pace.take(now);
         }
@@ -91,7 +95,7 @@
 
     /// Get the rate at which this owner may send requests, per second; `None` without
     /// a limit.
-    pub(super) fn paced_rate(&self) -> Option<f64> {
+    pub(in crate::pool_owner) fn paced_rate(&self) -> Option<f64> {
         self.pace.as_ref().map(RequestPace::per_second)
     }
 
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -1,8 +1,7 @@
 //! Provides the state of a shard owner for operators and metrics.
 
-use std::collections::BTreeSet;
-
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 use crate::host::HostName;
 use crate::pool::PoolShard;
