--- a/bergamotswitch-core/src/pool_owner/admission/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/mod.rs
@@ -12,3 +12,4 @@
 pub mod room_forecast;
 pub(in crate::pool_owner) mod shedding;
 pub(in crate::pool_owner) mod stream_requests;
+pub(in crate::pool_owner) mod wait_limit;
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -68,9 +68,7 @@
         let tier = queued.request.tier;
         if let Some(wait) = self.predicted_slot_wait(now, tier) {
             let lower_kept = self.queue.requests_through(tier) < self.queue.len();
-            if self.queue.is_below_floor(tier)
-                || lower_kept
-                || wait <= queued.plan.give_up_at.since(now)
+            if self.queue.is_below_floor(tier) || lower_kept || wait <= self.wait_limit(now, queued)
             {
                 return false;
             }
@@ -83,7 +81,7 @@
             return false;
         }
         let others = self.queue.tokens() - queued.request.cost.total();
-        let max_drain = queued.plan.give_up_at.since(now).mul_f64(DRAIN_TOLERANCE);
+        let max_drain = self.wait_limit(now, queued).mul_f64(DRAIN_TOLERANCE);
         if others as f64 / speed <= max_drain.as_secs_f64() {
             return false;
         }
