Divide admission between the client accounts of a tier

Cause: the order of the queue is fair between accounts, but what is refused is whatever arrives while the queue is full. In a tier that is served now and then, a share of each account's arrivals is admitted, so a flooding account gets what is served by the number of its calls.

Change: with `account_share_half_life_ms`, an owner remembers the decayed use and demand of each account in each tier, in slot-seconds, and their virtual times. Where a new request finds too little room, the last queued request of the account that is furthest behind in the fair order is refused in its place, as `above-share`. Requests of an account within its max-min share of the tier's recent use are kept, so that it does not matter at which moment they arrive. Charges are corrected when runs end. The use is handed over to the next owner. Peers of an older message set get `overloaded`.

--- a/bergamotswitch-core/src/client_account.rs
+++ b/bergamotswitch-core/src/client_account.rs
@@ -83,4 +83,7 @@
     pub name: AccountName,
     /// The hash of the account's bearer key.
     pub key_hash: KeyHash,
+    /// The weight of the account's share of a tier under overload; 1 if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<u32>,
 }
--- a/bergamotswitch-core/src/explain.rs
+++ b/bergamotswitch-core/src/explain.rs
@@ -44,6 +44,9 @@
     pub trace: RuleTrace,
     /// The decision of the matching rule; `None` if no rule matches.
     pub verdict: Option<Verdict>,
+    /// The weight of the account among the accounts of its tier; `None` without fair
+    /// admission.
+    pub weight: Option<u32>,
     /// The eligibility of each target of the pool.
     pub targets: Vec<TargetEligibility>,
 }
@@ -61,6 +64,10 @@
         RequestExplanation {
             pool_known: pool.is_some(),
             trace: publication.rules.explain(attributes),
+            weight: verdict
+                .as_ref()
+                .filter(|_| publication.limits.account_share_half_life_ms > 0)
+                .map(|verdict| publication.weighted_share(attributes.account, verdict.share)),
             verdict,
             targets: eligibilities,
         }
@@ -124,6 +131,9 @@
         if let Some(verdict) = &self.verdict {
             writeln!(f, "{verdict}")?;
         }
+        if let Some(weight) = self.weight {
+            writeln!(f, "weight {weight} among the accounts of its tier")?;
+        }
         if !self.pool_known {
             writeln!(f, "no published pool has this name")?;
         }
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -106,6 +106,8 @@
     TargetBackedOff = 302, Warn, "target backed off";
     /// An audit reclaimed a leaked permit.
     PermitReclaimed = 303, Warn, "permit reclaimed by audit";
+    /// Requests of a client account above its share of a tier are refused.
+    AccountAboveShare = 304, Info, "account above its share refused";
     /// A peer is reachable again.
     PeerReachable = 400, Info, "peer reachable";
     /// A peer has missed its heartbeats.
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -1,11 +1,14 @@
 //! Provides the messages on the links between entry hosts.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 
 use crate::host::HostIncarnation;
 use crate::permit::{OwnerMessage, OwnerReply};
 use crate::pool::PoolShard;
 use crate::quarantine::CrashReport;
+use crate::refusal::RefusalReason;
 use crate::revision::RevisionMessage;
 
 /// The version of the message encoding. A peer with another version is refused
@@ -47,7 +50,8 @@
 const STREAMS_SET: u16 = 9;
 
 /// The message set that added [`OwnerMessage::AccountUse`], [`OwnerMessage::Signature`],
-/// [`OwnerMessage::Promises`] and [`OwnerMessage::TargetPaces`].
+/// [`OwnerMessage::Promises`] and [`OwnerMessage::TargetPaces`], and the refusal reason
+/// [`RefusalReason::AboveShare`].
 const SCHEDULING_SET: u16 = 10;
 
 /// The maximum size of a message in bytes. It leaves room for a published value
@@ -98,6 +102,25 @@
 }
 
 impl LinkMessage {
+    /// Get the message as a peer with this message set understands it: reasons of
+    /// refusals that it does not know are replaced by the nearest older ones.
+    pub fn for_message_set(&self, message_set: u16) -> Cow<'_, LinkMessage> {
+        match self {
+            LinkMessage::FromOwner(OwnerReply::Refused {
+                attempt,
+                reason: RefusalReason::AboveShare,
+                retry_after_ms,
+            }) if message_set < SCHEDULING_SET => {
+                Cow::Owned(LinkMessage::FromOwner(OwnerReply::Refused {
+                    attempt: *attempt,
+                    reason: RefusalReason::Overloaded,
+                    retry_after_ms: *retry_after_ms,
+                }))
+            }
+            message => Cow::Borrowed(message),
+        }
+    }
+
     /// Get the message set that added this message, 0 for the original one.
     pub fn message_set(&self) -> u16 {
         match self {
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -168,6 +168,14 @@
                 let text = format!("shard={shard}{target}{report}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
+            OwnerAction::LogShare(shard, share) => {
+                let text = format!(
+                    "shard={shard} tier={} account={} share_ms={} used_ms={} weight={}",
+                    share.tier.0, share.account, share.share_ms, share.used_ms, share.weight
+                );
+                let incident = Incident::AccountAboveShare;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
         }
     }
 
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -20,6 +20,10 @@
 /// The maximum number of shards for which reports or keys are kept.
 const MAX_REPORTED_SHARDS: usize = 64;
 
+/// The maximum number of accounts in a message on their use, which then stays well below
+/// the size limit between hosts.
+const ACCOUNTS_PER_MESSAGE: usize = 4_096;
+
 /// The maximum number of keys that are kept for a shard.
 const MAX_KEPT_KEYS: usize = 65_536;
 
@@ -105,7 +109,8 @@
 }
 
 impl NodeCore {
-    /// Hand over keys, quota levels and failed targets to a shard's next owner. `fraction`
+    /// Hand over keys, quota levels, the use of client accounts and failed targets to a
+    /// shard's next owner. `fraction`
     /// is the part of each quota's token bucket to transfer.
     ///
     /// Without this, the next owner would start with empty token buckets and refuse
@@ -122,6 +127,7 @@
         let claims = self.shards.granted_claims(shard);
         self.send_keys(shard, &next, &claims);
         self.send_stream_report(now, shard, &next);
+        self.send_account_use(now, shard, &next);
         let levels = self.shards.hand_over_quotas(now, shard, fraction);
         if !levels.is_empty() {
             let shard = shard.clone();
@@ -180,6 +186,17 @@
         }
     }
 
+    fn send_account_use(&mut self, now: Moment, shard: &PoolShard, host: &HostName) {
+        let accounts = self.shards.account_use(now, shard);
+        for part in accounts.chunks(ACCOUNTS_PER_MESSAGE) {
+            let message = OwnerMessage::AccountUse {
+                shard: shard.clone(),
+                accounts: part.to_vec(),
+            };
+            self.send_to_owner(host, message);
+        }
+    }
+
     fn send_failed_targets(&mut self, now: Moment, shard: PoolShard, host: &HostName) {
         let targets = self.shards.failed_targets(now, &shard);
         if !targets.is_empty() {
--- a/bergamotswitch-core/src/node/intake.rs
+++ b/bergamotswitch-core/src/node/intake.rs
@@ -19,7 +19,7 @@
     pub fn submit(
         &mut self,
         now: Moment,
-        submission: Submission,
+        mut submission: Submission,
     ) -> (SubmitOutcome, Vec<NodeAction>) {
         self.detect_pause(now);
         if !self.is_ready(now) {
@@ -38,6 +38,8 @@
             let refusal = refusal.with_retry_after(KEY_RETRY_AFTER);
             return (SubmitOutcome::Refused(refusal), self.finish(now));
         }
+        let share = submission.verdict.share;
+        submission.verdict.share = self.publication.weighted_share(&submission.account, share);
         let exposed = self.is_exposed(now, &submission);
         let (outcome, actions) = self.entry.submit(now, submission);
         if exposed && matches!(outcome, SubmitOutcome::Accepted(_)) {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -8,7 +8,7 @@
 use crate::clock::Moment;
 use crate::cold_targets::ColdTarget;
 use crate::host::{HostIncarnation, HostName, Standing};
-use crate::permit::{FailedTarget, KeyClaim, QuotaLevel};
+use crate::permit::{AccountUse, FailedTarget, KeyClaim, QuotaLevel};
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
     OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
@@ -155,6 +155,14 @@
         })
     }
 
+    /// Get the recent use of client accounts that the shard's owner hands over; none in
+    /// degraded mode.
+    pub(super) fn account_use(&self, now: Moment, shard: &PoolShard) -> Vec<AccountUse> {
+        let mut owned = self.owned.iter().filter(|owned| !owned.degraded);
+        let found = owned.find(|owned| owned.shard == *shard);
+        found.map_or_else(Vec::new, |owned| owned.owner.account_use(now))
+    }
+
     /// Get the failed targets of the shard, which receive no normal work.
     pub(super) fn failed_targets(&self, now: Moment, shard: &PoolShard) -> Vec<FailedTarget> {
         let found = self.owned.iter().find(|owned| owned.shard == *shard);
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -10,6 +10,8 @@
 use crate::request::AttemptId;
 use crate::rules::Tier;
 
+use super::fair_admission::is_exempt;
+
 /// The bounds of the retry-after time of refusals: callers should neither retry
 /// immediately nor wait long after the overload has ended.
 const RETRY_MIN: Duration = Duration::from_millis(100);
@@ -32,7 +34,7 @@
     ) -> bool {
         let mut shed = false;
         while self.is_over_limits(now) {
-            let Some(attempt) = self.queue.next_to_shed() else {
+            let Some(attempt) = self.next_to_shed(now) else {
                 return shed;
             };
             let Some(queued) = self.queue.get(&attempt) else {
@@ -40,7 +42,7 @@
             };
             let reason = match queued.request.tier > tier {
                 true => RefusalReason::ShedForHigherTier,
-                false => RefusalReason::Overloaded,
+                false => self.overload_reason(now, &attempt),
             };
             let retry_after = self.drain_time(now, queued.request.tier);
             self.refuse_queued(&attempt, reason, retry_after, actions);
@@ -49,10 +51,9 @@
         shed
     }
 
-    /// Refuse a new request if the ones queued before it would take far longer
-    /// than its deadline; get whether it was refused. If lower-tier requests
-    /// are queued it is kept, since those are shed first. So is a renewed
-    /// request: an owner accepted it before, and it is not the last in the queue.
+    /// Refuse a new request, or another one in its place, if the ones queued before it
+    /// would take far longer than its deadline; get whether one was refused. If
+    /// lower-tier requests are queued it is kept, since those are shed first.
     pub(in crate::pool_owner) fn shed_infeasible(
         &mut self,
         now: Moment,
@@ -62,7 +63,7 @@
         let Some(queued) = self.queue.get(attempt) else {
             return false;
         };
-        if queued.request.is_renewed() {
+        if is_exempt(queued) {
             return false;
         }
         let tier = queued.request.tier;
@@ -72,9 +73,7 @@
             {
                 return false;
             }
-            let reason = RefusalReason::Overloaded;
-            self.refuse_queued(attempt, reason, self.drain_time(now, tier), actions);
-            return true;
+            return self.refuse_for_room(now, attempt, actions);
         }
         let speed = self.shard_speed(now);
         if self.queue.tokens_through(tier) < self.queue.tokens() || speed == 0.0 {
@@ -85,10 +84,7 @@
         if others as f64 / speed <= max_drain.as_secs_f64() {
             return false;
         }
-        let retry_after = self.drain_time(now, tier);
-        let reason = RefusalReason::Overloaded;
-        self.refuse_queued(attempt, reason, retry_after, actions);
-        true
+        self.refuse_for_room(now, attempt, actions)
     }
 
     /// Get the predicted queuing time of a new request of `tier` from the
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -39,6 +39,7 @@
         if not_executed {
             self.remove_prefix_hints(&permit);
         }
+        self.settle_use(now, &permit, &release.outcome);
         match &release.outcome {
             ReleaseOutcome::Unused => self.clear_probe(&permit),
             ReleaseOutcome::Finished(usage) => {
@@ -114,6 +115,8 @@
             tier: work.tier,
             account: work.account,
             cost: work.cost,
+            // Charged by the previous owner, which hands over the use of accounts.
+            charge: None,
             long,
             preemptible: work.preemptible,
             claim: None,
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -26,6 +26,8 @@
 pub use scheduling_options::SchedulingOptions;
 pub use view::{RefusalCount, ShardView, TargetView, TierView};
 
+use admission::account_shares::AccountShareView;
+
 use crate::client_account::AccountName;
 use crate::cold_targets::ColdTarget;
 use crate::host::{HostName, Incarnation};
@@ -88,4 +90,6 @@
         Option<TargetName>,
         Option<FailureReport>,
     ),
+    /// Log that requests of a client account above its share are refused.
+    LogShare(PoolShard, AccountShareView),
 }
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -3,18 +3,21 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::failure_domain::DomainName;
 use crate::host::{HostName, Incarnation};
 use crate::permit::PermitRequest;
+use crate::pool_owner::admission::account_shares::{AccountShares, UseCharge};
 use crate::pool_owner::placement::slot_routing::WantedVersions;
 use crate::request::AttemptId;
 use crate::rules::Tier;
 use crate::stream_table::StreamOrigin;
 use crate::target::{PoolTarget, TargetName, TargetVersion};
 
-use super::fair_queue::{QueueRank, TierEntry, TierQueue};
+use super::fair_queue::{AccountBacklog, QueueRank, ServedCharge, TierEntry, TierQueue};
 use super::tier_floor::{TierFloor, TierPosition};
 use super::wait_plan::WaitPlan;
 
@@ -124,6 +127,8 @@
     floor: TierFloor,
     /// The numbers of requests that need one version, by tier.
     version_requests: BTreeMap<TargetVersion, BTreeMap<Tier, usize>>,
+    /// The recent use of accounts, if their shares are remembered.
+    pub(in crate::pool_owner) shares: Option<AccountShares>,
 }
 
 /// The maximum number of queued requests of a tier below its floor that are
@@ -131,7 +136,18 @@
 /// to fill them.
 const MAX_WAITING_BELOW_FLOOR: usize = 4;
 
+/// The maximum number of accounts whose use is remembered, counted in each tier. With
+/// 4,800 accounts, all of them fit; an entry takes about 150 bytes.
+const MAX_SHARES: usize = 8_192;
+
 impl RequestQueue {
+    /// Create an empty queue that remembers the use of accounts with this half-life.
+    pub(in crate::pool_owner) fn with_shares(half_life: Option<Duration>) -> Self {
+        let mut queue = RequestQueue::default();
+        queue.set_share_half_life(half_life);
+        queue
+    }
+
     /// Get the number of queued requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -192,6 +208,16 @@
 
     /// Add a request; nothing changes if its attempt is queued already.
     pub fn push(&mut self, now: Moment, queued: QueuedRequest) {
+        self.push_costing(now, queued, Duration::ZERO);
+    }
+
+    /// Add a request that is estimated to use a slot for `slot_time`.
+    pub(in crate::pool_owner) fn push_costing(
+        &mut self,
+        now: Moment,
+        queued: QueuedRequest,
+        slot_time: Duration,
+    ) {
         let attempt = queued.request.attempt;
         if self.requests.contains_key(&attempt) {
             return;
@@ -202,6 +228,7 @@
             account: queued.request.account.clone(),
             share: queued.request.share,
             tokens: queued.request.cost.total(),
+            slot_micros: slot_time.as_micros() as u64,
             placement: queued.placement.clone(),
             expires: queued.plan.give_up_at,
             rank: QueueRank {
@@ -212,10 +239,12 @@
                 attempt,
             },
         };
-        self.tiers
-            .entry(queued.request.tier)
-            .or_default()
-            .push(&entry);
+        let tier = queued.request.tier;
+        if let Some(shares) = &mut self.shares {
+            let cost = slot_time.as_secs_f64();
+            shares.record_demand(now, tier, &entry.account, entry.share, cost);
+        }
+        self.push_entry(tier, &entry);
         *self.placements.entry(entry.placement.clone()).or_default() += 1;
         self.tokens += entry.tokens;
         self.count_version(&queued, 1);
@@ -227,6 +256,115 @@
             .insert(attempt, StoredRequest { queued, entry });
     }
 
+    fn push_entry(&mut self, tier: Tier, entry: &TierEntry) {
+        let shares = self.shares.as_ref();
+        let start = shares.map(|shares| shares.start(tier, &entry.account));
+        let queue = self.tiers.entry(tier);
+        let queue = queue.or_insert_with(|| TierQueue::new(start.is_some()));
+        queue.push(entry, start);
+    }
+
+    /// Set the half-life of the remembered use of accounts; `None` to remember none.
+    pub(in crate::pool_owner) fn set_share_half_life(&mut self, half_life: Option<Duration>) {
+        let was_remembered = self.shares.is_some();
+        match (half_life, &mut self.shares) {
+            (Some(half_life), Some(shares)) => shares.set_half_life(half_life),
+            (half_life, shares) => {
+                *shares = half_life.map(|span| AccountShares::new(span, MAX_SHARES));
+            }
+        }
+        if self.shares.is_some() != was_remembered {
+            self.rebuild_tiers();
+        }
+    }
+
+    /// Queue all requests anew: the positions of accounts with and without remembered
+    /// use are not comparable.
+    fn rebuild_tiers(&mut self) {
+        self.tiers.clear();
+        let requests = self.requests.values();
+        let mut entries: Vec<(Tier, TierEntry)> = requests
+            .map(|stored| (stored.queued.request.tier, stored.entry.clone()))
+            .collect();
+        entries.sort_by_key(|(_, entry)| entry.rank.sequence);
+        for (tier, entry) in &entries {
+            self.push_entry(*tier, entry);
+        }
+    }
+
+    /// Get how far the last request of an account in a tier is behind.
+    pub(in crate::pool_owner) fn account_backlog(
+        &self,
+        now: Moment,
+        tier: Tier,
+        account: &AccountName,
+    ) -> Option<AccountBacklog> {
+        let shares = self.shares.as_ref()?;
+        let queue = self.tiers.get(&tier)?;
+        queue.backlog(account, |tag| shares.use_at(now, tag))
+    }
+
+    /// Get the account of a tier whose last request is furthest behind.
+    pub(in crate::pool_owner) fn furthest_behind(
+        &self,
+        now: Moment,
+        tier: Tier,
+    ) -> Option<AccountBacklog> {
+        let shares = self.shares.as_ref()?;
+        let queue = self.tiers.get(&tier)?;
+        queue.furthest_behind(|tag| shares.use_at(now, tag))
+    }
+
+    /// Get whether an account is within its share of a tier, with all that it has queued
+    /// there except for `spare`.
+    pub(in crate::pool_owner) fn is_within_share(
+        &self,
+        now: Moment,
+        tier: Tier,
+        account: &AccountName,
+        spare: Duration,
+    ) -> bool {
+        let (Some(shares), Some(queue)) = (&self.shares, self.tiers.get(&tier)) else {
+            return false;
+        };
+        let queued = queue.queued_time(account).saturating_sub(spare);
+        shares.is_within(now, tier, account, queued.as_secs_f64())
+    }
+
+    /// Get the last queued request of an account in a tier that meets `wanted`.
+    pub(in crate::pool_owner) fn last_of(
+        &self,
+        tier: Tier,
+        account: &AccountName,
+        wanted: impl Fn(&QueuedRequest) -> bool,
+    ) -> Option<AttemptId> {
+        let queue = self.tiers.get(&tier)?;
+        queue.last_of(account, |attempt| self.get(attempt).is_some_and(&wanted))
+    }
+
+    /// Get the lowest tier with queued requests.
+    pub(in crate::pool_owner) fn lowest_tier(&self) -> Option<Tier> {
+        self.tiers.keys().next_back().copied()
+    }
+
+    /// Correct the charge of a run that has ended to its measured cost in slot-seconds.
+    pub(in crate::pool_owner) fn settle(
+        &mut self,
+        now: Moment,
+        tier: Tier,
+        account: &AccountName,
+        charge: UseCharge,
+        measured: f64,
+    ) {
+        let Some(shares) = &mut self.shares else {
+            return;
+        };
+        shares.settle(now, tier, account, charge, measured);
+        if let Some(queue) = self.tiers.get_mut(&tier) {
+            queue.set_start(account, shares.start(tier, account));
+        }
+    }
+
     /// Move the requests that have become late behind those that are on time.
     pub fn demote_late(&mut self, now: Moment) {
         while let Some((end, attempt)) = self.on_time_ends.first().copied()
@@ -236,15 +374,18 @@
             let Some(stored) = self.requests.get_mut(&attempt) else {
                 continue;
             };
-            let Some(queue) = self.tiers.get_mut(&stored.queued.request.tier) else {
+            let tier = stored.queued.request.tier;
+            let Some(queue) = self.tiers.get_mut(&tier) else {
                 continue;
             };
-            queue.remove(&stored.entry, false);
+            queue.remove(&stored.entry, ServedCharge::None);
             let late = Arc::new(stored.queued.placement.late());
             let on_time = std::mem::replace(&mut stored.queued.placement, late.clone());
             stored.entry.rank.late = true;
             stored.entry.placement = late.clone();
-            queue.push(&stored.entry);
+            let shares = self.shares.as_ref();
+            let start = shares.map(|shares| shares.start(tier, &stored.entry.account));
+            queue.push(&stored.entry, start);
             *self.placements.entry(late).or_default() += 1;
             remove_placement(&mut self.placements, &on_time);
         }
@@ -343,15 +484,35 @@
 
     /// Remove a request that is served and charge its cost to its account.
     pub fn serve(&mut self, attempt: &AttemptId) -> Option<QueuedRequest> {
-        self.take(attempt, true)
+        self.take(attempt, ServedCharge::Tokens)
+    }
+
+    /// Remove a request that is served now, and get it with what is charged for it if
+    /// the use of accounts is remembered.
+    pub(in crate::pool_owner) fn serve_at(
+        &mut self,
+        now: Moment,
+        attempt: &AttemptId,
+    ) -> Option<(QueuedRequest, Option<UseCharge>)> {
+        let (Some(shares), Some(stored)) = (&mut self.shares, self.requests.get(attempt)) else {
+            return Some((self.serve(attempt)?, None));
+        };
+        let (tier, account) = (stored.queued.request.tier, &stored.entry.account);
+        let charge = UseCharge {
+            estimate: Duration::from_micros(stored.entry.slot_micros).as_secs_f64(),
+            charged_at: now,
+        };
+        shares.charge(now, tier, account, charge.estimate);
+        let start = ServedCharge::Start(shares.start(tier, account));
+        Some((self.take(attempt, start)?, Some(charge)))
     }
 
     /// Remove a request that is not served.
     pub fn remove(&mut self, attempt: &AttemptId) -> Option<QueuedRequest> {
-        self.take(attempt, false)
+        self.take(attempt, ServedCharge::None)
     }
 
-    fn take(&mut self, attempt: &AttemptId, served: bool) -> Option<QueuedRequest> {
+    fn take(&mut self, attempt: &AttemptId, charge: ServedCharge) -> Option<QueuedRequest> {
         let StoredRequest { queued, entry } = self.requests.remove(attempt)?;
         self.tokens -= entry.tokens;
         self.count_version(&queued, -1);
@@ -359,7 +520,7 @@
             .remove(&(queued.plan.on_time_until, *attempt));
         let tier = queued.request.tier;
         if let Some(queue) = self.tiers.get_mut(&tier) {
-            queue.remove(&entry, served);
+            queue.remove(&entry, charge);
             if queue.requests() == 0 {
                 self.tiers.remove(&tier);
             }
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -102,7 +102,7 @@
             identity,
             shard,
             now,
-            queue: RequestQueue::default(),
+            queue: RequestQueue::with_shares(opts.scheduling.account_share_half_life),
             targets: TargetSet::new(),
             targets_known: false,
             permits: PermitTable::default(),
@@ -132,6 +132,8 @@
     /// applies the new limits with the next request.
     pub fn set_opts(&mut self, opts: OwnerOptions) {
         self.keys.set_bounds(opts.key_retention, opts.max_keys);
+        self.queue
+            .set_share_half_life(opts.scheduling.account_share_half_life);
         self.opts = opts;
     }
 
@@ -320,8 +322,8 @@
                     self.keys.hold(now, claim);
                 }
             }
-            OwnerMessage::AccountUse { .. }
-            | OwnerMessage::Signature { .. }
+            OwnerMessage::AccountUse { accounts, .. } => self.on_account_use(now, &accounts),
+            OwnerMessage::Signature { .. }
             | OwnerMessage::Promises { .. }
             | OwnerMessage::TargetPaces { .. } => {}
             // Handled by the owner's key guard.
@@ -419,7 +421,8 @@
             placement: Arc::new(placement),
             origin,
         };
-        self.queue.push(now, queued);
+        let slot_time = self.slot_time(queued.request.cost);
+        self.queue.push_costing(now, queued, slot_time);
     }
 
     /// Get whether all targets publish their slots, the number of requests that
@@ -440,7 +443,7 @@
     }
 
     /// Get the predicted run time: the mean over the targets that work.
-    fn expected_run_time(&self, cost: TokenCost) -> Duration {
+    pub(super) fn expected_run_time(&self, cost: TokenCost) -> Duration {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
         let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -111,7 +111,7 @@
         warm: &[WarmTarget],
         actions: &mut Vec<OwnerAction>,
     ) {
-        let Some(queued) = self.queue.serve(attempt) else {
+        let Some((queued, charge)) = self.queue.serve_at(now, attempt) else {
             return;
         };
         self.quotas
@@ -148,6 +148,7 @@
             tier: request.tier,
             account: request.account,
             cost: request.cost,
+            charge,
             long: queued.placement.long,
             preemptible: request.preemptible,
             claim: request.claim,
--- a/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
@@ -6,6 +6,7 @@
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::permit::{KeyClaim, PermitId};
+use crate::pool_owner::admission::account_shares::UseCharge;
 use crate::pool_owner::learning::speed_estimator::ExpectedEnd;
 use crate::request::{AttemptId, PrefixHash, TokenCost};
 use crate::rules::Tier;
@@ -28,6 +29,8 @@
     pub account: AccountName,
     /// The estimated cost.
     pub cost: TokenCost,
+    /// What its account was charged, if the use of accounts is remembered.
+    pub charge: Option<UseCharge>,
     /// Whether the request counts as long.
     pub long: bool,
     /// Whether the stream may be preempted for a higher tier.
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -9,6 +9,7 @@
 use crate::rules::Tier;
 use crate::target::{RequestRate, TargetName};
 
+use super::admission::account_shares::AccountShareView;
 use super::owner::ShardOwner;
 
 /// A `TierView` is the queue of one tier.
@@ -85,8 +86,14 @@
     pub keys: usize,
     /// The number of prefixes in the table.
     pub prefixes: usize,
+    /// The client accounts that are furthest above their shares; empty without fair
+    /// admission.
+    pub account_shares: Vec<AccountShareView>,
 }
 
+/// The maximum number of client accounts in a [`ShardView`].
+const MAX_SHARES: usize = 16;
+
 impl ShardOwner {
     /// Get the hosts that have queued requests, each once.
     pub fn queued_hosts(&self) -> Vec<HostName> {
@@ -102,6 +109,7 @@
     pub fn view(&self) -> ShardView {
         let queued = self.queue.tiers();
         let refusals = self.counts.refusals.iter();
+        let shares = self.queue.shares.as_ref();
         ShardView {
             shard: self.shard.clone(),
             queued: queued
@@ -125,6 +133,8 @@
                 .collect(),
             keys: self.keys.len(),
             prefixes: self.prefixes.len(),
+            account_shares: shares
+                .map_or_else(Vec::new, |shares| shares.view(self.now, MAX_SHARES)),
         }
     }
 
--- a/bergamotswitch-core/src/publication/account_list.rs
+++ b/bergamotswitch-core/src/publication/account_list.rs
@@ -1,5 +1,7 @@
 //! Provides the published client accounts.
 
+use std::ops::RangeInclusive;
+
 use serde_json::Value;
 
 use super::duplicates::{fields, refuse_duplicate_names, refuse_duplicates};
@@ -9,6 +11,9 @@
 use crate::error::Findings;
 use crate::revision::ACCOUNTS_VALUE;
 
+/// The allowed weights of an account.
+const WEIGHT_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+
 /// An `AccountList` is the list of published client accounts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AccountList {
@@ -71,10 +76,12 @@
         let mut object = ObjectReader::open(node, findings)?;
         let name = object.required("name");
         let key_hash = object.required("key_hash");
+        let weight = object.number("weight", &WEIGHT_RANGE);
         object.finish();
         Some(ClientAccount {
             name: name?,
             key_hash: key_hash?,
+            weight: weight?.map(|weight| weight as u32),
         })
     }
 }
--- a/bergamotswitch-core/src/publication/mod.rs
+++ b/bergamotswitch-core/src/publication/mod.rs
@@ -22,6 +22,7 @@
 
 use std::sync::Arc;
 
+use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::cold_targets::{ColdFinding, ColdTable, ColdTarget};
 use crate::error::Findings;
@@ -116,6 +117,28 @@
         Ok(())
     }
 
+    /// Get the weight of a client account's share under fair admission: the published
+    /// one, else the rate of its quota, else 1.
+    pub fn account_weight(&self, account: &AccountName) -> u32 {
+        let published = self.accounts.account(account);
+        if let Some(weight) = published.and_then(|account| account.weight) {
+            return weight;
+        }
+        let mut keyed = self.routes.config().accounts.iter();
+        let keyed = keyed.find(|keyed| keyed.name == *account);
+        let rate = keyed.map_or(1, |keyed| keyed.quota.rate.max(1));
+        u32::try_from(rate).unwrap_or(u32::MAX)
+    }
+
+    /// Get the weight of a request's account in fair queuing, whose rule gives it this
+    /// share. The account's own weight counts only with fair admission.
+    pub fn weighted_share(&self, account: &AccountName, share: u32) -> u32 {
+        match self.limits.account_share_half_life_ms {
+            0 => share,
+            _ => share.saturating_mul(self.account_weight(account)),
+        }
+    }
+
     /// Get the names of the values that the host still needs before it can serve.
     /// An empty value counts as missing, since an applied one is never empty.
     pub fn missing(&self) -> Vec<&'static str> {
--- a/bergamotswitch-core/src/refusal.rs
+++ b/bergamotswitch-core/src/refusal.rs
@@ -89,6 +89,8 @@
         StreamUnknown = "stream-unknown",
         /// No target has the version of the software that began the stream.
         VersionGone = "version-gone",
+        /// Load shedding: the client account uses more than its share of the tier.
+        AboveShare = "above-share",
     }
 }
 
--- a/bergamotswitch-core/tests/burst_cost.rs
+++ b/bergamotswitch-core/tests/burst_cost.rs
@@ -4,6 +4,7 @@
 mod burst_load;
 mod owner_bench;
 
+use bergamotswitch_core::pool_owner::SchedulingOptions;
 use burst_load::{BurstLoad, LoadPlan, RequestClass};
 use owner_bench::*;
 
@@ -37,8 +38,8 @@
 }
 
 /// Run the load and get the mean CPU time per event in microseconds.
-fn event_micros() -> f64 {
-    let mut burst = BurstLoad::new(plan());
+fn event_micros(opts: OwnerOptions) -> f64 {
+    let mut burst = BurstLoad::with_options(plan(), opts);
     let started = cpu_nanos();
     burst.run();
     (cpu_nanos() - started) as f64 / burst.events as f64 / 1_000.0
@@ -56,10 +57,17 @@
 // out.
 #[test]
 fn event_cpu_time() {
-    let micros = (0..RUNS).map(|_| event_micros());
-    let fastest = micros.min_by(f64::total_cmp).expect("a run");
-    println!("{fastest:.1} us of CPU time per event");
-    assert!(fastest < EVENT_MICROS, "{fastest:.1} us");
+    let fair = SchedulingOptions {
+        account_share_half_life: Some(Duration::from_secs(1)),
+        ..SchedulingOptions::default()
+    };
+    for scheduling in [SchedulingOptions::default(), fair] {
+        let opts = OwnerOptions::default().with_scheduling(scheduling);
+        let micros = (0..RUNS).map(|_| event_micros(opts.clone()));
+        let fastest = micros.min_by(f64::total_cmp).expect("a run");
+        println!("{fastest:.1} us of CPU time per event with {scheduling:?}");
+        assert!(fastest < EVENT_MICROS, "{fastest:.1} us");
+    }
 }
 
 // The top tier is served although the load exceeds the capacity by two thirds.
--- a/bergamotswitch-core/tests/burst_load/mod.rs
+++ b/bergamotswitch-core/tests/burst_load/mod.rs
@@ -90,7 +90,10 @@
 
 impl BurstLoad {
     pub fn new(plan: LoadPlan) -> Self {
-        let opts = OwnerOptions::default();
+        BurstLoad::with_options(plan, OwnerOptions::default())
+    }
+
+    pub fn with_options(plan: LoadPlan, opts: OwnerOptions) -> Self {
         let mut owner = ShardOwner::new(incarnation_of("owner", 1), shard(), opts, Moment::START);
         let targets = (0..plan.targets).map(|number| {
             let mut target = target(&format!("engine-{number:02}"), "d", TOKEN_LIMIT);
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -23,8 +23,8 @@
 
 /// The limits whose decisions are not built yet. A part that builds one moves its limit
 /// to the probes.
-const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille slow_moment_ms \
-    match_window_requests idle_connection_permille";
+const PENDING_LIMITS: &str = "return_room_permille slow_moment_ms match_window_requests \
+    idle_connection_permille";
 
 type Probe = fn(&Value) -> u64;
 
@@ -55,6 +55,10 @@
         ("queue_limit_ms", (1_000, none(), shed)),
         ("queue_limit_requests", (1, none(), shed)),
         ("permit_lifetime_ms", (700, none(), permit_lifetime)),
+        (
+            "account_share_half_life_ms",
+            (1_000, none(), remembered_accounts),
+        ),
     ])
 }
 
@@ -203,6 +207,14 @@
     node.count(|action| matches!(action, NodeAction::Conclude(_, Conclusion::Refused(_))))
 }
 
+/// Get the number of accounts whose use is remembered after a request was granted.
+fn remembered_accounts(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    node.submit(submission());
+    let view = node.core.view(node.now);
+    view.shards[0].account_shares.len() as u64
+}
+
 fn permit_lifetime(limits: &Value) -> u64 {
     let mut node = bound(limits, ALONE, json!({}));
     node.link_up("peer");
--- a/bergamotswitch-net/src/caller/refusal_page.rs
+++ b/bergamotswitch-net/src/caller/refusal_page.rs
@@ -146,6 +146,7 @@
         | RefusalReason::Quarantined
         | RefusalReason::StreamUnknown
         | RefusalReason::VersionGone
+        | RefusalReason::AboveShare
         | RefusalReason::CallerLeft => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -175,6 +176,7 @@
         RefusalReason::KeyUnconfirmed => "it is not known whether this key still holds",
         RefusalReason::StreamUnknown => "nobody knows where this stream began, it may begin anew",
         RefusalReason::VersionGone => "no target has the version that began this stream",
+        RefusalReason::AboveShare => "overloaded, and the client account is above its share",
         RefusalReason::Quarantined => "targets crashed under this call, it is not run for now",
     }
 }
--- a/bergamotswitch-net/src/link/registry.rs
+++ b/bergamotswitch-net/src/link/registry.rs
@@ -299,7 +299,9 @@
     pub(crate) fn send(&self, host: &HostName, message: &LinkMessage) -> bool {
         let kind = MessageKind::of(message);
         let mut state = self.lock();
-        let encoded = state.value_frames.encode(message);
+        let message_set = state.links.get(host).map_or(0, |link| link.message_set);
+        let message = message.for_message_set(message_set);
+        let encoded = state.value_frames.encode(&message);
         let (Some(link), Ok(bytes)) = (state.links.get(host), encoded) else {
             state.counters.dropped += 1;
             return false;
--- a/bergamotswitch-net/src/metrics/owner_totals.rs
+++ b/bergamotswitch-net/src/metrics/owner_totals.rs
@@ -32,6 +32,7 @@
     /// Update the metrics of owned shards.
     pub fn refresh(&mut self, metrics: &NodeMetrics, views: &[ShardView]) {
         metrics.shard_queue.clear();
+        metrics.account_share_ratio_max.set(max_share_ratio(views));
         let mut earlier = std::mem::take(&mut self.shards);
         for view in views {
             let before = earlier.remove(&view.shard).unwrap_or_default();
@@ -76,6 +77,12 @@
     }
 }
 
+fn max_share_ratio(views: &[ShardView]) -> f64 {
+    let shares = views.iter().flat_map(|view| &view.account_shares);
+    let highest = shares.map(|share| share.ratio_permille).max();
+    highest.map_or(1.0, |permille| permille as f64 / 1_000.0)
+}
+
 fn set_queue(metrics: &NodeMetrics, view: &ShardView) {
     let domain = match &view.shard.domain {
         Some(domain) => domain.as_str(),
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -76,6 +76,11 @@
             "Asks queued at this host as owner, by shard and tier",
             self.shard_queue.clone(),
         );
+        registry.register(
+            "account_share_ratio_max",
+            "Use of the most over-served client account divided by its share, 1 if none is",
+            self.account_share_ratio_max.clone(),
+        );
         registry.register(
             "load_permille",
             "How busy the host is, in thousandths of what it can carry",
--- a/bergamotswitch/src/command/logs/mod.rs
+++ b/bergamotswitch/src/command/logs/mod.rs
@@ -7,6 +7,7 @@
 mod line;
 mod outcome;
 mod reader;
+mod share_table;
 mod summary;
 mod trace;
 
--- a/bergamotswitch/src/command/logs/summary.rs
+++ b/bergamotswitch/src/command/logs/summary.rs
@@ -9,6 +9,7 @@
 use super::line::LogLine;
 use super::outcome::{OutcomeTable, RequestOutcome};
 use super::reader::{ReadCount, read_lines};
+use super::share_table::ShareTable;
 use crate::command::error::CommandError;
 use crate::command::table::TextTable;
 
@@ -25,6 +26,7 @@
     accounts: OutcomeTable,
     targets: OutcomeTable,
     seconds: OutcomeTable,
+    shares: ShareTable,
     /// The waiting times of requests that were never dispatched, by reason.
     waits: BTreeMap<String, WaitCount>,
     /// The number of lines of each event, by event number and text.
@@ -68,6 +70,7 @@
         self.routes.add(line.field("route"), outcome, slot_ms);
         self.accounts.add(line.field("account"), outcome, slot_ms);
         self.seconds.add(line.second(), outcome, slot_ms);
+        self.shares.add(line, outcome);
         // The slot time is attributed to the last target; earlier attempts have
         // released their slots.
         if let Some(target) = line.field("targets").rsplit(',').next()
@@ -131,6 +134,7 @@
             text += &table.text(name);
             text.push('\n');
         }
+        text += &format!("{}\n", self.shares.text());
         text += &format!("{}\n{}\n", self.wait_table(), self.event_table());
         text + &format!(
             "{} events, {} unreadable lines\n",
@@ -151,6 +155,7 @@
         let events = self.events.iter();
         let events = events.map(|((number, _), count)| (number.to_string(), json!(count)));
         found.insert("refused_untried".into(), Value::Object(waits.collect()));
+        found.insert("account_shares".into(), self.shares.json());
         found.insert("events".into(), Value::Object(events.collect()));
         found.insert("read".into(), json!(count.events));
         found.insert("unreadable".into(), json!(count.unreadable));
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -162,10 +162,30 @@
         format!("{} {}", text(&refusal["reason"]), text(&refusal["count"]))
     });
     writeln!(f, "  refused  {refusals}")?;
+    if !items(&shard["account_shares"]).is_empty() {
+        writeln!(f, "{}", share_table(&shard["account_shares"]))?;
+    }
     writeln!(f, "{}", target_table(&shard["targets"]))?;
     Ok(())
 }
 
+fn share_table(shares: &Value) -> TextTable {
+    let head = ["account", "tier", "weight", "used ms", "share ms", "ratio"];
+    let mut table = TextTable::new(&head).with_indent(2);
+    for share in items(shares) {
+        let ratio = share["ratio_permille"].as_f64().unwrap_or(1_000.0) / 1_000.0;
+        table.add(vec![
+            text(&share["account"]),
+            text(&share["tier"]),
+            text(&share["weight"]),
+            text(&share["used_ms"]),
+            text(&share["share_ms"]),
+            format!("{ratio:.2}"),
+        ]);
+    }
+    table
+}
+
 fn target_state(target: &Value) -> &'static str {
     if target["leaving"] == true {
         return "leaving";
