--- a/bergamotswitch-core/tests/fair_admission.rs
+++ b/bergamotswitch-core/tests/fair_admission.rs
@@ -4,7 +4,9 @@
 mod owner_bench;
 
 use account_load::{AccountLoad, LoadPlan, RequestKind, TierLoad};
+use bergamotswitch_core::link::LinkMessage;
 use bergamotswitch_core::pool_owner::SchedulingOptions;
+use bergamotswitch_core::pool_owner::account_shares::{AccountShares, UseCharge};
 use owner_bench::*;
 
 const HALF_LIFE: Duration = Duration::from_secs(1);
@@ -224,3 +226,164 @@
     assert!(new * 10 >= served.len() * 3, "{served:?}");
     assert!(new * 10 <= served.len() * 7, "{served:?}");
 }
+
+// Guards against an account with few long requests that is pushed back by the short ones
+// of a flood.
+#[test]
+fn long_request_served() {
+    let mut bench = bench();
+    let mut running = permits(&send(&mut bench, 0..60, "flood"));
+    let mut request = with_cost(permit_request(500, 1, "long"), 50, 1_000);
+    request.first_answer_ms = Some(100);
+    let actions = bench.request_permit(&request);
+    assert!(
+        refusals(&actions)
+            .iter()
+            .all(|refusal| refusal.request < 60)
+    );
+    let mut served = Vec::new();
+    serve(&mut bench, &mut running, 2, &mut served);
+    assert!(served.contains(&500), "{served:?}");
+}
+
+// Guards against weights that do not count: an account of weight 3 gets three times the
+// slots of one of weight 1.
+#[test]
+fn weights_count() {
+    let mut bench = bench();
+    let mut running = Vec::new();
+    let mut served = Vec::new();
+    for round in 0..20 {
+        for number in round * 8..round * 8 + 8 {
+            let mut heavy = permit_request(number, 1, "heavy");
+            heavy.share = 3;
+            let light = permit_request(10_000 + number, 1, "light");
+            for request in [heavy, light] {
+                running.extend(permits(&bench.request_permit(&request)));
+            }
+        }
+        serve(&mut bench, &mut running, 1, &mut served);
+    }
+    let light = served.iter().filter(|number| **number >= 10_000).count();
+    let fraction = light as f64 / served.len() as f64;
+    assert!((0.2..0.3).contains(&fraction), "{fraction:.2}");
+}
+
+// Guards against a planned handover after which a flood counts as new.
+#[test]
+fn use_handed_over() {
+    let mut first = bench();
+    let mut running = permits(&send(&mut first, 0..32, "flood"));
+    serve(&mut first, &mut running, 4, &mut Vec::new());
+    let mut next = bench();
+    next.now = first.now;
+    let accounts = first.owner.account_use(first.now);
+    assert!(!accounts.is_empty());
+    let shard = shard();
+    next.message(OwnerMessage::AccountUse { shard, accounts });
+    let shares = |bench: &OwnerBench| {
+        let shares = bench.view().account_shares.into_iter();
+        let mut flood = shares.filter(|share| share.account == named("flood"));
+        flood.next().map(|share| share.used_ms)
+    };
+    let (left, taken) = (
+        shares(&first).expect("known"),
+        shares(&next).expect("known"),
+    );
+    assert!(
+        taken * 10 >= left * 9 && taken <= left * 11 / 10,
+        "{left} {taken}"
+    );
+}
+
+// Guards against a host of the previous release that does not know the reason.
+#[test]
+fn older_peers() {
+    let refused = |reason| {
+        LinkMessage::FromOwner(OwnerReply::Refused {
+            attempt: attempt_of(ENTRY_INCARNATION, 1),
+            reason,
+            retry_after_ms: 100,
+        })
+    };
+    let message = refused(RefusalReason::AboveShare);
+    assert_eq!(*message.for_message_set(10), message);
+    assert_eq!(
+        *message.for_message_set(9),
+        refused(RefusalReason::Overloaded)
+    );
+}
+
+const TIER: Tier = Tier(3);
+
+fn ledger() -> AccountShares {
+    AccountShares::new(HALF_LIFE, 100)
+}
+
+/// Get the moment this many half-lives after the start.
+fn after(half_lives: u32) -> Moment {
+    Moment::START.plus(HALF_LIFE * half_lives)
+}
+
+// Guards against use of one account that is measured wrongly: estimates that are too low
+// or too high gain nothing, and a refund erases no other run.
+#[test]
+fn estimates_corrected() {
+    let mut shares = ledger();
+    let account = named("a");
+    let charge = UseCharge {
+        estimate: 1.0,
+        charged_at: after(0),
+    };
+    shares.charge(after(0), TIER, &account, 1.0);
+    shares.charge(after(0), TIER, &account, 1.0);
+    shares.settle(after(1), TIER, &account, charge, 0.0);
+    let used = |shares: &AccountShares| shares.share(after(1), TIER, &account).expect("used").used;
+    assert!((used(&shares) - 0.5).abs() < 1e-6);
+    shares.settle(after(1), TIER, &account, charge, 3.0);
+    assert!((used(&shares) - 2.5).abs() < 1e-6);
+}
+
+// Guards against shares that are not max-min: what an account does not ask for goes to
+// the others by their weights.
+#[test]
+fn max_min_shares() {
+    let mut shares = ledger();
+    for (name, weight, demand, used) in [("a", 1, 1.0, 1.0), ("b", 1, 9.0, 4.0), ("c", 2, 9.0, 4.0)]
+    {
+        shares.record_demand(after(0), TIER, &named(name), weight, demand);
+        shares.charge(after(0), TIER, &named(name), used);
+    }
+    let share = |name| {
+        shares
+            .share(after(0), TIER, &named(name))
+            .expect("used")
+            .share
+    };
+    assert!((share("a") - 1.0).abs() < 1e-6);
+    assert!((share("b") - 8.0 / 3.0).abs() < 1e-6);
+    assert!((share("c") - 16.0 / 3.0).abs() < 1e-6);
+    assert!((shares.ratio(after(0), TIER, &named("b")) - 1.5).abs() < 1e-6);
+    assert_eq!(shares.ratio(after(0), TIER, &named("c")), 1.0);
+}
+
+// Guards against a table that grows with each account that ever sent a request, and that
+// forgets the flood when it is full.
+#[test]
+fn table_bounded() {
+    let mut shares = ledger();
+    let flood = named("flood");
+    for number in 0..1_000 {
+        let account = named(&format!("account-{number}"));
+        shares.record_demand(after(0), TIER, &account, 1, 0.1);
+        shares.record_demand(after(0), TIER, &flood, 1, 0.1);
+        shares.charge(after(0), TIER, &flood, 0.1);
+        assert!(shares.len() <= 100);
+    }
+    assert!(shares.ratio(after(0), TIER, &flood) > 1.0);
+    // Decades later, sums neither overflow nor lose their precision.
+    let late = after(1_000_000_000);
+    shares.charge(late, TIER, &flood, 1.0);
+    let used = shares.share(late, TIER, &flood).expect("used").used;
+    assert!((used - 1.0).abs() < 1e-4, "{used}");
+}
