--- a/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
@@ -117,8 +117,8 @@
             self.queue
                 .is_within_share(now, tier, account, Duration::ZERO)
         };
-        let own = self.queue.account_backlog(now, tier, account);
-        let own = own.map_or(f64::INFINITY, |own| own.behind);
+        let own = self.queue.account_behind(now, tier, account);
+        let own = own.unwrap_or(f64::INFINITY);
         let last = self.queue.furthest_behind(now, tier);
         let last = last.filter(|last| last.behind > own && !is_within(&last.account));
         let last = last.and_then(|last| {
@@ -144,24 +144,20 @@
             return false;
         };
         let request = &queued.request;
-        let own = self.slot_time(request.cost);
+        let own = self.queue.slot_time(attempt);
         !self
             .queue
             .is_within_share(now, request.tier, &request.account, own)
     }
 
-    /// Get the estimated time for which a request uses a slot of a mean target. Where
-    /// the slots are not known, it is the time that its tokens take at the expected
-    /// speed.
-    pub(in crate::pool_owner) fn slot_time(&self, cost: TokenCost) -> Duration {
+    /// Get the estimated time for which a request with the predicted run time `run` uses
+    /// a slot of a mean target. Where the slots are not known, it is the time that its
+    /// tokens take at the expected speed.
+    pub(in crate::pool_owner) fn slot_time(&self, cost: TokenCost, run: Duration) -> Duration {
         if self.queue.shares.is_none() {
             return Duration::ZERO;
         }
-        let run = match self.has_slots() {
-            true => self.expected_run_time(cost),
-            false => Duration::ZERO,
-        };
-        match run.is_zero() {
+        match run.is_zero() || !self.has_slots() {
             true => self.nominal_time(cost.total()),
             false => run,
         }
--- a/bergamotswitch-core/src/pool_owner/order/fair_queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/fair_queue.rs
@@ -224,18 +224,16 @@
         Duration::from_micros(account.map_or(0, |account| account.slot_micros))
     }
 
-    /// Get how far the last request of an account is behind. `use_at` gives the use per
+    /// Get how far the last request of an account is behind, in slot-seconds per weight:
+    /// its recent use and what is queued before that request. `use_at` gives the use per
     /// weight of a position.
-    pub(in crate::pool_owner) fn backlog(
+    pub(in crate::pool_owner) fn behind(
         &self,
         name: &AccountName,
         use_at: impl Fn(UseTag) -> f64,
-    ) -> Option<AccountBacklog> {
+    ) -> Option<f64> {
         let account = self.accounts.get(name)?;
-        Some(AccountBacklog {
-            account: name.clone(),
-            behind: use_at(account.start) + slot_seconds(account.queued_key),
-        })
+        Some(use_at(account.start) + slot_seconds(account.queued_key))
     }
 
     /// Get the account whose last request is furthest behind.
@@ -247,21 +245,25 @@
         &self,
         use_at: impl Fn(UseTag) -> f64,
     ) -> Option<AccountBacklog> {
-        let mut best: Option<AccountBacklog> = None;
+        let mut best: Option<(&AccountName, f64)> = None;
         let by_use = self.by_start.iter().rev();
         let heads = by_use.zip(self.by_queued_per_share.iter().rev());
         for ((start, user), (queued, sender)) in heads.take(MAX_COMPARED) {
             for name in [user, sender] {
-                let found = self.backlog(name, &use_at);
-                let known = best.as_ref().map_or(f64::NEG_INFINITY, |best| best.behind);
-                best = found.filter(|found| found.behind > known).or(best);
+                let known = best.map_or(f64::NEG_INFINITY, |(_, behind)| behind);
+                let behind = self.behind(name, &use_at);
+                let further = behind.filter(|behind| *behind > known);
+                best = further.map(|behind| (name, behind)).or(best);
             }
             let bound = use_at(*start) + slot_seconds(*queued);
-            if best.as_ref().is_some_and(|best| best.behind >= bound) {
+            if best.is_some_and(|(_, behind)| behind >= bound) {
                 break;
             }
         }
-        best
+        best.map(|(name, behind)| AccountBacklog {
+            account: name.clone(),
+            behind,
+        })
     }
 
     /// Set the position of an account whose charges were corrected.
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -292,16 +292,22 @@
         }
     }
 
+    /// Get the estimated time for which a queued request uses a slot.
+    pub(in crate::pool_owner) fn slot_time(&self, attempt: &AttemptId) -> Duration {
+        let stored = self.requests.get(attempt);
+        Duration::from_micros(stored.map_or(0, |stored| stored.entry.slot_micros))
+    }
+
     /// Get how far the last request of an account in a tier is behind.
-    pub(in crate::pool_owner) fn account_backlog(
+    pub(in crate::pool_owner) fn account_behind(
         &self,
         now: Moment,
         tier: Tier,
         account: &AccountName,
-    ) -> Option<AccountBacklog> {
+    ) -> Option<f64> {
         let shares = self.shares.as_ref()?;
         let queue = self.tiers.get(&tier)?;
-        queue.backlog(account, |tag| shares.use_at(now, tag))
+        queue.behind(account, |tag| shares.use_at(now, tag))
     }
 
     /// Get the account of a tier whose last request is furthest behind.
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -408,12 +408,9 @@
         if let Some(claim) = &request.claim {
             self.keys.claim(now, claim);
         }
-        let plan = WaitPlan::new(
-            now,
-            &request,
-            self.min_first_token_time(request.cost),
-            self.expected_run_time(request.cost),
-        );
+        let run = self.expected_run_time(request.cost);
+        let first = self.min_first_token_time(request.cost);
+        let plan = WaitPlan::new(now, &request, first, run);
         let queued = QueuedRequest {
             request,
             host,
@@ -421,7 +418,7 @@
             placement: Arc::new(placement),
             origin,
         };
-        let slot_time = self.slot_time(queued.request.cost);
+        let slot_time = self.slot_time(queued.request.cost, run);
         self.queue.push_costing(now, queued, slot_time);
     }
 
@@ -443,7 +440,7 @@
     }
 
     /// Get the predicted run time: the mean over the targets that work.
-    pub(super) fn expected_run_time(&self, cost: TokenCost) -> Duration {
+    fn expected_run_time(&self, cost: TokenCost) -> Duration {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
         let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
