Prefer targets to which the asking host has an idle connection

Cause: 91 hosts before 145 targets open 16,579 connections for 37,452 requests, since each host meets each target anew while connections are kept for 8 s.

Change: with `idle_connection_tolerance`, the owner remembers which connections its grants and releases leave idle (`HostConnections`), and among the open targets that are as timely as the best one and within the tolerance of its predicted run it chooses one with an idle connection, else the first of the host's own ranking by rendezvous hashing. Targets without a completed run are measured first, as before. `/status` shows the counts of a shard. The keep time comes from the gateway's `IDLE_REUSE`; it is zero where hosts reuse no connections.

Ruled out: comparing targets without a run by the host's ranking. It sent the first calls of a host to one unmeasured target.

--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -39,6 +39,7 @@
         if not_executed {
             self.remove_prefix_hints(&permit);
         }
+        self.record_connection(now, &permit, &release.outcome);
         match &release.outcome {
             ReleaseOutcome::Unused => self.clear_probe(&permit),
             ReleaseOutcome::Finished(usage) => {
--- a/bergamotswitch-core/src/pool_owner/learning/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -64,6 +64,7 @@
             }
         }
         self.prefixes.remove_target(&target.name);
+        self.host_connections.drop_target(&target.name);
     }
 
     /// Add a target with the in-flight requests that are known to be there
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -24,7 +24,7 @@
 pub use placement::cold_tolerance::ColdTolerance;
 pub use placement::{permit_table, prefix_table, routing, slot_matching, token_routing};
 pub use scheduling_options::SchedulingOptions;
-pub use view::{RefusalCount, ShardView, TargetView, TierView};
+pub use view::{ConnectionView, RefusalCount, ShardView, TargetView, TierView};
 
 use crate::client_account::AccountName;
 use crate::cold_targets::ColdTarget;
--- a/bergamotswitch-core/src/pool_owner/options.rs
+++ b/bergamotswitch-core/src/pool_owner/options.rs
@@ -35,6 +35,7 @@
     pub(super) cold_tolerance: ColdTolerance,
     pub(super) owner_overlap: Duration,
     pub(super) scheduling: SchedulingOptions,
+    pub(super) connection_keep: Duration,
 }
 
 impl Default for OwnerOptions {
@@ -61,6 +62,8 @@
             cold_tolerance: ColdTolerance::default(),
             owner_overlap: OWNER_OVERLAP,
             scheduling: SchedulingOptions::default(),
+            // Hosts reuse no connections unless their target clients are set to.
+            connection_keep: Duration::ZERO,
         }
     }
 }
@@ -156,6 +159,12 @@
         self
     }
 
+    /// Set how long hosts keep idle connections to targets.
+    pub fn with_connection_keep(mut self, span: Duration) -> Self {
+        self.connection_keep = span;
+        self
+    }
+
     /// Set how many requests a cold target may get in any second.
     pub fn with_cold_tolerance(mut self, tolerance: ColdTolerance) -> Self {
         self.cold_tolerance = tolerance;
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -21,6 +21,7 @@
 use super::admission::quota::QuotaBuckets;
 use super::admission::quota_recovery::QuotaRecovery;
 use super::admission::stream_requests::StreamRequests;
+use super::learning::host_connections::HostConnections;
 use super::learning::release_rate::ReleaseRate;
 use super::learning::run_time_estimator::from_millis;
 use super::options::OwnerOptions;
@@ -43,6 +44,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OwnerCounts {
     pub(super) granted: u64,
+    pub(super) connections_reused: u64,
+    pub(super) connections_opened: u64,
     pub(super) preempted: u64,
     pub(super) reclaimed: u64,
     pub(super) keys_known: u64,
@@ -85,6 +88,7 @@
     /// accepted.
     pub(super) recovery: Option<QuotaRecovery>,
     pub(super) release_rate: ReleaseRate,
+    pub(super) host_connections: HostConnections,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
@@ -121,6 +125,7 @@
             limit_hosts: 1,
             recovery: Some(QuotaRecovery::new(now)),
             release_rate: ReleaseRate::default(),
+            host_connections: HostConnections::of_opts(&opts),
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
@@ -132,6 +137,9 @@
     /// applies the new limits with the next request.
     pub fn set_opts(&mut self, opts: OwnerOptions) {
         self.keys.set_bounds(opts.key_retention, opts.max_keys);
+        if HostConnections::is_outdated(&self.opts, &opts) {
+            self.host_connections = HostConnections::of_opts(&opts);
+        }
         self.opts = opts;
     }
 
@@ -183,6 +191,7 @@
             OwnerEvent::HostTerminated(host, incarnation) => {
                 self.attached_hosts
                     .detach(now, &host, self.opts.owner_overlap);
+                self.host_connections.drop_host(&host);
                 self.drop_incarnation(now, incarnation);
             }
             OwnerEvent::HandedOver => {
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -140,6 +140,7 @@
         if let Some(claim) = &request.claim {
             self.keys.grant(now, claim);
         }
+        self.use_connection(now, &queued.host, &route.target);
         let permit = GrantedPermit {
             id,
             host: queued.host.clone(),
--- a/bergamotswitch-core/src/pool_owner/placement/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/mod.rs
@@ -5,6 +5,7 @@
 //! else by tokens (`token_dispatch`, `token_routing`).
 
 pub(in crate::pool_owner) mod cold_tolerance;
+pub(in crate::pool_owner) mod connection_reuse;
 pub(in crate::pool_owner) mod dispatch;
 pub mod permit_table;
 pub mod prefix_table;
--- a/bergamotswitch-core/src/pool_owner/placement/routing.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/routing.rs
@@ -60,6 +60,16 @@
     pub finish_micros: u64,
 }
 
+impl Route {
+    /// Create the route to a target with this predicted run in milliseconds.
+    pub(in crate::pool_owner) fn new(target: &TargetName, run_ms: f64) -> Self {
+        Route {
+            target: target.clone(),
+            finish_micros: (run_ms * 1_000.0) as u64,
+        }
+    }
+}
+
 /// A `ReservedTargets` is the targets reserved for requests earlier in the
 /// queue.
 ///
--- a/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
@@ -67,6 +67,7 @@
             let warm = self.prefixes.warm(now, &queued.request.prefixes);
             let query = route_query(queued, &warm);
             let times = self.request_times(now, queued);
+            view.set_preference(self.host_preference(&queued.host));
             if let Some(route) = view.choose(now, &query, times) {
                 return Some(SlotChoice {
                     attempt: queued.request.attempt,
--- a/bergamotswitch-core/src/pool_owner/placement/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_routing.rs
@@ -17,6 +17,7 @@
 use crate::rules::Tier;
 use crate::target::TargetVersion;
 
+use super::connection_reuse::HostPreference;
 use super::routing::{ReservedTargets, Route, RouteQuery, TargetSet, in_domains};
 
 /// The maximum number of permits for a target before its first completed run.
@@ -57,6 +58,10 @@
 /// the highest tier of these streams.
 pub(in crate::pool_owner) type WantedVersions = BTreeMap<TargetVersion, Tier>;
 
+/// A `TargetRank` is whether a target is too late for a request, the predicted run there
+/// in milliseconds, and the target's permits.
+pub(in crate::pool_owner) type TargetRank = (bool, f64, usize);
+
 /// An `OpenTarget` is a target that may accept a request now.
 #[derive(Clone, Copy, Debug)]
 struct OpenTarget<'a> {
@@ -74,6 +79,7 @@
     targets: &'a TargetSet,
     open: Vec<OpenTarget<'a>>,
     wanted: WantedVersions,
+    preference: Option<HostPreference<'a>>,
 }
 
 impl<'a> SlotView<'a> {
@@ -106,9 +112,15 @@
             targets,
             open: open.collect(),
             wanted,
+            preference: None,
         }
     }
 
+    /// Set which of several equally good targets suits the host of the next request.
+    pub(in crate::pool_owner) fn set_preference(&mut self, preference: Option<HostPreference<'a>>) {
+        self.preference = preference;
+    }
+
     /// Get whether no target may accept any request.
     pub(in crate::pool_owner) fn is_full(&self) -> bool {
         self.open.is_empty()
@@ -123,32 +135,58 @@
         query: &RouteQuery<'_>,
         times: RequestTimes,
     ) -> Option<Route> {
-        let mut best: Option<((bool, f64, usize), &TargetLoad)> = None;
-        let leaves_wanted = self.leaves_wanted(query);
-        for open in self.candidates(query.placement) {
-            if leaves_wanted && is_wanted(&self.wanted, open.load, query.tier) {
-                continue;
-            }
-            if !self.may_take(now, open, query) {
-                continue;
-            }
-            let load = open.load;
-            let on_time = times.is_on_time(load, query.cost);
-            let rank = (!on_time, load.run_ms(query.cost), load.permits());
+        let mut best: Option<(TargetRank, &TargetLoad)> = None;
+        for (rank, load) in self.ranked(now, query, times) {
             if best.is_none_or(|(best, _)| rank < best) {
                 best = Some((rank, load));
             }
         }
-        let ((late, run_ms, _), load) = best?;
+        let ((late, run_ms, _), load) = self.prefer(best?, now, query, times);
         if self.is_worth_waiting(query, times, late, load) {
             return None;
         }
-        Some(Route {
-            target: load.target().name.clone(),
-            finish_micros: (run_ms * 1_000.0) as u64,
+        Some(Route::new(&load.target().name, run_ms))
+    }
+
+    /// Get the targets that may take the request, with their ranks; the lowest is the
+    /// best.
+    fn ranked(
+        &self,
+        now: Moment,
+        query: &RouteQuery<'_>,
+        times: RequestTimes,
+    ) -> impl Iterator<Item = (TargetRank, &'a TargetLoad)> {
+        let leaves_wanted = self.leaves_wanted(query);
+        let candidates = self.candidates(query.placement);
+        let takers = candidates.filter(move |open| {
+            let left = leaves_wanted && is_wanted(&self.wanted, open.load, query.tier);
+            !left && self.may_take(now, open, query)
+        });
+        takers.map(move |open| {
+            let load = open.load;
+            let on_time = times.is_on_time(load, query.cost);
+            ((!on_time, load.run_ms(query.cost), load.permits()), load)
         })
     }
 
+    /// Get the target that suits the request's host most, among those as good as the
+    /// best one.
+    fn prefer(
+        &self,
+        best: (TargetRank, &'a TargetLoad),
+        now: Moment,
+        query: &RouteQuery<'_>,
+        times: RequestTimes,
+    ) -> (TargetRank, &'a TargetLoad) {
+        let Some(preference) = &self.preference else {
+            return best;
+        };
+        let ranked = self.ranked(now, query, times);
+        let equal = ranked.filter(|(rank, _)| preference.is_equal(rank, &best.0));
+        let preferred = equal.min_by_key(|(_, load)| preference.rank(now, &load.target().name));
+        preferred.unwrap_or(best)
+    }
+
     /// Get whether a request leaves the targets of wanted versions to the streams that
     /// continue only there: it may run at another target.
     fn leaves_wanted(&self, query: &RouteQuery<'_>) -> bool {
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -60,6 +60,18 @@
     pub count: u64,
 }
 
+/// A `ConnectionView` is the use of hosts' connections to targets, as seen by the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct ConnectionView {
+    /// The number of idle connections that hosts are likely to have.
+    pub idle: usize,
+    /// The number of permits for which an idle connection was likely, since the owner
+    /// took over.
+    pub reused: u64,
+    /// The number of permits for which a new connection was likely.
+    pub opened: u64,
+}
+
 /// A `ShardView` is the state of a shard owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ShardView {
@@ -85,6 +97,9 @@
     pub keys: usize,
     /// The number of prefixes in the table.
     pub prefixes: usize,
+    /// The use of connections; absent if targets are not chosen by them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connections: Option<ConnectionView>,
 }
 
 impl ShardOwner {
@@ -125,6 +140,7 @@
                 .collect(),
             keys: self.keys.len(),
             prefixes: self.prefixes.len(),
+            connections: self.connection_view(),
         }
     }
 
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -24,7 +24,7 @@
 /// The limits whose decisions are not built yet. A part that builds one moves its limit
 /// to the probes.
 const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille slow_moment_ms \
-    match_window_requests idle_connection_permille";
+    match_window_requests";
 
 type Probe = fn(&Value) -> u64;
 
@@ -55,6 +55,7 @@
         ("queue_limit_ms", (1_000, none(), shed)),
         ("queue_limit_requests", (1, none(), shed)),
         ("permit_lifetime_ms", (700, none(), permit_lifetime)),
+        ("idle_connection_permille", (100, none(), connections)),
     ])
 }
 
@@ -220,6 +221,15 @@
     granted.expect("a permit")
 }
 
+/// Get the number of connections for whose sake a target is chosen.
+fn connections(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    node.submit(submission());
+    let view = node.core.view(node.now);
+    let connections = view.shards.iter().filter_map(|shard| shard.connections);
+    connections.map(|connections| connections.opened).sum()
+}
+
 // Guards against limits that are adopted but not applied by the state machines.
 #[test]
 fn each_limit_binds() {
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -145,6 +145,7 @@
                 slack: gateway.cold_slack,
             })
             .with_scheduling(SchedulingOptions::of_limits(&limits))
+            .with_connection_keep(IDLE_REUSE)
             .with_audit_after(AUDIT_AFTER),
         membership: base.membership,
         revision: RevisionOptions::default()
