Bound the idle connections of a host by its part of the targets' limits

Cause: the published connection limit of a pool binds all hosts together and was decoded and not used. A host kept up to 16 idle connections to each target whatever its descriptors and memory, and expired ones stayed open at targets that got no more calls.

Change: where `idle_connection_permille` is set, a host keeps at one target at most its part of the limit, and in total what its descriptors and memory allow (`idle_limits`). The oldest idle connection is closed before a limit is exceeded, with log event 719 at most every 10 s; expired ones are closed once a second. Counters of opened, reused and closed connections, a gauge of idle ones, the same in `/status`.

--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -24,6 +24,7 @@
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
+use crate::target_client::connection::ConnectionCounts;
 
 pub use owner_totals::OwnerTotals;
 
@@ -90,6 +91,10 @@
     evacuated_domains: Gauge,
     lost_paths: Gauge,
     open_tunnels: Gauge,
+    opened_connections: Counter,
+    reused_connections: Counter,
+    closed_connections: Counter,
+    idle_connections: Gauge,
 }
 
 impl NodeMetrics {
@@ -131,6 +136,10 @@
             evacuated_domains: Gauge::default(),
             lost_paths: Gauge::default(),
             open_tunnels: Gauge::default(),
+            opened_connections: Counter::default(),
+            reused_connections: Counter::default(),
+            closed_connections: Counter::default(),
+            idle_connections: Gauge::default(),
         };
         metrics.register_outcomes();
         metrics.register_state();
@@ -328,6 +337,14 @@
         self.open_tunnels.set(count as i64);
     }
 
+    /// Set the use of connections to targets.
+    pub fn set_target_connections(&self, counts: &ConnectionCounts) {
+        set_total(&self.opened_connections, counts.opened);
+        set_total(&self.reused_connections, counts.reused);
+        set_total(&self.closed_connections, counts.closed);
+        self.idle_connections.set(gauge_value(counts.idle));
+    }
+
     /// Set the total number of requests admitted without a shard owner.
     pub fn set_degraded_admissions(&self, total: u64) {
         set_total(&self.degraded_admissions, total);
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -162,6 +162,26 @@
             "Connections to targets that other hosts use through this host",
             self.open_tunnels.clone(),
         );
+        registry.register(
+            "target_connections_opened",
+            "Connections to targets opened for calls",
+            self.opened_connections.clone(),
+        );
+        registry.register(
+            "target_connections_reused",
+            "Calls sent over an idle connection to a target",
+            self.reused_connections.clone(),
+        );
+        registry.register(
+            "idle_connections_closed",
+            "Idle connections to targets closed to stay within a limit",
+            self.closed_connections.clone(),
+        );
+        registry.register(
+            "idle_connections",
+            "Idle connections to targets",
+            self.idle_connections.clone(),
+        );
         registry.register(
             "degraded_admissions",
             "Requests admitted by this host's own fraction, without an owner",
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -20,6 +20,7 @@
 
 use self::stopping::{log_unread_answers, refuse_late_request};
 use super::adapters::{CallerServer, ValueSource};
+use super::gateway_setup;
 use super::host_parts::HostParts;
 use super::load_gauge::LoadGauge;
 use super::open_request::{OpenRequest, OpenRequests};
@@ -36,6 +37,7 @@
 };
 use crate::link::{LinkHub, LinkOptions};
 use crate::metrics::{NodeMetrics, OwnerTotals};
+use crate::target_client::idle_limits::IdleLimits;
 use crate::target_client::{CallRoute, TargetClient, TargetClientOptions};
 
 /// A `HostNode` is the event loop of one entry host. It owns the state machines
@@ -416,6 +418,9 @@
         if name.as_str() != HOSTS_VALUE {
             self.targets.record_target_starts(&publication.pools);
         }
+        let resources = gateway_setup::resources(&self.settings);
+        self.targets
+            .set_idle_limits(IdleLimits::of_publication(publication, resources));
         self.platform.set_limits(limits);
         self.requests.set_max_answer_bytes(limits.max_answer_bytes);
         self.links
--- a/bergamotswitch-net/src/node/event_loop/reports.rs
+++ b/bergamotswitch-net/src/node/event_loop/reports.rs
@@ -101,6 +101,8 @@
         if let Some(fields) = status.as_object_mut() {
             let reads = self.platform.calls();
             fields.insert("service_calls".to_owned(), reads.into());
+            let counts = self.targets.connection_counts();
+            fields.insert("target_connections".to_owned(), json!(counts));
         }
         status
     }
@@ -117,6 +119,8 @@
         gauges::refresh(&self.metrics, &view);
         self.owner_totals.refresh(&self.metrics, &view.shards);
         self.metrics.set_service_reads(self.platform.calls());
+        self.metrics
+            .set_target_connections(&self.targets.connection_counts());
         self.metrics.set_open_tunnels(self.links.open_tunnels());
         let counters = self.links.counters();
         let sent = counters.sent.total().bytes;
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -18,6 +18,7 @@
 use bergamotswitch_core::settings::{GatewaySettings, HostSettings};
 
 use crate::target_client::TargetClientOptions;
+use crate::target_client::idle_limits::HostResources;
 
 /// The heartbeat interval and the suspicion timeout for peers. Answers are due
 /// within 100 to 1,200 ms, so a failed owner must be detected well within one
@@ -198,6 +199,13 @@
     memory.saturating_mul(1 << 20) / BODY_MEMORY_DIVISOR
 }
 
+/// Get what the host may use.
+pub(super) fn resources(settings: &HostSettings) -> HostResources {
+    let gateway = settings.gateway.as_ref();
+    let memory_mb = gateway.map_or(u64::MAX, |gateway| gateway.memory_mb);
+    HostResources::of_process(memory_mb.saturating_mul(1 << 20))
+}
+
 fn own_entry(settings: &HostSettings, gateway: &GatewaySettings) -> EntryHost {
     EntryHost {
         name: settings.name.clone(),
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -218,7 +218,10 @@
             }
         };
         match dialled {
-            Ok(connection) => Some(connection),
+            Ok(connection) => {
+                self.idle_connections.count_opened();
+                Some(connection)
+            }
             Err(error) => {
                 self.log_connect_failure(&error);
                 // The path of the connections that are open may have been lost too.
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -5,22 +5,26 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bergamotswitch_core::host::HostName;
+use bergamotswitch_core::incident::Incident;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use super::idle_limits::IdleLimits;
 use super::options::TargetClientOptions;
+use crate::event_log;
 use crate::task_guard::TaskGuard;
 use crate::tunnel::{TunnelHealth, TunnelPool};
 
@@ -41,6 +45,11 @@
 /// for the tunnels that it carries.
 const IDLE_TUNNEL_REUSE: Duration = Duration::from_millis(500);
 
+/// The interval at which expired idle connections to all targets are closed, and the
+/// minimum interval between two log lines about closed ones.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// A `SendFailure` is an error of a call that received no response head.
 #[derive(Debug)]
 pub struct SendFailure {
@@ -202,6 +211,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: TargetConnection,
+    idle_since: Instant,
     /// The time after which it is not reused.
     use_until: Instant,
 }
@@ -212,35 +222,175 @@
     }
 }
 
+/// A `ConnectionCounts` is the use of connections to targets since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct ConnectionCounts {
+    /// The number of connections opened for calls.
+    pub opened: u64,
+    /// The number of calls that were sent over an idle connection.
+    pub reused: u64,
+    /// The number of idle connections closed to stay within a limit.
+    pub closed: u64,
+    /// The number of connections that are idle now.
+    pub idle: usize,
+}
+
+/// An `IdlePool` is the idle connections by target, in each list the oldest first.
+#[derive(Debug, Default)]
+struct IdlePool {
+    lists: HashMap<ConnectionKey, Vec<IdleConnection>>,
+    limits: Option<IdleLimits>,
+    counts: ConnectionCounts,
+    swept_at: Option<Instant>,
+    logged_at: Option<Instant>,
+}
+
+impl IdlePool {
+    fn len(&self) -> usize {
+        self.lists.values().map(Vec::len).sum()
+    }
+
+    /// Close the connections that may not be reused any more, to all targets. Those to a
+    /// target that gets no more calls would stay open otherwise.
+    fn sweep(&mut self) {
+        let now = Instant::now();
+        let is_due = self.swept_at.is_none_or(|at| now - at >= SWEEP_INTERVAL);
+        if self.limits.is_none() || !is_due {
+            return;
+        }
+        self.swept_at = Some(now);
+        self.lists.retain(|_, list| {
+            list.retain(IdleConnection::is_usable);
+            !list.is_empty()
+        });
+    }
+
+    /// Close the oldest connections of a list until it has at most `most`.
+    fn trim_list(&mut self, key: &ConnectionKey, most: usize, limit: &str) {
+        let Some(list) = self.lists.get_mut(key) else {
+            return;
+        };
+        let excess = list.len().saturating_sub(most);
+        list.drain(..excess);
+        if list.is_empty() {
+            self.lists.remove(key);
+        }
+        self.record_closed(excess, limit);
+    }
+
+    /// Close the oldest connections of all until there are at most `most`.
+    fn trim_all(&mut self, most: usize) {
+        for _ in most..self.len() {
+            let firsts = self.lists.iter().filter_map(|(key, list)| {
+                let first = list.first()?;
+                Some((first.idle_since, key))
+            });
+            let oldest = firsts.min_by_key(|(since, _)| *since);
+            let Some(key) = oldest.map(|(_, key)| key.clone()) else {
+                return;
+            };
+            let left = self.lists.get(&key).map_or(0, Vec::len).saturating_sub(1);
+            self.trim_list(&key, left, "host");
+        }
+    }
+
+    /// Close idle connections until one more to this target is within the limits.
+    fn make_room(&mut self, key: &ConnectionKey, max_per_target: usize) {
+        let Some((part, total)) = self
+            .limits
+            .as_ref()
+            .map(|limits| (limits.of_target(key.0), limits.total))
+        else {
+            return;
+        };
+        self.trim_list(key, part.min(max_per_target).saturating_sub(1), "target");
+        self.trim_all(total.saturating_sub(1));
+    }
+
+    fn record_closed(&mut self, count: usize, limit: &str) {
+        if count == 0 {
+            return;
+        }
+        self.counts.closed += count as u64;
+        let now = Instant::now();
+        if self.logged_at.is_some_and(|at| now - at < LOG_INTERVAL) {
+            return;
+        }
+        self.logged_at = Some(now);
+        let pairs: [(&str, &dyn std::fmt::Display); 3] = [
+            ("limit", &limit),
+            ("closed", &self.counts.closed),
+            ("idle", &self.len()),
+        ];
+        event_log::write(Incident::IdleConnectionsClosed, &pairs);
+    }
+}
+
 /// An `IdleConnections` is the set of idle connections to all targets.
 #[derive(Clone, Debug, Default)]
-pub struct IdleConnections(Arc<Mutex<HashMap<ConnectionKey, Vec<IdleConnection>>>>);
+pub struct IdleConnections(Arc<Mutex<IdlePool>>);
 
 impl IdleConnections {
-    /// Get a connection that may still be reused, if there is one, direct or through a
-    /// tunnel of `host`. Expired connections are closed.
+    fn lock(&self) -> MutexGuard<'_, IdlePool> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Set the limits, and close what exceeds them. Without limits, a connection beyond
+    /// the maximum of its target is not kept, and others stay.
+    pub fn set_limits(&self, limits: Option<IdleLimits>) {
+        let mut pool = self.lock();
+        if pool.limits == limits {
+            return;
+        }
+        pool.limits = limits;
+        let Some(limits) = pool.limits.clone() else {
+            return;
+        };
+        let keys: Vec<ConnectionKey> = pool.lists.keys().cloned().collect();
+        for key in keys {
+            pool.trim_list(&key, limits.of_target(key.0), "target");
+        }
+        pool.trim_all(limits.total);
+    }
+
+    /// Get the use of connections.
+    pub fn counts(&self) -> ConnectionCounts {
+        let pool = self.lock();
+        ConnectionCounts {
+            idle: pool.len(),
+            ..pool.counts
+        }
+    }
+
+    /// Count a connection that was opened for a call.
+    pub(super) fn count_opened(&self) {
+        self.lock().counts.opened += 1;
+    }
+
+    /// Get the newest connection that may still be reused, if there is one, direct or
+    /// through a tunnel of `host`. Expired connections are closed. The newest one is the
+    /// least likely to be closed by its target, and those that a burst left expire.
     pub fn take(&self, address: SocketAddr, host: Option<&HostName>) -> Option<TargetConnection> {
         let key = (address, host.cloned());
-        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let list = map.get_mut(&key)?;
+        let mut pool = self.lock();
+        let list = pool.lists.get_mut(&key)?;
         list.retain(IdleConnection::is_usable);
         let found = list.pop();
         if list.is_empty() {
-            map.remove(&key);
+            pool.lists.remove(&key);
         }
+        pool.counts.reused += u64::from(found.is_some());
         found.map(|idle| idle.connection)
     }
 
     /// Close the idle connections to an address.
     pub fn forget(&self, address: SocketAddr) {
-        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        map.retain(|(known, _), _| *known != address);
+        self.lock().lists.retain(|(known, _), _| *known != address);
     }
 
     /// Close the idle direct connections to an address.
     pub fn forget_direct(&self, address: SocketAddr) {
-        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        map.remove(&(address, None));
+        self.lock().lists.remove(&(address, None));
     }
 
     /// Keep a connection whose answer was just read completely. It is reused
@@ -254,19 +404,24 @@
         if options.idle_reuse.is_zero() || !connection.is_idle() {
             return;
         }
-        let mut map = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let longest = match connection.tunnel {
             Some(_) => options.idle_reuse.min(IDLE_TUNNEL_REUSE),
             None => options.idle_reuse,
         };
-        let list = map.entry(connection.key()).or_default();
-        list.retain(IdleConnection::is_usable);
         let advertised = idle_timeout.map(|span| span.saturating_sub(IDLE_MARGIN));
         let reuse = advertised.map_or(longest, |advertised| advertised.min(longest));
+        let key = connection.key();
+        let mut pool = self.lock();
+        pool.sweep();
+        pool.make_room(&key, options.max_idle_per_target);
+        let list = pool.lists.entry(key).or_default();
+        list.retain(IdleConnection::is_usable);
         if list.len() < options.max_idle_per_target {
+            let now = Instant::now();
             list.push(IdleConnection {
                 connection,
-                use_until: Instant::now() + reuse,
+                idle_since: now,
+                use_until: now + reuse,
             });
         }
     }
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -10,6 +10,7 @@
 mod engine_call;
 pub mod event_blocks;
 pub mod event_stream;
+pub mod idle_limits;
 mod load_watch;
 pub mod options;
 mod plain_call;
@@ -34,8 +35,9 @@
 
 use self::attempt_report::{AbortFlag, AttemptReport, StepSender};
 use self::call_context::{CallContext, CallEnd, CallTrace};
-use self::connection::IdleConnections;
+use self::connection::{ConnectionCounts, IdleConnections};
 use self::engine_call::EngineCall;
+use self::idle_limits::IdleLimits;
 use self::load_watch::LoadWatch;
 pub use self::options::TargetClientOptions;
 use self::stream_cancel::StreamCancel;
@@ -130,6 +132,17 @@
         }
     }
 
+    /// Set how many idle connections are kept; `None` for no limits but those of the
+    /// options.
+    pub fn set_idle_limits(&self, limits: Option<IdleLimits>) {
+        self.idle_connections.set_limits(limits);
+    }
+
+    /// Get the use of connections to targets.
+    pub fn connection_counts(&self) -> ConnectionCounts {
+        self.idle_connections.counts()
+    }
+
     /// Send a permitted call to its target. The answer goes to `answer`, the
     /// progress to the event loop.
     pub fn start(
