--- a/bergamotswitch-core/src/pool_owner/order/fair_queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/fair_queue.rs
@@ -14,9 +14,6 @@
 /// share makes the rounding of `cost / share` negligible.
 const TOKEN_SCALE: u128 = 1 << 20;
 
-/// The maximum number of requests of one account that are compared for one slot.
-const MAX_NEAR_PER_ACCOUNT: usize = 8;
-
 /// A `QueueRank` is a request's position within its account; lower ranks are
 /// served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -134,24 +131,6 @@
         accounts.map(|rank| rank.attempt).next()
     }
 
-    /// Get the requests of the same placement of the accounts whose turn is at most one
-    /// request like this one after the turn of its own account.
-    pub(in crate::pool_owner) fn near<'a>(
-        &'a self,
-        entry: &'a TierEntry,
-    ) -> impl Iterator<Item = &'a QueueRank> {
-        let own = self.accounts.get(&entry.account);
-        let one = u128::from(entry.tokens) * TOKEN_SCALE / u128::from(entry.share.max(1));
-        let last = own.map_or(0, |own| own.start + one);
-        let near = self
-            .by_start
-            .iter()
-            .take_while(move |(start, _)| *start <= last);
-        let accounts = near.filter_map(|(_, name)| self.accounts.get(name));
-        let ranks = accounts.filter_map(|account| account.ranks.get(&entry.placement));
-        ranks.flat_map(|ranks| ranks.iter().take(MAX_NEAR_PER_ACCOUNT))
-    }
-
     /// Get the request to shed first: the last-ranked one of the account with
     /// the most queued tokens per share.
     pub(in crate::pool_owner) fn next_to_shed(&self) -> Option<AttemptId> {
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -272,20 +272,6 @@
         self.get(&attempt)
     }
 
-    /// Get the queued requests of the same tier and placement as `queued`, the next one in
-    /// order, whose accounts have their turn at most one request later.
-    pub(in crate::pool_owner) fn near<'a>(
-        &'a self,
-        queued: &'a QueuedRequest,
-    ) -> impl Iterator<Item = &'a QueuedRequest> {
-        let stored = self.requests.get(&queued.request.attempt).into_iter();
-        let ranks = stored.flat_map(|stored| {
-            let tier = self.tiers.get(&queued.request.tier).into_iter();
-            tier.flat_map(|tier| tier.near(&stored.entry))
-        });
-        ranks.filter_map(|rank| self.get(&rank.attempt))
-    }
-
     /// Count a request that needs one version as queued (1) or removed (-1).
     fn count_version(&mut self, queued: &QueuedRequest, change: isize) {
         let Some(version) = &queued.placement.version else {
--- a/bergamotswitch-core/src/pool_owner/placement/connection_reuse.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/connection_reuse.rs
@@ -9,25 +9,19 @@
 //! run.
 
 use std::cmp::Reverse;
-use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::permit::ReleaseOutcome;
 use crate::pool_owner::ConnectionView;
 use crate::pool_owner::learning::host_connections::HostConnections;
-use crate::pool_owner::order::queue::QueuedRequest;
 use crate::pool_owner::owner::ShardOwner;
 use crate::rendezvous;
 use crate::target::TargetName;
 
 use super::permit_table::GrantedPermit;
-use super::routing::Route;
 use super::slot_routing::TargetRank;
 
-/// The maximum number of queued requests that are compared for one slot.
-const MAX_COMPARED: usize = 32;
-
 /// A `HostPreference` is which of several equally good targets suits a host.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::pool_owner) struct HostPreference<'a> {
@@ -69,49 +63,6 @@
         })
     }
 
-    /// Get the request that takes a slot, in place of the next one in order: one of the
-    /// same tier, account and placement that is due hardly later, whose host is likely to
-    /// have an idle connection to the target.
-    pub(in crate::pool_owner) fn reusing_request<'a>(
-        &'a self,
-        now: Moment,
-        first: &'a QueuedRequest,
-        route: Route,
-    ) -> (&'a QueuedRequest, Route) {
-        let found = self.find_reusing(now, first, &route);
-        match found {
-            Some((queued, run_ms)) => (queued, Route::new(&route.target, run_ms)),
-            None => (first, route),
-        }
-    }
-
-    fn find_reusing<'a>(
-        &'a self,
-        now: Moment,
-        first: &'a QueuedRequest,
-        route: &Route,
-    ) -> Option<(&'a QueuedRequest, f64)> {
-        let tolerance = self.opts.scheduling.idle_connection_tolerance?;
-        let limit_ms = first.request.first_answer_ms?;
-        let load = self.targets.get(&route.target)?;
-        let connections = &self.host_connections;
-        let has_idle = |host| connections.has_idle(now, host, &route.target);
-        if load.back_off().is_active() || has_idle(&first.host) {
-            return None;
-        }
-        let run_ms = load.run_ms(first.request.cost);
-        let later = Duration::from_millis(u64::from(limit_ms)).mul_f64(tolerance);
-        let last_key = first.plan.sort_key.plus(later);
-        let near = self.queue.near(first).take(MAX_COMPARED);
-        let due = near.filter(|queued| queued.plan.sort_key <= last_key);
-        let runs = due.map(|queued| (queued, load.run_ms(queued.request.cost)));
-        let mut equal = runs.filter(|(queued, other_ms)| {
-            let (shorter, longer) = (run_ms.min(*other_ms), run_ms.max(*other_ms));
-            longer <= shorter * (1.0 + tolerance) && load.fits(now, queued.request.cost.total())
-        });
-        equal.find(|(queued, _)| has_idle(&queued.host))
-    }
-
     /// Get the use of connections, if the option is on.
     pub(in crate::pool_owner) fn connection_view(&self) -> Option<ConnectionView> {
         self.opts.scheduling.idle_connection_tolerance?;
--- a/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
@@ -69,8 +69,6 @@
             let times = self.request_times(now, queued);
             view.set_preference(self.host_preference(&queued.host));
             if let Some(route) = view.choose(now, &query, times) {
-                let (queued, route) = self.reusing_request(now, queued, route);
-                let warm = self.prefixes.warm(now, &queued.request.prefixes);
                 return Some(SlotChoice {
                     attempt: queued.request.attempt,
                     late: self.misses_deadline_at(now, queued, &route, times),
