Use the momentary pace that targets report

Cause: on deployments whose targets share their machines, some targets take 2.5 times as long for some hundred milliseconds. They say so in a fourth figure of Server-Load, which was ignored; their runs then counted as their lasting speed.

Change: the figure is decoded into a checked type, reported to the shard's owner at the head of an answer (at most 16 times a second to other hosts), and kept there apart from the lasting speed. Runs are measured in the time that they would have taken as usual; predictions stretch it by the expected rest of the moment. How long moments last, and by how much targets slow down when nearly full, is learned. All of it is off unless slow_moment_ms is set.

Ruled out: multiplying a whole run by the factor. A run of 2 s that begins in a moment of 0.4 s takes 2.2 s and not 5 s, and would be refused for its deadline.

--- a/bergamotswitch-core/src/entry/dispatcher/mod.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/mod.rs
@@ -15,6 +15,7 @@
 mod takeover;
 mod target_limits;
 mod target_notices;
+mod target_paces;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,6 +30,7 @@
 use super::run_durations::RunDurations;
 use super::target_limits::TargetLimits;
 use super::target_notices::TargetNotices;
+use super::target_paces::PaceReports;
 use super::view::EntryView;
 use super::{EntryAction, EntryEvent, OutcomeQuery, OutcomeView, Submission, SubmitOutcome};
 use crate::clock::Moment;
@@ -60,6 +62,7 @@
     limits: TargetLimits,
     paths: PathTable,
     notices: TargetNotices,
+    paces: PaceReports,
     streams: BTreeMap<PoolName, StreamTable>,
     /// The maximum number of hosts seen by this incarnation.
     host_count: usize,
@@ -94,6 +97,7 @@
             limits: TargetLimits::default(),
             paths: PathTable::default(),
             notices: TargetNotices::default(),
+            paces: PaceReports::default(),
             streams: BTreeMap::new(),
             host_count: 1,
             counts: DispatcherCounts::default(),
@@ -159,6 +163,7 @@
             EntryEvent::Pools(pools) => {
                 self.pools.set_pools(pools);
                 self.prune_limits();
+                self.prune_paces();
                 self.review_notices(now);
                 let pools = &self.pools;
                 self.paths.retain(|target| pools.has_target(target));
@@ -249,6 +254,8 @@
             known_keys: self.keys.len(),
             crashed_calls: self.crashes.len(),
             limited_targets: self.limits.len(),
+            malformed_paces: self.paces.malformed(),
+            unsent_paces: self.paces.unsent(),
             resting_targets: self.notices.rest_count(self.last_event_at),
             lost_paths: self.paths.lost_count(),
             cut_off: self.paths.is_cut_off(),
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -77,6 +77,10 @@
                 running.brittle_named = true;
                 self.put_back(record, running);
             }
+            AttemptEvent::PaceNamed(pace) => {
+                self.pace_named(now, &record, &running, pace, actions);
+                self.put_back(record, running);
+            }
             AttemptEvent::RestAsked(rest) => {
                 self.rest_asked(now, &running.permit.target, rest, actions);
                 running.rest_asked = true;
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod run_durations;
 mod target_limits;
 mod target_notices;
+mod target_paces;
 mod view;
 
 use std::time::Duration;
@@ -31,7 +32,7 @@
 use crate::request::{AttemptId, CallerKey, PartId, PrefixHash, RequestId, TokenCost};
 use crate::rules::{Tier, Verdict};
 use crate::stream_table::VersionStreams;
-use crate::target::{NamedLimit, TargetName, TargetVersion};
+use crate::target::{NamedLimit, NamedPace, TargetName, TargetVersion};
 use crate::target_path::TargetPath;
 
 pub use call_options::CallOptions;
@@ -155,6 +156,8 @@
     /// The target says in the head of its answer that it is brittle: it falls over if it
     /// has to turn more requests away in a second.
     BrittleNamed(u32),
+    /// The target named its momentary pace in the head of its answer.
+    PaceNamed(NamedPace),
     /// The target refused the request and wants no other one from this host for so long.
     RestAsked(Duration),
     /// More output arrived; carries the number of tokens received so far.
--- a/bergamotswitch-core/src/entry/options.rs
+++ b/bergamotswitch-core/src/entry/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::failure_domain::DomainName;
+use crate::pool_owner::SchedulingOptions;
 use crate::publication::FleetLimits;
 use crate::retry::RetryRate;
 
@@ -38,6 +39,8 @@
     pub(super) max_kept_bytes: u64,
     pub(super) key_retention: Duration,
     pub(super) max_keys: usize,
+    /// How long a slow moment of a target is expected to last; `None` if paces are ignored.
+    pub(super) slow_moment: Option<Duration>,
     pub(super) fault: Option<Fault>,
 }
 
@@ -62,6 +65,7 @@
             max_kept_bytes: 67_108_864,
             key_retention: Duration::from_secs(86_400),
             max_keys: 100_000,
+            slow_moment: None,
             fault: None,
         }
     }
@@ -130,6 +134,7 @@
             .with_answer_retention(Duration::from_millis(limits.kept_answer_ms))
             .with_max_kept_answers(limits.kept_answers as usize)
             .with_max_kept_bytes(limits.kept_answer_bytes)
+            .with_slow_moment(SchedulingOptions::of_limits(limits).slow_moment)
     }
 
     /// Set how long a key is kept after its answer was dropped.
@@ -145,6 +150,13 @@
         self
     }
 
+    /// Set how long a slow moment of a target is expected to last; `None` ignores the
+    /// paces that targets name.
+    pub fn with_slow_moment(mut self, span: Option<Duration>) -> Self {
+        self.slow_moment = span;
+        self
+    }
+
     /// Inject a fault.
     #[doc(hidden)]
     pub fn with_fault(mut self, fault: Fault) -> Self {
--- a/bergamotswitch-core/src/entry/view.rs
+++ b/bergamotswitch-core/src/entry/view.rs
@@ -23,6 +23,10 @@
     pub quarantined_calls: usize,
     /// Targets whose last answer to this host named a rate limit.
     pub limited_targets: usize,
+    /// Paces of targets that could not be read, since the start.
+    pub malformed_paces: u64,
+    /// Paces that were not reported to owners for the limit of the rate, since the start.
+    pub unsent_paces: u64,
     /// Targets that want nothing from this host for now.
     pub resting_targets: usize,
     /// Targets that this host reaches only through another host.
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -176,4 +176,6 @@
     DomainEvacuated = 716, Warn, "failure domain evacuated";
     /// An evacuated failure domain is taken back.
     DomainTakenBack = 717, Info, "failure domain taken back";
+    /// A target named a momentary pace that could not be read.
+    PaceMalformed = 718, Warn, "target names an unreadable pace";
 }
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -111,7 +111,8 @@
         // burst would be refused although targets are free.
         let running = self.targets.values();
         let expected: f64 = running.map(TargetLoad::release_rate).sum();
-        let rate = self.release_rate.per_second(now).max(expected);
+        let recent = self.release_rate.per_second(now) * self.paces.rate_change();
+        let rate = recent.max(expected);
         (rate > 0.0).then(|| Duration::from_secs_f64(ahead as f64 / rate))
     }
 
--- a/bergamotswitch-core/src/pool_owner/learning/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/mod.rs
@@ -2,11 +2,14 @@
 //! published lists: their load, speed, run times and failures.
 
 pub mod back_off;
+pub(in crate::pool_owner) mod crowding;
 pub(in crate::pool_owner) mod failed_targets;
 pub mod host_connections;
 pub(in crate::pool_owner) mod host_reports;
 pub(in crate::pool_owner) mod leaving_targets;
 pub(in crate::pool_owner) mod load_history;
+pub(in crate::pool_owner) mod moment_span;
+pub(in crate::pool_owner) mod pool_paces;
 pub(in crate::pool_owner) mod release;
 pub(in crate::pool_owner) mod release_rate;
 pub(in crate::pool_owner) mod run_time_estimator;
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -1,6 +1,7 @@
 //! Provides the release, audit and takeover of permits.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
@@ -103,7 +104,9 @@
         }
         self.drop_queued(&work.attempt);
         let long = self.costs.is_long(work.cost.total());
+        let mut full_time = Duration::ZERO;
         if let Some(load) = self.targets.get_mut(&work.target) {
+            full_time = load.full_time(now);
             load.add_permit(now, work.cost.total(), long);
         }
         self.permits.insert(GrantedPermit {
@@ -124,6 +127,7 @@
             // sample.
             tokens_ahead: 0,
             utilization: 1.0,
+            full_time,
             // The answer may have been reported to the previous owner.
             limit_named: true,
             finish_at: now,
@@ -229,11 +233,13 @@
     fn on_finished(&mut self, now: Moment, permit: &GrantedPermit, usage: &Usage) {
         self.record_usage(now, permit, usage);
         if let Some(load) = self.targets.get_mut(&permit.target) {
-            load.record_run(&RunSample {
+            let sample = RunSample {
                 cost: permit.cost,
                 usage,
                 utilization: permit.utilization,
-            });
+                crowded_part: load.crowded_part(now, permit.full_time, usage),
+            };
+            load.record_run(now, &sample);
             load.reports_mut().record_success(now, &permit.host);
             load.back_off_mut()
                 .record_success(permit.id, permit.granted_at);
--- a/bergamotswitch-core/src/pool_owner/learning/run_time_estimator.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/run_time_estimator.rs
@@ -37,6 +37,8 @@
     pub usage: &'a Usage,
     /// The target's utilization when the run began, 1 when full.
     pub utilization: f64,
+    /// The part of the run during which the target was nearly full.
+    pub crowded_part: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -104,6 +106,14 @@
         means.first_ms * factor
     }
 
+    /// Get the expected duration of a completed run, in milliseconds, given its actual
+    /// output; `None` without samples.
+    pub fn expected_run_ms(&self, sample: &RunSample<'_>) -> Option<f64> {
+        let means = self.means?;
+        let output_ms = f64::from(sample.usage.decode) * means.token_ms;
+        Some(self.first_ms(sample.cost, sample.utilization) + output_ms)
+    }
+
     /// Get the predicted run time in milliseconds at a full target; zero
     /// without samples.
     pub fn expected_ms(&self, cost: TokenCost) -> f64 {
--- a/bergamotswitch-core/src/pool_owner/learning/speed_estimator.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/speed_estimator.rs
@@ -6,6 +6,8 @@
 use crate::clock::Moment;
 use crate::permit::PermitId;
 
+use super::slow_moments::SlowMoments;
+
 /// The weight of a new sample, on a logarithmic scale, so that increases and
 /// decreases are followed equally fast.
 const SAMPLE_WEIGHT: f64 = 0.5;
@@ -70,9 +72,9 @@
         }
     }
 
-    /// Get the predicted speed in tokens per second.
-    pub fn speed(&self, now: Moment) -> f64 {
-        self.measured_speed(now) * self.slowdown(now)
+    /// Get the predicted speed in tokens per second, without a slow moment.
+    pub fn speed(&self, now: Moment, moments: Option<&SlowMoments>) -> f64 {
+        self.measured_speed(now) * self.slowdown(now, moments)
     }
 
     /// Add a request that is expected to end.
@@ -89,13 +91,16 @@
     /// speed.
     ///
     /// A stalled engine completes nothing and so gives no samples: without this
-    /// factor it would keep its speed and its limit, and get more requests.
-    pub fn slowdown(&self, now: Moment) -> f64 {
+    /// factor it would keep its speed and its limit, and get more requests. Time that
+    /// the target's slow moments explain does not count.
+    pub fn slowdown(&self, now: Moment, moments: Option<&SlowMoments>) -> f64 {
         let index = SLOWDOWN_CHECK_INDEX.min(self.expected_ends.len().saturating_sub(1));
         let Some(end) = self.expected_ends.iter().nth(index) else {
             return 1.0;
         };
-        let age = now.since(end.granted_at).as_secs_f64();
+        let age = now.since(end.granted_at);
+        let explained = moments.map_or(1.0, |moments| moments.run_factor(now, age));
+        let age = age.as_secs_f64() / explained.max(1.0);
         let predicted = end.finish_at.since(end.granted_at).as_secs_f64();
         let allowed = (predicted * OVERDUE_TOLERANCE).max(OVERDUE_FLOOR.as_secs_f64());
         match age > allowed {
--- a/bergamotswitch-core/src/pool_owner/learning/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -73,6 +73,7 @@
         let back_off = BackOff::new(self.opts.probe_base, self.opts.probe_max);
         let start = target.started_at_ms;
         let mut load = TargetLoad::new(target, back_off);
+        load.set_slow_moment(self.paces.span());
         match self.leaving.get(&name) {
             Some(known) if is_later(start, *known) => {
                 self.leaving.remove(&name);
--- a/bergamotswitch-core/src/pool_owner/learning/target_load.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_load.rs
@@ -7,13 +7,15 @@
 use crate::permit::Usage;
 use crate::pool_owner::placement::request_pace::RequestPace;
 use crate::request::TokenCost;
-use crate::target::{LoadReport, PoolTarget};
+use crate::target::{LoadReport, MomentaryPace, PoolTarget};
 
 use super::back_off::BackOff;
+use super::crowding::CrowdingEstimator;
 use super::host_reports::HostReports;
 use super::load_history::LoadHistory;
-use super::run_time_estimator::{RunSample, RunTimeEstimator};
+use super::run_time_estimator::{RunSample, RunTimeEstimator, as_millis};
 use super::slot_limit::SlotLimit;
+use super::slow_moments::{MomentProgress, RunStretch, SlowMoments};
 use super::speed_estimator::{ExpectedEnd, SpeedEstimator};
 use super::token_limit::TokenLimit;
 
@@ -78,6 +80,12 @@
     limit: TokenLimit,
     slots: SlotLimit,
     run_times: RunTimeEstimator,
+    /// The slow moments of the target; `None` if paces are ignored.
+    slow_moments: Option<SlowMoments>,
+    /// How run times are stretched as of the last event; cached, since it is read for
+    /// each request and target.
+    stretch: RunStretch,
+    crowding: CrowdingEstimator,
     speed_estimator: SpeedEstimator,
     full_until: Moment,
     cache_hit_ratio: f64,
@@ -107,6 +115,9 @@
             limit: TokenLimit::new(target.token_limit),
             slots: SlotLimit::default(),
             run_times: RunTimeEstimator::default(),
+            slow_moments: None,
+            stretch: RunStretch::default(),
+            crowding: CrowdingEstimator::default(),
             speed_estimator: SpeedEstimator::new(target.expected_speed),
             full_until: Moment::START,
             cache_hit_ratio: 1.0,
@@ -147,7 +158,8 @@
     /// Get the token limit now in force. It falls with the square of the
     /// slowdown, since requests sent to a stalled engine are stuck there.
     pub fn limit(&self, now: Moment) -> u64 {
-        let slowdown = self.speed_estimator.slowdown(now);
+        let moments = self.slow_moments.as_ref();
+        let slowdown = self.speed_estimator.slowdown(now, moments);
         (self.limit.tokens() as f64 * slowdown * slowdown) as u64
     }
 
@@ -202,7 +214,8 @@
 
     /// Get the predicted speed in tokens per second.
     pub fn speed(&self, now: Moment) -> f64 {
-        self.speed_estimator.speed(now)
+        let moments = self.slow_moments.as_ref();
+        self.speed_estimator.speed(now, moments) / self.stretch.factor()
     }
 
     /// Get the tokens predicted to be queued or running at the target before a
@@ -285,6 +298,7 @@
             self.long_outstanding += tokens;
         }
         self.history.record(now, self.outstanding);
+        self.crowding.set_utilization(now, self.fullness());
     }
 
     /// Remove a permit from the counts.
@@ -295,6 +309,7 @@
             self.long_outstanding = self.long_outstanding.saturating_sub(tokens);
         }
         self.history.record(now, self.outstanding);
+        self.crowding.set_utilization(now, self.fullness());
     }
 
     /// Apply a load report.
@@ -307,6 +322,7 @@
     /// `tokens_ahead` is the number of tokens to be processed until its end,
     /// its own included, when its permit was granted.
     pub fn record_usage(&mut self, now: Moment, tokens_ahead: u64, cost: TokenCost, usage: &Usage) {
+        let usage = &self.usual_usage(now, usage);
         let uncached = usage.prefill.saturating_sub(usage.cached);
         let done = u64::from(uncached) + u64::from(usage.decode);
         if done == 0 || usage.elapsed_ms == 0 {
@@ -321,9 +337,15 @@
         self.limit.adapt(usage, done);
     }
 
-    /// Record the run time of a completed request.
-    pub fn record_run(&mut self, sample: &RunSample<'_>) {
-        self.run_times.record(sample);
+    /// Record the run time of a completed request, normalized by the momentary pace and
+    /// the crowding under which it ran.
+    pub fn record_run(&mut self, now: Moment, sample: &RunSample<'_>) {
+        let usage = self.usual_usage(now, sample.usage);
+        let crowding = self.record_pace_sample(now, sample, &usage);
+        self.run_times.record(&RunSample {
+            usage: &scaled(&usage, crowding, crowding),
+            ..*sample
+        });
         self.extra_slots = self.compute_extra_slots();
     }
 
@@ -336,17 +358,129 @@
     /// Get the predicted time to first token of one more request, in
     /// milliseconds.
     pub fn first_ms(&self, cost: TokenCost) -> f64 {
-        self.run_times.first_ms(cost, self.utilization())
+        let utilization = self.utilization();
+        let usual_ms = self.run_times.first_ms(cost, utilization);
+        self.stretched(usual_ms, utilization)
     }
 
     /// Get the predicted release rate of the target's permits, per second.
     pub fn release_rate(&self) -> f64 {
         match self.run_times.mean_run_ms() {
-            Some(run_ms) if run_ms > 0.0 => self.permits as f64 * 1_000.0 / run_ms,
+            Some(run_ms) if run_ms > 0.0 => {
+                let run_ms = run_ms * self.crowding.factor(self.fullness());
+                self.permits as f64 * 1_000.0 / (run_ms * self.stretch.factor())
+            }
             Some(_) | None => 0.0,
         }
     }
 
+    /// Get the time of work that takes `usual_ms` at the target's usual pace, if it begins
+    /// now and the target has this utilization.
+    fn stretched(&self, usual_ms: f64, utilization: f64) -> f64 {
+        match self.slow_moments {
+            Some(_) => {
+                let crowded_ms = usual_ms * self.crowding.factor(utilization);
+                self.stretch.apply(crowded_ms)
+            }
+            None => usual_ms,
+        }
+    }
+
+    /// Get the utilization by the present permits, 1 when full.
+    fn fullness(&self) -> f64 {
+        let slots = self.target.slots.map_or(1.0, f64::from);
+        self.permits as f64 / slots
+    }
+
+    /// Get for how long the target has been nearly full in total.
+    pub(in crate::pool_owner) fn full_time(&self, now: Moment) -> Duration {
+        self.crowding.full_time(now)
+    }
+
+    /// Get the part of a run that ended now during which the target was nearly full, given
+    /// the total of that time at its grant.
+    pub(in crate::pool_owner) fn crowded_part(
+        &self,
+        now: Moment,
+        at_grant: Duration,
+        usage: &Usage,
+    ) -> f64 {
+        let crowded = self.full_time(now).saturating_sub(at_grant);
+        let run_ms = f64::from(usage.elapsed_ms.max(1));
+        (as_millis(crowded) / run_ms).min(1.0)
+    }
+
+    /// Get the factor by which work takes longer at this moment, as of the last event.
+    pub fn pace_factor(&self) -> f64 {
+        self.stretch.factor()
+    }
+
+    /// Set how long slow moments are expected to last; `None` ignores paces.
+    pub(in crate::pool_owner) fn set_slow_moment(&mut self, span: Option<Duration>) {
+        self.slow_moments = span.map(SlowMoments::new);
+        self.stretch = RunStretch::default();
+        self.crowding = CrowdingEstimator::default();
+    }
+
+    /// Record a pace that the target reported `age` ago. Get what it tells about the
+    /// duration of slow moments.
+    pub(in crate::pool_owner) fn record_pace(
+        &mut self,
+        now: Moment,
+        pace: MomentaryPace,
+        age: Duration,
+    ) -> Option<MomentProgress> {
+        self.slow_moments.as_mut()?.record(now, pace, age)
+    }
+
+    /// Compute anew how run times are stretched. Get whether they are.
+    pub(in crate::pool_owner) fn refresh_stretch(&mut self, now: Moment, span: Duration) -> bool {
+        if let Some(moments) = &mut self.slow_moments {
+            moments.set_span(span);
+            self.stretch = moments.stretch(now);
+        }
+        !self.stretch.is_none()
+    }
+
+    /// Get the usage of a run that ended now, with the times that it would have taken
+    /// without slow moments.
+    fn usual_usage(&self, now: Moment, usage: &Usage) -> Usage {
+        let Some(moments) = &self.slow_moments else {
+            return *usage;
+        };
+        let span = |millis: u32| Duration::from_millis(millis.into());
+        let decoding = span(usage.elapsed_ms.saturating_sub(usage.first_token_ms));
+        let first_at = Moment::START.plus(now.since(Moment::START).saturating_sub(decoding));
+        let first = moments.run_factor(first_at, span(usage.first_token_ms));
+        let run = moments.run_factor(now, span(usage.elapsed_ms));
+        scaled(usage, first, run)
+    }
+
+    /// Learn from a completed run how far the target's paces are true and how much it
+    /// slows down when it is nearly full. `usage` is without slow moments. Get the factor
+    /// by which crowding made the run longer.
+    fn record_pace_sample(&mut self, now: Moment, sample: &RunSample<'_>, usage: &Usage) -> f64 {
+        let Some(moments) = &mut self.slow_moments else {
+            return 1.0;
+        };
+        let crowding = self.crowding.part_factor(sample.crowded_part);
+        if let Some(expected_ms) = self.run_times.expected_run_ms(sample)
+            && expected_ms > 0.0
+        {
+            let run = Duration::from_millis(sample.usage.elapsed_ms.into());
+            let measured = f64::from(sample.usage.elapsed_ms) / (expected_ms * crowding);
+            moments.record_run(now, run, measured);
+            let usual = f64::from(usage.elapsed_ms) / expected_ms;
+            self.crowding.record(sample.crowded_part, usual);
+        }
+        crowding
+    }
+
+    /// Get the mean run time at the usual pace in milliseconds, 0 before the first run.
+    pub fn mean_run_ms(&self) -> f64 {
+        self.run_times.mean_run_ms().unwrap_or(0.0)
+    }
+
     /// Get whether a run has been completed on the target.
     pub fn has_run(&self) -> bool {
         self.run_times.has_run()
@@ -360,7 +494,8 @@
 
     /// Get the predicted run time of a request of `cost`, in milliseconds.
     pub fn run_ms(&self, cost: TokenCost) -> f64 {
-        self.run_times.expected_ms(cost)
+        let usual_ms = self.run_times.expected_ms(cost);
+        self.stretched(usual_ms, self.utilization())
     }
 
     /// Get whether there are outstanding requests, from this owner or others,
@@ -414,3 +549,16 @@
         self.limit.lower_to(self.backlog(now));
     }
 }
+
+/// Get a usage with the time to first token and the whole run divided by these factors.
+fn scaled(usage: &Usage, first: f64, run: f64) -> Usage {
+    let divided = |millis: u32, factor: f64| match factor == 1.0 {
+        true => millis,
+        false => (f64::from(millis) / factor).round() as u32,
+    };
+    Usage {
+        first_token_ms: divided(usage.first_token_ms, first),
+        elapsed_ms: divided(usage.elapsed_ms, run),
+        ..*usage
+    }
+}
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -21,6 +21,7 @@
 use super::admission::quota::QuotaBuckets;
 use super::admission::quota_recovery::QuotaRecovery;
 use super::admission::stream_requests::StreamRequests;
+use super::learning::pool_paces::PoolPaces;
 use super::learning::release_rate::ReleaseRate;
 use super::learning::run_time_estimator::from_millis;
 use super::options::OwnerOptions;
@@ -85,6 +86,7 @@
     /// accepted.
     pub(super) recovery: Option<QuotaRecovery>,
     pub(super) release_rate: ReleaseRate,
+    pub(super) paces: PoolPaces,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
@@ -121,6 +123,7 @@
             limit_hosts: 1,
             recovery: Some(QuotaRecovery::new(now)),
             release_rate: ReleaseRate::default(),
+            paces: PoolPaces::new(opts.scheduling.slow_moment),
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
@@ -132,16 +135,23 @@
     /// applies the new limits with the next request.
     pub fn set_opts(&mut self, opts: OwnerOptions) {
         self.keys.set_bounds(opts.key_retention, opts.max_keys);
+        if opts.scheduling.slow_moment != self.opts.scheduling.slow_moment {
+            self.set_slow_moment(opts.scheduling.slow_moment);
+        }
         self.opts = opts;
     }
 
     /// Process one event and get the resulting actions.
     pub fn handle(&mut self, now: Moment, event: OwnerEvent) -> Vec<OwnerAction> {
+        if self.absorb_usual_paces(now, &event) {
+            return Vec::new();
+        }
         let mut actions = Vec::new();
         self.now = now;
         self.quotas
             .set_portion(now, self.attached_hosts.quota_portion(now));
         self.adjust_pace(now);
+        self.refresh_paces(now);
         self.review_cold(now, &mut actions);
         self.keys.expire(now);
         self.streams.expire(now);
@@ -322,8 +332,8 @@
             }
             OwnerMessage::AccountUse { .. }
             | OwnerMessage::Signature { .. }
-            | OwnerMessage::Promises { .. }
-            | OwnerMessage::TargetPaces { .. } => {}
+            | OwnerMessage::Promises { .. } => {}
+            OwnerMessage::TargetPaces { targets, .. } => self.on_target_paces(now, &targets),
             // Handled by the owner's key guard.
             OwnerMessage::OwnerConfirmed { .. } => {}
         }
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -129,6 +129,7 @@
         let tokens = request.cost.total();
         load.back_off_mut().start_probe(id);
         let utilization = load.utilization();
+        let full_time = load.full_time(now);
         load.add_permit(now, tokens, queued.placement.long);
         load.take_pace(now);
         let tokens_ahead = load.tokens_ahead_of(now, tokens);
@@ -156,6 +157,7 @@
             granted_at: now,
             tokens_ahead,
             utilization,
+            full_time,
             limit_named: false,
             finish_at: now.plus(Duration::from_micros(route.finish_micros)),
             preempted_at: None,
--- a/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
@@ -1,6 +1,7 @@
 //! Provides the table of granted permits that have not been released.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
@@ -45,6 +46,8 @@
     pub tokens_ahead: u64,
     /// The target's utilization with this request, 1 when full.
     pub utilization: f64,
+    /// For how long the target had been nearly full in total at the grant.
+    pub full_time: Duration,
     /// Whether the answer named a limit of the target's request rate.
     pub limit_named: bool,
     /// When the request is predicted to end.
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -42,6 +42,10 @@
     /// The limit of its request rate that the target named, in requests per 1,000
     /// seconds.
     pub rate_limit: Option<RequestRate>,
+    /// The time that work takes there at this moment, in hundredths of the usual time.
+    pub pace: u64,
+    /// The mean run time at the usual pace, in milliseconds; 0 before the first run.
+    pub run_ms: u64,
     /// How long the target stays cold, and limited for that reason, in milliseconds; 0 if it
     /// is warm.
     pub cold_ms: u64,
@@ -139,6 +143,8 @@
                 limit: load.limit(self.now),
                 speed: load.speed(self.now) as u64,
                 rate_limit: load.rate_limit(),
+                run_ms: load.mean_run_ms().round() as u64,
+                pace: (load.pace_factor() * 100.0).round() as u64,
                 cold_ms: load
                     .warm_at()
                     .map_or(0, |at| at.since(self.now).as_millis() as u64),
--- a/bergamotswitch-core/src/target.rs
+++ b/bergamotswitch-core/src/target.rs
@@ -116,6 +116,14 @@
     /// The paces that are taken for true, in hundredths of the usual time.
     pub const RANGE: std::ops::RangeInclusive<u32> = 10..=10_000;
 
+    /// The paces that count as the usual one: run times vary by more.
+    const USUAL: std::ops::RangeInclusive<u16> = 90..=110;
+
+    /// Get whether work takes about as long as usual.
+    pub fn is_usual(self) -> bool {
+        Self::USUAL.contains(&self.0)
+    }
+
     /// Get the factor by which work takes longer than usual.
     pub fn factor(self) -> f64 {
         f64::from(self.0) / 100.0
@@ -133,6 +141,15 @@
     }
 }
 
+/// A `NamedPace` is the pace that a target names in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NamedPace {
+    /// Work takes this long.
+    Pace(MomentaryPace),
+    /// The target names a pace that could not be read.
+    Malformed,
+}
+
 impl From<MomentaryPace> for u32 {
     fn from(pace: MomentaryPace) -> u32 {
         u32::from(pace.0)
--- a/bergamotswitch-core/tests/entry_simulation/engines.rs
+++ b/bergamotswitch-core/tests/entry_simulation/engines.rs
@@ -82,6 +82,7 @@
             | AttemptEvent::LeavingNamed
             | AttemptEvent::RestAsked(_)
             | AttemptEvent::BrittleNamed(_)
+            | AttemptEvent::PaceNamed(_)
             | AttemptEvent::Connected => {
                 return self.handle(host, EntryEvent::Attempt(attempt, event));
             }
--- a/bergamotswitch-core/tests/fleet_simulation/engines.rs
+++ b/bergamotswitch-core/tests/fleet_simulation/engines.rs
@@ -106,6 +106,7 @@
                 | AttemptEvent::LimitNamed(_)
                 | AttemptEvent::LeavingNamed
                 | AttemptEvent::BrittleNamed(_)
+                | AttemptEvent::PaceNamed(_)
                 | AttemptEvent::RestAsked(_)
                 | AttemptEvent::Stalled
         );
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -11,6 +11,7 @@
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::publication::FleetLimits;
 use bergamotswitch_core::refusal::RunClaim;
+use bergamotswitch_core::target::{MomentaryPace, NamedPace};
 use entry_support::*;
 use node_support::*;
 
@@ -23,7 +24,7 @@
 
 /// The limits whose decisions are not built yet. A part that builds one moves its limit
 /// to the probes.
-const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille slow_moment_ms \
+const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille \
     match_window_requests idle_connection_permille";
 
 type Probe = fn(&Value) -> u64;
@@ -55,6 +56,7 @@
         ("queue_limit_ms", (1_000, none(), shed)),
         ("queue_limit_requests", (1, none(), shed)),
         ("permit_lifetime_ms", (700, none(), permit_lifetime)),
+        ("slow_moment_ms", (400, none(), pace)),
     ])
 }
 
@@ -220,6 +222,16 @@
     granted.expect("a permit")
 }
 
+/// Get the pace at which the owner expects a target to work that named 250 in an answer.
+fn pace(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    let attempt = node.start(submission());
+    let named = MomentaryPace::try_from(250).expect("a pace");
+    let named = AttemptEvent::PaceNamed(NamedPace::Pace(named));
+    node.event(NodeEvent::Attempt(attempt, named));
+    node.core.view(node.now).shards[0].targets[0].pace
+}
+
 // Guards against limits that are adopted but not applied by the state machines.
 #[test]
 fn each_limit_binds() {
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -146,6 +146,11 @@
     {
         report.step(AttemptEvent::BrittleNamed(refusals));
     }
+    if let Some(pace) = found.pace
+        && (found.is_not_run || found.matches_request)
+    {
+        report.step(AttemptEvent::PaceNamed(pace));
+    }
     if let Some(rest) = found.rest
         && (found.is_not_run || found.matches_request)
     {
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -113,6 +113,7 @@
         | AttemptEvent::LimitNamed(_)
         | AttemptEvent::LeavingNamed
         | AttemptEvent::BrittleNamed(_)
+        | AttemptEvent::PaceNamed(_)
         | AttemptEvent::RestAsked(_)
         | AttemptEvent::Stalled => false,
         AttemptEvent::NotSent(_)
