--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -11,6 +11,9 @@
 
 use super::owner::ShardOwner;
 
+/// The pace from which a target is shown as slow, in hundredths of the usual time.
+const SLOW_PACE: u64 = 125;
+
 /// A `TierView` is the queue of one tier.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TierView {
@@ -91,6 +94,14 @@
     pub prefixes: usize,
 }
 
+impl ShardView {
+    /// Get the number of targets that are slow at this moment.
+    pub fn slow_targets(&self) -> usize {
+        let targets = self.targets.iter();
+        targets.filter(|target| target.pace >= SLOW_PACE).count()
+    }
+}
+
 impl ShardOwner {
     /// Get the hosts that have queued requests, each once.
     pub fn queued_hosts(&self) -> Vec<HostName> {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -86,6 +86,8 @@
     crashed_calls: Gauge,
     quarantined_calls: Gauge,
     limited_targets: Gauge,
+    slow_targets: Gauge,
+    malformed_paces: Counter,
     cold_targets: Gauge,
     evacuated_domains: Gauge,
     lost_paths: Gauge,
@@ -127,6 +129,8 @@
             crashed_calls: Gauge::default(),
             quarantined_calls: Gauge::default(),
             limited_targets: Gauge::default(),
+            slow_targets: Gauge::default(),
+            malformed_paces: Counter::default(),
             cold_targets: Gauge::default(),
             evacuated_domains: Gauge::default(),
             lost_paths: Gauge::default(),
@@ -308,6 +312,13 @@
         self.limited_targets.set(count as i64);
     }
 
+    /// Set the number of targets that are slow at this moment, as this host knows as owner,
+    /// and the total number of paces that could not be read.
+    pub fn set_paces(&self, slow: usize, malformed: u64) {
+        self.slow_targets.set(slow as i64);
+        set_total(&self.malformed_paces, malformed);
+    }
+
     /// Set the number of targets that are cold.
     pub fn set_cold_targets(&self, count: usize) {
         self.cold_targets.set(count as i64);
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -142,6 +142,16 @@
             "Targets that have named a rate limit to this host",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "slow_targets",
+            "Targets that are slow at this moment, as known to this host as owner",
+            self.slow_targets.clone(),
+        );
+        registry.register(
+            "malformed_paces",
+            "Momentary paces of targets that this host could not read",
+            self.malformed_paces.clone(),
+        );
         registry.register(
             "cold_targets",
             "Targets that are cold, so that their owner limits their rate",
--- a/bergamotswitch-net/src/node/gauges.rs
+++ b/bergamotswitch-net/src/node/gauges.rs
@@ -1,6 +1,7 @@
 //! Provides the update of the gauges from a host's view.
 
 use bergamotswitch_core::node::NodeView;
+use bergamotswitch_core::pool_owner::ShardView;
 use bergamotswitch_core::rules::Tier;
 
 use crate::metrics::NodeMetrics;
@@ -27,6 +28,8 @@
     let entry = &view.entry;
     metrics.set_crashed_calls(entry.crashed_calls, entry.quarantined_calls);
     metrics.set_limited_targets(entry.limited_targets);
+    let slow = view.shards.iter().map(ShardView::slow_targets).sum();
+    metrics.set_paces(slow, entry.malformed_paces);
     metrics.set_lost_paths(entry.lost_paths);
     metrics.set_cold_targets(view.cold_targets);
     metrics.set_evacuated_domains(view.evacuated.len());
--- a/bergamotswitch-net/tests/link_codec.rs
+++ b/bergamotswitch-net/tests/link_codec.rs
@@ -5,14 +5,14 @@
 use bergamotswitch_core::link::{Heartbeat, LinkMessage, MAX_MESSAGE_LEN, ShardTerm};
 use bergamotswitch_core::permit::{
     BrittleTarget, FailedTarget, KeyClaim, LeavingTarget, OwnerMessage, OwnerReply, Permit,
-    PermitId, PermitRequest, QuotaLevel, Release, ReleaseOutcome, TargetLimit, Usage,
+    PermitId, PermitRequest, QuotaLevel, Release, ReleaseOutcome, TargetLimit, TargetPace, Usage,
 };
 use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::quarantine::{BrokenRun, CrashReport};
 use bergamotswitch_core::request::{AttemptId, PrefixHash, RequestId, TokenCost};
 use bergamotswitch_core::revision::{PublishedValue, Revision, RevisionMark, RevisionMessage};
 use bergamotswitch_core::rules::Tier;
-use bergamotswitch_core::target::RequestRate;
+use bergamotswitch_core::target::{MomentaryPace, RequestRate};
 use bergamotswitch_net::link::codec::{self, CodecError, FrameReader, LENGTH_BYTES};
 
 fn heartbeat(sequence: u64) -> LinkMessage {
@@ -196,6 +196,18 @@
     })
 }
 
+fn target_paces() -> LinkMessage {
+    let pace = TargetPace {
+        target: "bolido-llm-7".try_into().unwrap(),
+        pace: MomentaryPace::try_from(250).unwrap(),
+        age_ms: 0,
+    };
+    LinkMessage::ToOwner(OwnerMessage::TargetPaces {
+        shard: shard(),
+        targets: vec![pace],
+    })
+}
+
 fn crashes() -> LinkMessage {
     let run = BrokenRun {
         run: 81_250,
@@ -246,6 +258,7 @@
         target_limits(),
         leaving_targets(),
         brittle_targets(),
+        target_paces(),
         ownership(),
         keys(),
     ];
@@ -273,6 +286,7 @@
         ("granted", codec::encoded_len(&granted()), 96),
         ("release", codec::encoded_len(&release()), 88),
         ("marks of 6 values", codec::encoded_len(&marks()), 80),
+        ("target pace", codec::encoded_len(&target_paces()), 40),
     ];
     for (name, len, bound) in sizes {
         println!("{name}: {len} bytes a frame");
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -127,6 +127,8 @@
         "crashed_calls",
         "quarantined_calls",
         "limited_targets",
+        "malformed_paces",
+        "unsent_paces",
         "resting_targets",
         "lost_paths",
     ];
@@ -189,6 +191,8 @@
         "limit",
         "tokens/s",
         "rate limit/s",
+        "pace",
+        "run ms",
     ];
     let mut table = TextTable::new(&head).with_indent(2);
     for target in items(targets) {
@@ -202,6 +206,8 @@
             text(&target["limit"]),
             text(&target["speed"]),
             rate_text(&target["rate_limit"]),
+            text(&target["pace"]),
+            text(&target["run_ms"]),
         ]);
     }
     table
--- a/bergamotswitch/tests/metrics_updated.rs
+++ b/bergamotswitch/tests/metrics_updated.rs
@@ -11,12 +11,14 @@
 use serde_json::json;
 
 /// Metrics that a fleet of three hosts, all candidates for ownership, does not
-/// update. Targets of the native interface name no rate limit, are not cold and stand in no
+/// update. Targets of the native interface name no rate limit and no pace, are not cold and stand in no
 /// evacuated domain; `target_rates`, `cold_targets` and `evacuations` cover these at the
 /// gateway. Tests of the core cover the next two; the others need an audit and
 /// a queue with several tiers.
-const UNTRIGGERED_METRICS: [&str; 8] = [
+const UNTRIGGERED_METRICS: [&str; 10] = [
     "bergamot_limited_targets",
+    "bergamot_slow_targets",
+    "bergamot_malformed_paces_total",
     "bergamot_cold_targets",
     "bergamot_evacuated_domains",
     "bergamot_lost_paths",
