Promise room to refused callers that return

Change: where return_room_permille is set, the shard's owner forecasts its room in steps of 100 ms and promises it to refused callers. Entry hosts announce call signatures; a redeemed request goes before new ones of its tier from its place on, is not refused as infeasible and is shed last. New requests are queued only if they are predicted to begin on time, and the prediction is made again after an eighth of the first-token limit.

--- a/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
@@ -1,6 +1,7 @@
 //! Provides permit requests, their retransmission and the limits on retries.
 
 use super::EntryDispatcher;
+use crate::call_signature::CallSignature;
 use crate::clock::Moment;
 use crate::entry::EntryAction;
 use crate::entry::attempt::{AttemptStage, WaitingAttempt, WaitingState, to_millis};
@@ -110,6 +111,15 @@
             };
             actions.push(EntryAction::Send(owner.clone(), message));
         }
+        // A call that was dispatched before was not refused.
+        if self.options.sends_signatures && record.dispatches == 0 {
+            let message = OwnerMessage::Signature {
+                shard: record.shard.clone(),
+                attempt: request.attempt,
+                signature: CallSignature::of(&record.submission),
+            };
+            actions.push(EntryAction::Send(owner.clone(), message));
+        }
         let message = OwnerMessage::PermitRequest(Box::new(request));
         actions.push(EntryAction::Send(owner.clone(), message));
     }
--- a/bergamotswitch-core/src/entry/options.rs
+++ b/bergamotswitch-core/src/entry/options.rs
@@ -38,6 +38,7 @@
     pub(super) max_kept_bytes: u64,
     pub(super) key_retention: Duration,
     pub(super) max_keys: usize,
+    pub(super) sends_signatures: bool,
     pub(super) fault: Option<Fault>,
 }
 
@@ -62,6 +63,7 @@
             max_kept_bytes: 67_108_864,
             key_retention: Duration::from_secs(86_400),
             max_keys: 100_000,
+            sends_signatures: false,
             fault: None,
         }
     }
@@ -125,13 +127,21 @@
     /// Apply the published limits.
     pub fn with_limits(mut self, limits: &FleetLimits) -> Self {
         self.retry_rate.permille = limits.retry_budget_permille as u32;
-        self.with_attempts_per_request(limits.max_attempts as u16)
+        self.with_signatures(limits.return_room_permille > 0)
+            .with_attempts_per_request(limits.max_attempts as u16)
             .with_max_permit_age(Duration::from_millis(limits.permit_lifetime_ms))
             .with_answer_retention(Duration::from_millis(limits.kept_answer_ms))
             .with_max_kept_answers(limits.kept_answers as usize)
             .with_max_kept_bytes(limits.kept_answer_bytes)
     }
 
+    /// Set whether the owner of a shard is told the signature of each call, so that it
+    /// recognizes the calls that return after a refusal.
+    pub fn with_signatures(mut self, sent: bool) -> Self {
+        self.sends_signatures = sent;
+        self
+    }
+
     /// Set how long a key is kept after its answer was dropped.
     pub fn with_key_retention(mut self, span: Duration) -> Self {
         self.key_retention = span;
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -106,6 +106,8 @@
     TargetBackedOff = 302, Warn, "target backed off";
     /// An audit reclaimed a leaked permit.
     PermitReclaimed = 303, Warn, "permit reclaimed by audit";
+    /// Callers that returned as promised were refused.
+    PromisesBroken = 306, Warn, "promises to returning callers broken";
     /// A peer is reachable again.
     PeerReachable = 400, Info, "peer reachable";
     /// A peer has missed its heartbeats.
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -411,7 +411,9 @@
                 self.notify_entry(now, EntryEvent::Streams(shard.pool, streams));
             }
             // The permit request that follows is answered.
-            OwnerMessage::Stream { .. } => {}
+            OwnerMessage::Stream { .. } | OwnerMessage::Signature { .. } => {}
+            // A former owner's promises are lost where this host does not act yet.
+            OwnerMessage::Promises { .. } => {}
             _ => self.send_reply(now, host, OwnerReply::NotOwner { shard }),
         }
     }
--- a/bergamotswitch-core/src/node/handover.rs
+++ b/bergamotswitch-core/src/node/handover.rs
@@ -17,6 +17,9 @@
 /// A newly started owner takes over within a second.
 const REPORT_RETENTION: Duration = Duration::from_secs(5);
 
+/// The maximum number of promises per message, which keeps it well below the size limit.
+const PROMISES_PER_MESSAGE: usize = 4_096;
+
 /// The maximum number of shards for which reports or keys are kept.
 const MAX_REPORTED_SHARDS: usize = 64;
 
@@ -122,6 +125,7 @@
         let claims = self.shards.granted_claims(shard);
         self.send_keys(shard, &next, &claims);
         self.send_stream_report(now, shard, &next);
+        self.send_promises(now, shard, &next);
         let levels = self.shards.hand_over_quotas(now, shard, fraction);
         if !levels.is_empty() {
             let shard = shard.clone();
@@ -129,6 +133,15 @@
         }
     }
 
+    /// Send the promises to refused callers, which would be new callers to the next owner.
+    fn send_promises(&mut self, now: Moment, shard: &PoolShard, next: &HostName) {
+        let promises = self.shards.promise_report(now, shard);
+        for promises in promises.chunks(PROMISES_PER_MESSAGE) {
+            let (shard, promises) = (shard.clone(), promises.to_vec());
+            self.send_to_owner(next, OwnerMessage::Promises { shard, promises });
+        }
+    }
+
     /// Send the failed targets of all shards that this host owns to a newly connected
     /// host, which may become their owner and has no failure state.
     pub(super) fn send_all_failed_targets(&mut self, now: Moment, host: &HostName) {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -8,7 +8,7 @@
 use crate::clock::Moment;
 use crate::cold_targets::ColdTarget;
 use crate::host::{HostIncarnation, HostName, Standing};
-use crate::permit::{FailedTarget, KeyClaim, QuotaLevel};
+use crate::permit::{FailedTarget, KeyClaim, QuotaLevel, ReturnPromise};
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
     OwnerAction, OwnerEvent, OwnerOptions, QuotaRate, QuotaTolerance, ShardOwner, ShardView,
@@ -168,6 +168,13 @@
         found.map_or_else(Vec::new, |owned| owned.owner.granted_claims())
     }
 
+    /// Get the promises that the shard's owner hands over; none in degraded mode.
+    pub(super) fn promise_report(&self, now: Moment, shard: &PoolShard) -> Vec<ReturnPromise> {
+        let mut owned = self.owned.iter().filter(|owned| !owned.degraded);
+        let found = owned.find(|owned| owned.shard == *shard);
+        found.map_or_else(Vec::new, |owned| owned.owner.promise_report(now))
+    }
+
     /// Get the streams known to the shard's owner, in parts for one message each.
     pub(super) fn stream_report(&self, now: Moment, shard: &PoolShard) -> Vec<Vec<VersionStreams>> {
         let found = self.owned.iter().find(|owned| owned.shard == *shard);
--- a/bergamotswitch-core/src/pool_owner/admission/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/mod.rs
@@ -9,6 +9,7 @@
 pub(in crate::pool_owner) mod quota_recovery;
 pub(in crate::pool_owner) mod refusals;
 pub mod return_promises;
+pub mod returning_calls;
 pub mod room_forecast;
 pub(in crate::pool_owner) mod shedding;
 pub(in crate::pool_owner) mod stream_requests;
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -45,9 +45,11 @@
             self.release_unused(&queued.request);
             self.queue
                 .record_outcome(self.now, queued.request.tier, false);
-            let retry_after = match queued.request.first_answer_ms {
-                Some(_) => queued.plan.retry_after(self.now, attempt).max(retry_after),
-                None => retry_after,
+            let promised = self.promise_return(self.now, &queued, reason);
+            let retry_after = match (promised, queued.request.first_answer_ms) {
+                (Some(promised), _) => promised,
+                (None, Some(_)) => queued.plan.retry_after(self.now, attempt).max(retry_after),
+                (None, None) => retry_after,
             };
             self.refuse(queued.host, *attempt, reason, retry_after, actions);
         }
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -62,12 +62,12 @@
         let Some(queued) = self.queue.get(attempt) else {
             return false;
         };
-        if queued.request.is_renewed() {
+        if queued.request.is_renewed() || queued.promise().is_some() {
             return false;
         }
         let tier = queued.request.tier;
         if let Some(wait) = self.predicted_slot_wait(now, tier) {
-            let lower_kept = self.queue.requests_through(tier) < self.queue.len();
+            let lower_kept = self.is_kept_for_lower(tier);
             if self.queue.is_below_floor(tier) || lower_kept || wait <= self.wait_limit(now, queued)
             {
                 return false;
@@ -95,10 +95,18 @@
     /// number of permits to be released before it and the release rate; `None`
     /// unless all targets publish their slots.
     fn predicted_slot_wait(&self, now: Moment, tier: Tier) -> Option<Duration> {
+        self.predicted_wait(now, self.queue.requests_through(tier))
+    }
+
+    /// Get the predicted queuing time of the last of `ahead` requests.
+    pub(in crate::pool_owner) fn predicted_wait(
+        &self,
+        now: Moment,
+        ahead: usize,
+    ) -> Option<Duration> {
         if !self.has_slots() {
             return None;
         }
-        let ahead = self.queue.requests_through(tier);
         if let Some(limited) = self.limited_rate() {
             return self.limited_wait(now, ahead, limited);
         }
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -164,6 +164,7 @@
         incarnation: Incarnation,
     ) {
         self.stream_requests.drop_incarnation(incarnation);
+        self.returning.drop_incarnation(incarnation);
         for attempt in self.queue.of_incarnation(incarnation) {
             self.drop_queued(&attempt);
         }
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -16,7 +16,8 @@
 mod view;
 
 pub use admission::quota::{QuotaRate, QuotaTolerance};
-pub use admission::{account_shares, key_table, return_promises, room_forecast};
+pub use admission::returning_calls::PromiseState;
+pub use admission::{account_shares, key_table, return_promises, returning_calls, room_forecast};
 pub use learning::{back_off, host_connections, slot_limit, slow_moments, target_load};
 pub use options::OwnerOptions;
 pub use order::{queue, wait_plan};
@@ -24,7 +25,7 @@
 pub use placement::cold_tolerance::ColdTolerance;
 pub use placement::{permit_table, prefix_table, routing, slot_matching, token_routing};
 pub use scheduling_options::SchedulingOptions;
-pub use view::{RefusalCount, ShardView, TargetView, TierView};
+pub use view::{PromiseCount, RefusalCount, ShardView, TargetView, TierView};
 
 use crate::client_account::AccountName;
 use crate::cold_targets::ColdTarget;
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -8,6 +8,8 @@
 use crate::failure_domain::DomainName;
 use crate::host::{HostName, Incarnation};
 use crate::permit::PermitRequest;
+use crate::pool_owner::admission::return_promises::RedeemedPromise;
+use crate::pool_owner::admission::returning_calls::ReturnState;
 use crate::pool_owner::placement::slot_routing::WantedVersions;
 use crate::request::AttemptId;
 use crate::rules::Tier;
@@ -102,25 +104,61 @@
     pub placement: Arc<Placement>,
     /// The version that began the stream, if the request is for a resumable one.
     pub origin: Option<StreamOrigin>,
+    /// What is known of an earlier refusal of the call.
+    pub earlier: ReturnState,
 }
 
+impl QueuedRequest {
+    /// Get the promise that the call redeemed.
+    pub fn promise(&self) -> Option<&RedeemedPromise> {
+        self.earlier.promise.as_ref()
+    }
+
+    fn class(&self, now: Moment) -> QueueClass {
+        let class = match self.promise() {
+            None => ReturnClass::New,
+            Some(promise) if promise.place_at <= now => ReturnClass::Promised,
+            Some(_) => ReturnClass::Early,
+        };
+        (self.request.tier, class)
+    }
+}
+
+/// A `ReturnClass` is the precedence of a request within its tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ReturnClass {
+    /// The request redeems a promise whose place is due.
+    Promised,
+    /// The request redeems no promise.
+    New,
+    /// The request redeems a promise and waits for its place. Until then it takes only
+    /// slots that new requests leave.
+    Early,
+}
+
+/// A `QueueClass` is the requests that share one fair queue, in the order of service.
+type QueueClass = (Tier, ReturnClass);
+
 /// A `StoredRequest` is a queued request with its position in the order.
 #[derive(Debug)]
 struct StoredRequest {
     queued: QueuedRequest,
     entry: TierEntry,
+    class: QueueClass,
 }
 
 /// A `RequestQueue` is the queue of a shard.
 #[derive(Debug, Default)]
 pub struct RequestQueue {
-    tiers: BTreeMap<Tier, TierQueue>,
+    tiers: BTreeMap<QueueClass, TierQueue>,
     requests: HashMap<AttemptId, StoredRequest>,
     placements: BTreeMap<Arc<Placement>, usize>,
     tokens: u64,
     sequence: u64,
     /// When requests become late.
     on_time_ends: BTreeSet<(Moment, AttemptId)>,
+    /// When the places of requests are due that redeem a promise early.
+    places: BTreeSet<(Moment, AttemptId)>,
     floor: TierFloor,
     /// The numbers of requests that need one version, by tier.
     version_requests: BTreeMap<TargetVersion, BTreeMap<Tier, usize>>,
@@ -149,20 +187,37 @@
 
     /// Get the tokens of the queued requests of `tier` and higher ones.
     pub fn tokens_through(&self, tier: Tier) -> u64 {
-        let tiers = self.tiers.range(..=tier);
+        let tiers = self.tiers.range(..=(tier, ReturnClass::New));
         tiers.map(|(_, queue)| queue.tokens()).sum()
     }
 
     /// Get the number of queued requests of `tier` and higher ones.
     pub fn requests_through(&self, tier: Tier) -> usize {
-        let tiers = self.tiers.range(..=tier);
+        let tiers = self.tiers.range(..=(tier, ReturnClass::New));
         tiers.map(|(_, queue)| queue.requests()).sum()
     }
 
     /// Get the tiers with their numbers of requests and tokens.
     pub fn tiers(&self) -> impl Iterator<Item = (Tier, usize, u64)> {
-        let tiers = self.tiers.iter();
-        tiers.map(|(tier, queue)| (*tier, queue.requests(), queue.tokens()))
+        let mut tiers = BTreeMap::<Tier, (usize, u64)>::new();
+        for ((tier, _), queue) in &self.tiers {
+            let (requests, tokens) = tiers.entry(*tier).or_default();
+            *requests += queue.requests();
+            *tokens += queue.tokens();
+        }
+        let tiers = tiers.into_iter();
+        tiers.map(|(tier, (requests, tokens))| (tier, requests, tokens))
+    }
+
+    /// Get whether requests of tiers below `tier` are queued.
+    pub(in crate::pool_owner) fn has_below(&self, tier: Tier) -> bool {
+        let lowest = self.tiers.last_key_value();
+        lowest.is_some_and(|((lowest, _), _)| *lowest > tier)
+    }
+
+    fn queues_of(&self, tier: Tier) -> impl Iterator<Item = &TierQueue> {
+        let classes = (tier, ReturnClass::Promised)..=(tier, ReturnClass::Early);
+        self.tiers.range(classes).map(|(_, queue)| queue)
     }
 
     /// Get a queued request.
@@ -212,10 +267,13 @@
                 attempt,
             },
         };
-        self.tiers
-            .entry(queued.request.tier)
-            .or_default()
-            .push(&entry);
+        let class = queued.class(now);
+        self.tiers.entry(class).or_default().push(&entry);
+        if let Some(promise) = queued.promise()
+            && promise.place_at > now
+        {
+            self.places.insert((promise.place_at, attempt));
+        }
         *self.placements.entry(entry.placement.clone()).or_default() += 1;
         self.tokens += entry.tokens;
         self.count_version(&queued, 1);
@@ -223,8 +281,30 @@
             let end = (queued.plan.on_time_until, attempt);
             self.on_time_ends.insert(end);
         }
-        self.requests
-            .insert(attempt, StoredRequest { queued, entry });
+        self.requests.insert(
+            attempt,
+            StoredRequest {
+                queued,
+                entry,
+                class,
+            },
+        );
+    }
+
+    /// Move the requests whose promised places are due before new ones of their tier.
+    pub(in crate::pool_owner) fn promote_due(&mut self, now: Moment) {
+        while let Some((place_at, attempt)) = self.places.first().copied()
+            && place_at <= now
+        {
+            self.places.pop_first();
+            let Some(stored) = self.requests.get_mut(&attempt) else {
+                continue;
+            };
+            remove_entry(&mut self.tiers, stored.class, &stored.entry, false);
+            stored.class = stored.queued.class(now);
+            let queue = self.tiers.entry(stored.class).or_default();
+            queue.push(&stored.entry);
+        }
     }
 
     /// Move the requests that have become late behind those that are on time.
@@ -236,7 +316,7 @@
             let Some(stored) = self.requests.get_mut(&attempt) else {
                 continue;
             };
-            let Some(queue) = self.tiers.get_mut(&stored.queued.request.tier) else {
+            let Some(queue) = self.tiers.get_mut(&stored.class) else {
                 continue;
             };
             queue.remove(&stored.entry, false);
@@ -265,7 +345,7 @@
         }
         let tiers = TierPosition::ORDER.iter().flat_map(|position| {
             let tiers = self.tiers.iter();
-            tiers.filter(|(tier, _)| self.floor.position(**tier) == *position)
+            tiers.filter(|((tier, _), _)| self.floor.position(*tier) == *position)
         });
         let mut heads = tiers.filter_map(|(_, queue)| queue.next(blocked));
         let attempt = heads.next()?;
@@ -306,14 +386,22 @@
     /// Get whether a tier is below its floor and few enough of its requests are
     /// queued.
     pub(in crate::pool_owner) fn is_below_floor(&self, tier: Tier) -> bool {
-        let waiting = self.tiers.get(&tier).map_or(0, TierQueue::requests);
+        let waiting: usize = self.queues_of(tier).map(TierQueue::requests).sum();
         waiting <= MAX_WAITING_BELOW_FLOOR && self.floor.position(tier) == TierPosition::BelowFloor
     }
 
+    /// Get whether no higher tier has had a significant number of requests recently.
+    pub(in crate::pool_owner) fn is_top(&self, tier: Tier) -> bool {
+        self.floor.position(tier) == TierPosition::Top
+    }
+
     /// Get the request to shed first: of the lowest tier, the last-ranked one
-    /// of the account with the most queued tokens per share.
+    /// of the account with the most queued tokens per share. Requests with a promise
+    /// come last.
     pub fn next_to_shed(&self) -> Option<AttemptId> {
-        self.tiers.values().next_back()?.next_to_shed()
+        let ((tier, _), last) = self.tiers.last_key_value()?;
+        let new = self.tiers.get(&(*tier, ReturnClass::New));
+        new.unwrap_or(last).next_to_shed()
     }
 
     /// Get the earliest expiry time.
@@ -334,10 +422,10 @@
         firsts.next()
     }
 
-    /// Get the requests of one tier by expiry time, earliest first.
+    /// Get the requests of one tier by expiry time, earliest first; those with a promise
+    /// come before all others.
     pub fn by_deadline(&self, tier: Tier) -> impl Iterator<Item = &QueuedRequest> {
-        let queue = self.tiers.get(&tier).into_iter();
-        let order = queue.flat_map(|queue| queue.by_deadline());
+        let order = self.queues_of(tier).flat_map(|queue| queue.by_deadline());
         order.filter_map(|(_, attempt)| self.get(attempt))
     }
 
@@ -352,23 +440,38 @@
     }
 
     fn take(&mut self, attempt: &AttemptId, served: bool) -> Option<QueuedRequest> {
-        let StoredRequest { queued, entry } = self.requests.remove(attempt)?;
+        let StoredRequest {
+            queued,
+            entry,
+            class,
+        } = self.requests.remove(attempt)?;
         self.tokens -= entry.tokens;
         self.count_version(&queued, -1);
         self.on_time_ends
             .remove(&(queued.plan.on_time_until, *attempt));
-        let tier = queued.request.tier;
-        if let Some(queue) = self.tiers.get_mut(&tier) {
-            queue.remove(&entry, served);
-            if queue.requests() == 0 {
-                self.tiers.remove(&tier);
-            }
+        if let Some(promise) = queued.promise() {
+            self.places.remove(&(promise.place_at, *attempt));
         }
+        remove_entry(&mut self.tiers, class, &entry, served);
         remove_placement(&mut self.placements, &entry.placement);
         Some(queued)
     }
 }
 
+fn remove_entry(
+    tiers: &mut BTreeMap<QueueClass, TierQueue>,
+    class: QueueClass,
+    entry: &TierEntry,
+    served: bool,
+) {
+    if let Some(queue) = tiers.get_mut(&class) {
+        queue.remove(entry, served);
+        if queue.requests() == 0 {
+            tiers.remove(&class);
+        }
+    }
+}
+
 fn remove_placement(placements: &mut BTreeMap<Arc<Placement>, usize>, placement: &Arc<Placement>) {
     if let Some(count) = placements.get_mut(placement) {
         *count -= 1;
--- a/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
+++ b/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// Let the request wait as long as its run may end in time. The caller of a refused
+    /// request that has returned is late already.
+    pub fn until_last_start(self, run: Duration) -> Self {
+        let run = run.as_micros() as u64;
+        WaitPlan {
+            give_up_at: Moment::from_micros(self.run_until.as_micros().saturating_sub(run)),
+            ..self
+        }
+    }
+
     /// Get the retry-after time of a request that is refused now.
     pub fn retry_after(&self, now: Moment, attempt: &AttemptId) -> Duration {
         let left = self.run_until.since(now);
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -20,7 +20,9 @@
 use super::admission::key_table::{KeyTable, KeyVerdict};
 use super::admission::quota::QuotaBuckets;
 use super::admission::quota_recovery::QuotaRecovery;
+use super::admission::returning_calls::ReturningCalls;
 use super::admission::stream_requests::StreamRequests;
+use super::admission::wait_limit::WaitChecks;
 use super::learning::release_rate::ReleaseRate;
 use super::learning::run_time_estimator::from_millis;
 use super::options::OwnerOptions;
@@ -77,6 +79,9 @@
     /// The streams recorded since they were last reported to other hosts.
     pub(super) unshared_streams: Vec<StreamId>,
     pub(super) stream_requests: StreamRequests,
+    /// The calls that return after a refusal.
+    pub(super) returning: ReturningCalls,
+    pub(super) wait_checks: WaitChecks,
     pub(super) acting_since: Moment,
     /// The number of hosts that share the limits of an owner that serves its own host
     /// only.
@@ -117,6 +122,8 @@
             streams: StreamTable::default(),
             unshared_streams: Vec::new(),
             stream_requests: StreamRequests::default(),
+            returning: ReturningCalls::new(now),
+            wait_checks: WaitChecks::default(),
             acting_since: now,
             limit_hosts: 1,
             recovery: Some(QuotaRecovery::new(now)),
@@ -145,7 +152,10 @@
         self.review_cold(now, &mut actions);
         self.keys.expire(now);
         self.streams.expire(now);
+        self.expire_promises(now, &mut actions);
         self.expire_requests(now, &mut actions);
+        self.check_waits(now, &mut actions);
+        self.queue.promote_due(now);
         self.queue.demote_late(now);
         let incoming = match &event {
             OwnerEvent::Message(_, OwnerMessage::PermitRequest(request)) => {
@@ -197,6 +207,9 @@
         self.dispatch(now, &mut actions);
         if let Some((attempt, tier)) = incoming {
             let infeasible = !was_queued && self.shed_infeasible(now, &attempt, &mut actions);
+            if !was_queued {
+                self.schedule_wait_check(now, attempt);
+            }
             if self.shed(now, tier, &mut actions) || infeasible {
                 // Targets may have been reserved for a request that was shed.
                 self.dispatch(now, &mut actions);
@@ -240,6 +253,7 @@
             let on_time_end = self.queue.first_on_time_end();
             wake = wake.min(on_time_end.unwrap_or(Moment::NEVER));
             wake = wake.min(self.now.plus(QUEUE_POLL_INTERVAL));
+            wake = wake.min(self.wait_checks.next().unwrap_or(Moment::NEVER));
         }
         if !self.stream_requests.is_empty() {
             wake = wake.min(self.now.plus(QUEUE_POLL_INTERVAL));
@@ -320,10 +334,11 @@
                     self.keys.hold(now, claim);
                 }
             }
-            OwnerMessage::AccountUse { .. }
-            | OwnerMessage::Signature { .. }
-            | OwnerMessage::Promises { .. }
-            | OwnerMessage::TargetPaces { .. } => {}
+            OwnerMessage::Signature {
+                attempt, signature, ..
+            } => self.on_signature(host, attempt, signature),
+            OwnerMessage::Promises { promises, .. } => self.on_promises(now, promises),
+            OwnerMessage::AccountUse { .. } | OwnerMessage::TargetPaces { .. } => {}
             // Handled by the owner's key guard.
             OwnerMessage::OwnerConfirmed { .. } => {}
         }
@@ -406,18 +421,21 @@
         if let Some(claim) = &request.claim {
             self.keys.claim(now, claim);
         }
-        let plan = WaitPlan::new(
-            now,
-            &request,
-            self.min_first_token_time(request.cost),
-            self.expected_run_time(request.cost),
-        );
+        let earlier = self.redeem_promise(now, &host, &request);
+        let run = self.expected_run_time(request.cost);
+        let first = self.min_first_token_time(request.cost);
+        let plan = WaitPlan::new(now, &request, first, run);
+        let plan = match earlier.promise {
+            Some(_) => plan.until_last_start(run),
+            None => plan,
+        };
         let queued = QueuedRequest {
             request,
             host,
             plan: self.with_version_timeout(now, plan, &placement),
             placement: Arc::new(placement),
             origin,
+            earlier,
         };
         self.queue.push(now, queued);
     }
@@ -440,7 +458,7 @@
     }
 
     /// Get the predicted run time: the mean over the targets that work.
-    fn expected_run_time(&self, cost: TokenCost) -> Duration {
+    pub(super) fn expected_run_time(&self, cost: TokenCost) -> Duration {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
         let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -165,6 +165,7 @@
             load.add_expected_end(permit.expected_end());
         }
         self.counts.granted += 1;
+        self.record_started_work(now, permit.tier);
         let reply = self.granted_reply(&permit);
         actions.push(OwnerAction::Reply(queued.host, reply));
         self.permits.insert(permit);
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -60,6 +60,15 @@
     pub count: u64,
 }
 
+/// A `PromiseCount` is how often a state of promises to returning callers was reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PromiseCount {
+    /// The state.
+    pub state: &'static str,
+    /// The number since the owner took over.
+    pub count: u64,
+}
+
 /// A `ShardView` is the state of a shard owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ShardView {
@@ -81,6 +90,10 @@
     pub keys_known: u64,
     /// The refusals by reason.
     pub refusals: Vec<RefusalCount>,
+    /// What became of the promises to returning callers.
+    pub promises: Vec<PromiseCount>,
+    /// The number of promises that are not claimed yet.
+    pub promised: usize,
     /// The number of keys in the table.
     pub keys: usize,
     /// The number of prefixes in the table.
@@ -123,6 +136,14 @@
                     count: *count,
                 })
                 .collect(),
+            promises: self
+                .promise_counts()
+                .map(|(state, count)| PromiseCount {
+                    state: state.as_str(),
+                    count,
+                })
+                .collect(),
+            promised: self.returning.promised(),
             keys: self.keys.len(),
             prefixes: self.prefixes.len(),
         }
--- a/bergamotswitch-core/tests/node_handover.rs
+++ b/bergamotswitch-core/tests/node_handover.rs
@@ -5,6 +5,8 @@
 mod node_support;
 
 use bergamotswitch_core::address::{AddressQuery, CallerHash};
+use bergamotswitch_core::call_signature::CallSignature;
+use bergamotswitch_core::permit::ReturnPromise;
 use bergamotswitch_core::rendezvous;
 use entry_support::*;
 use node_support::net::*;
@@ -121,3 +123,35 @@
     };
     assert!(node.count(loads) > 0);
 }
+
+// Guards against promises to refused callers that are lost with an owner that stops.
+#[test]
+fn promises_handed_over() {
+    let mut net = NodeNet::start();
+    for node in &mut net.nodes {
+        node.publish("limits", json!({"return_room_permille": 500}));
+    }
+    let owner = net.owners()[0];
+    let promise = ReturnPromise {
+        signature: CallSignature::new(&name("crew"), 1),
+        tier: Tier(1),
+        account: name("crew"),
+        due_in_ms: 2_000,
+        expires_in_ms: 3_000,
+    };
+    let message = OwnerMessage::Promises {
+        shard: shard(),
+        promises: vec![promise],
+    };
+    let sender = HOSTS[(owner + 1) % HOSTS.len()];
+    net.nodes[owner].message(sender, LinkMessage::ToOwner(message));
+    let promised = |net: &NodeNet, at: usize| {
+        let node = &net.nodes[at];
+        node.core.view(node.now).shards[0].promised
+    };
+    assert_eq!(promised(&net, owner), 1);
+    net.nodes[owner].event(NodeEvent::Stop);
+    net.advance(Duration::from_millis(100));
+    let next = net.owners().into_iter().find(|at| *at != owner);
+    assert_eq!(promised(&net, next.expect("another owner")), 1);
+}
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -11,6 +11,7 @@
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::publication::FleetLimits;
 use bergamotswitch_core::refusal::RunClaim;
+use bergamotswitch_core::rendezvous;
 use entry_support::*;
 use node_support::*;
 
@@ -23,7 +24,7 @@
 
 /// The limits whose decisions are not built yet. A part that builds one moves its limit
 /// to the probes.
-const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille slow_moment_ms \
+const PENDING_LIMITS: &str = "account_share_half_life_ms slow_moment_ms \
     match_window_requests idle_connection_permille";
 
 type Probe = fn(&Value) -> u64;
@@ -55,6 +56,7 @@
         ("queue_limit_ms", (1_000, none(), shed)),
         ("queue_limit_requests", (1, none(), shed)),
         ("permit_lifetime_ms", (700, none(), permit_lifetime)),
+        ("return_room_permille", (500, none(), signatures)),
     ])
 }
 
@@ -203,6 +205,41 @@
     node.count(|action| matches!(action, NodeAction::Conclude(_, Conclusion::Refused(_))))
 }
 
+/// Get the number of call signatures that are sent to the owner of a call's shard.
+fn signatures(limits: &Value) -> u64 {
+    let me: HostName = name("me");
+    let others: Vec<HostName> = (0..40).map(|number| name(&format!("h{number}"))).collect();
+    let is_first = |host: &&HostName| rendezvous::rank(&shard(), [&me, *host].into_iter())[0] != me;
+    let owner = others
+        .iter()
+        .find(is_first)
+        .expect("a host before this one");
+    let mut node = node_with_hosts("me", &["me", owner.as_str()], json!({}));
+    node.publish("limits", limits.clone());
+    node.link_up(owner.as_str());
+    for _ in 0..100 {
+        for action in std::mem::take(&mut node.actions) {
+            if let NodeAction::Send(_, LinkMessage::Heartbeat(heartbeat)) = action {
+                let heard = heartbeat.sequence;
+                let reply = Heartbeat {
+                    sequence: 0,
+                    heard,
+                    ..heartbeat
+                };
+                node.message(owner.as_str(), LinkMessage::Heartbeat(reply));
+            }
+        }
+        node.advance(Duration::from_millis(100));
+    }
+    node.submit(submission());
+    node.count(|action| {
+        matches!(
+            action,
+            NodeAction::Send(_, LinkMessage::ToOwner(OwnerMessage::Signature { .. }))
+        )
+    })
+}
+
 fn permit_lifetime(limits: &Value) -> u64 {
     let mut node = bound(limits, ALONE, json!({}));
     node.link_up("peer");
--- a/bergamotswitch-core/tests/queue_differential.rs
+++ b/bergamotswitch-core/tests/queue_differential.rs
@@ -174,6 +174,7 @@
             permit_request.domains = vec![named(DOMAINS[usize::from(domain % 3)])];
             let queued = QueuedRequest {
                 origin: None,
+                earlier: Default::default(),
                 host: named("entry"),
                 plan: plan_until(Moment::from_millis(u64::from(deadline))),
                 placement: Arc::new(Placement::of(&permit_request, false)),
--- a/bergamotswitch-net/src/metrics/labels.rs
+++ b/bergamotswitch-net/src/metrics/labels.rs
@@ -16,6 +16,12 @@
     pub(super) reason: &'static str,
 }
 
+/// A `StateLabels` is the label set of promises to returning callers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct StateLabels {
+    pub(super) state: &'static str,
+}
+
 /// A `WasteLabels` is the label set of wasted prompt tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct WasteLabels {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -20,7 +20,7 @@
 
 use labels::{
     ForwardLabels, IncidentLabels, MessageLabels, ReasonLabels, RefusalLabels, ShardLabels,
-    TierLabels, ValueLabels, WasteLabels, tier_labels,
+    StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
@@ -79,6 +79,7 @@
     unmarked_exposure: Counter,
     link_messages: Family<MessageLabels, Counter>,
     owner_refusals: Family<ReasonLabels, Counter>,
+    return_promises: Family<StateLabels, Counter>,
     preemptions: Counter,
     reclaimed_permits: Counter,
     shard_queue: Family<ShardLabels, Gauge>,
@@ -120,6 +121,7 @@
             unmarked_exposure: Counter::default(),
             link_messages: Family::default(),
             owner_refusals: Family::default(),
+            return_promises: Family::default(),
             preemptions: Counter::default(),
             reclaimed_permits: Counter::default(),
             shard_queue: Family::default(),
--- a/bergamotswitch-net/src/metrics/owner_totals.rs
+++ b/bergamotswitch-net/src/metrics/owner_totals.rs
@@ -6,7 +6,7 @@
 use bergamotswitch_core::pool_owner::ShardView;
 use bergamotswitch_core::refusal::RefusalReason;
 
-use super::labels::{ReasonLabels, ShardLabels};
+use super::labels::{ReasonLabels, ShardLabels, StateLabels};
 use super::{NodeMetrics, gauge_value};
 
 /// The value of the label `domain` for a shard that spans all failure domains.
@@ -18,6 +18,7 @@
     preempted: u64,
     reclaimed: u64,
     refusals: BTreeMap<RefusalReason, u64>,
+    promises: BTreeMap<&'static str, u64>,
 }
 
 /// An `OwnerTotals` accumulates the counts of shard owners, which restart from
@@ -45,10 +46,12 @@
 
 fn totals_of(view: &ShardView) -> ShardTotals {
     let refusals = view.refusals.iter();
+    let promises = view.promises.iter();
     ShardTotals {
         preempted: view.preempted,
         reclaimed: view.reclaimed,
         refusals: refusals.map(|found| (found.reason, found.count)).collect(),
+        promises: promises.map(|found| (found.state, found.count)).collect(),
     }
 }
 
@@ -74,6 +77,13 @@
         let counter = metrics.owner_refusals.get_or_create(&labels);
         counter.inc_by(increase(counted, *count));
     }
+    for (state, count) in &after.promises {
+        let counted = before.promises.get(state).copied().unwrap_or_default();
+        let counter = metrics
+            .return_promises
+            .get_or_create(&StateLabels { state });
+        counter.inc_by(increase(counted, *count));
+    }
 }
 
 fn set_queue(metrics: &NodeMetrics, view: &ShardView) {
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -117,6 +117,11 @@
             "Asks that this host refused as a shard's owner, by reason",
             self.owner_refusals.clone(),
         );
+        registry.register(
+            "return_promises",
+            "Promises to refused callers that this host made as owner, by what became of them",
+            self.return_promises.clone(),
+        );
         registry.register(
             "preemptions",
             "Streams that this host had stopped for a higher tier as owner",
--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -133,7 +133,8 @@
     NodeOptions {
         entry: EntryOptions::default()
             .with_permit_resend_interval(PERMIT_RESEND_INTERVAL)
-            .with_retry_rate(rate),
+            .with_retry_rate(rate)
+            .with_signatures(limits.return_room_permille > 0),
         owner: OwnerOptions::default()
             .with_probe_interval(PROBE_INTERVAL.0, PROBE_INTERVAL.1)
             .with_quota_tolerance(QuotaTolerance {
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -162,6 +162,11 @@
         format!("{} {}", text(&refusal["reason"]), text(&refusal["count"]))
     });
     writeln!(f, "  refused  {refusals}")?;
+    let promises = list(&shard["promises"], |promise| {
+        format!("{} {}", text(&promise["state"]), text(&promise["count"]))
+    });
+    let open = text(&shard["promised"]);
+    writeln!(f, "  returns  {open} promised; {promises}")?;
     writeln!(f, "{}", target_table(&shard["targets"]))?;
     Ok(())
 }
