Join fair admission, reserved returns, momentary speed and connection reuse

Cause: under overload two accounts got twice their max-min share and small ones half of theirs; of the callers who returned as told, 63% and 81% were refused again; a target's momentary pace was read nowhere; 91 hosts opened 16,579 connections for 37,452 requests.

Change: the four parts of docs/design/hard-load.md that are built, each off without its setting. The queue has classes for returning calls (part B) whose order within a class remembers the use of accounts (part A); refusals above a share get a forecast return too.

--- a/bergamotswitch-core/src/entry/options.rs
+++ b/bergamotswitch-core/src/entry/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::failure_domain::DomainName;
+use crate::pool_owner::SchedulingOptions;
 use crate::publication::FleetLimits;
 use crate::retry::RetryRate;
 
@@ -38,6 +39,9 @@
     pub(super) max_kept_bytes: u64,
     pub(super) key_retention: Duration,
     pub(super) max_keys: usize,
+    /// How long a slow moment of a target is expected to last; `None` if paces are ignored.
+    pub(super) slow_moment: Option<Duration>,
+    pub(super) sends_signatures: bool,
     pub(super) fault: Option<Fault>,
 }
 
@@ -62,6 +66,8 @@
             max_kept_bytes: 67_108_864,
             key_retention: Duration::from_secs(86_400),
             max_keys: 100_000,
+            slow_moment: None,
+            sends_signatures: false,
             fault: None,
         }
     }
@@ -125,11 +131,20 @@
     /// Apply the published limits.
     pub fn with_limits(mut self, limits: &FleetLimits) -> Self {
         self.retry_rate.permille = limits.retry_budget_permille as u32;
-        self.with_attempts_per_request(limits.max_attempts as u16)
+        self.with_signatures(limits.return_room_permille > 0)
+            .with_attempts_per_request(limits.max_attempts as u16)
             .with_max_permit_age(Duration::from_millis(limits.permit_lifetime_ms))
             .with_answer_retention(Duration::from_millis(limits.kept_answer_ms))
             .with_max_kept_answers(limits.kept_answers as usize)
             .with_max_kept_bytes(limits.kept_answer_bytes)
+            .with_slow_moment(SchedulingOptions::of_limits(limits).slow_moment)
+    }
+
+    /// Set whether the owner of a shard is told the signature of each call, so that it
+    /// recognizes the calls that return after a refusal.
+    pub fn with_signatures(mut self, sent: bool) -> Self {
+        self.sends_signatures = sent;
+        self
     }
 
     /// Set how long a key is kept after its answer was dropped.
@@ -145,6 +160,13 @@
         self
     }
 
+    /// Set how long a slow moment of a target is expected to last; `None` ignores the
+    /// paces that targets name.
+    pub fn with_slow_moment(mut self, span: Option<Duration>) -> Self {
+        self.slow_moment = span;
+        self
+    }
+
     /// Inject a fault.
     #[doc(hidden)]
     pub fn with_fault(mut self, fault: Fault) -> Self {
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -106,6 +106,10 @@
     TargetBackedOff = 302, Warn, "target backed off";
     /// An audit reclaimed a leaked permit.
     PermitReclaimed = 303, Warn, "permit reclaimed by audit";
+    /// Requests of a client account above its share of a tier are refused.
+    AccountAboveShare = 304, Info, "account above its share refused";
+    /// Callers that returned as promised were refused.
+    PromisesBroken = 306, Warn, "promises to returning callers broken";
     /// A peer is reachable again.
     PeerReachable = 400, Info, "peer reachable";
     /// A peer has missed its heartbeats.
@@ -176,4 +180,8 @@
     DomainEvacuated = 716, Warn, "failure domain evacuated";
     /// An evacuated failure domain is taken back.
     DomainTakenBack = 717, Info, "failure domain taken back";
+    /// Idle connections to targets were closed to stay within a limit.
+    IdleConnectionsClosed = 719, Info, "idle connections to targets closed";
+    /// A target named a momentary pace that could not be read.
+    PaceMalformed = 718, Warn, "target names an unreadable pace";
 }
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -1,6 +1,7 @@
 //! Provides the release, audit and takeover of permits.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
@@ -39,6 +40,8 @@
         if not_executed {
             self.remove_prefix_hints(&permit);
         }
+        self.settle_use(now, &permit, &release.outcome);
+        self.record_connection(now, &permit, &release.outcome);
         match &release.outcome {
             ReleaseOutcome::Unused => self.clear_probe(&permit),
             ReleaseOutcome::Finished(usage) => {
@@ -103,7 +106,9 @@
         }
         self.drop_queued(&work.attempt);
         let long = self.costs.is_long(work.cost.total());
+        let mut full_time = Duration::ZERO;
         if let Some(load) = self.targets.get_mut(&work.target) {
+            full_time = load.full_time(now);
             load.add_permit(now, work.cost.total(), long);
         }
         self.permits.insert(GrantedPermit {
@@ -114,6 +119,8 @@
             tier: work.tier,
             account: work.account,
             cost: work.cost,
+            // Charged by the previous owner, which hands over the use of accounts.
+            charge: None,
             long,
             preemptible: work.preemptible,
             claim: None,
@@ -124,6 +131,7 @@
             // sample.
             tokens_ahead: 0,
             utilization: 1.0,
+            full_time,
             // The answer may have been reported to the previous owner.
             limit_named: true,
             finish_at: now,
@@ -164,6 +172,7 @@
         incarnation: Incarnation,
     ) {
         self.stream_requests.drop_incarnation(incarnation);
+        self.returning.drop_incarnation(incarnation);
         for attempt in self.queue.of_incarnation(incarnation) {
             self.drop_queued(&attempt);
         }
@@ -229,11 +238,13 @@
     fn on_finished(&mut self, now: Moment, permit: &GrantedPermit, usage: &Usage) {
         self.record_usage(now, permit, usage);
         if let Some(load) = self.targets.get_mut(&permit.target) {
-            load.record_run(&RunSample {
+            let sample = RunSample {
                 cost: permit.cost,
                 usage,
                 utilization: permit.utilization,
-            });
+                crowded_part: load.crowded_part(now, permit.full_time, usage),
+            };
+            load.record_run(now, &sample);
             load.reports_mut().record_success(now, &permit.host);
             load.back_off_mut()
                 .record_success(permit.id, permit.granted_at);
--- a/bergamotswitch-core/src/pool_owner/learning/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -64,6 +64,7 @@
             }
         }
         self.prefixes.remove_target(&target.name);
+        self.host_connections.drop_target(&target.name);
     }
 
     /// Add a target with the in-flight requests that are known to be there
@@ -73,6 +74,7 @@
         let back_off = BackOff::new(self.opts.probe_base, self.opts.probe_max);
         let start = target.started_at_ms;
         let mut load = TargetLoad::new(target, back_off);
+        load.set_slow_moment(self.paces.span());
         match self.leaving.get(&name) {
             Some(known) if is_later(start, *known) => {
                 self.leaving.remove(&name);
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -20,8 +20,12 @@
 use super::admission::key_table::{KeyTable, KeyVerdict};
 use super::admission::quota::QuotaBuckets;
 use super::admission::quota_recovery::QuotaRecovery;
+use super::admission::returning_calls::ReturningCalls;
 use super::admission::stream_requests::StreamRequests;
+use super::admission::wait_limit::WaitChecks;
 use super::learning::event_rate::EventRate;
+use super::learning::host_connections::HostConnections;
+use super::learning::pool_paces::PoolPaces;
 use super::learning::run_time_estimator::from_millis;
 use super::options::OwnerOptions;
 use super::order::queue::{Placement, QueuedRequest, RequestQueue};
@@ -47,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OwnerCounts {
     pub(super) granted: u64,
+    pub(super) connections_reused: u64,
+    pub(super) connections_opened: u64,
     pub(super) preempted: u64,
     pub(super) reclaimed: u64,
     pub(super) keys_known: u64,
@@ -81,6 +87,9 @@
     /// The streams recorded since they were last reported to other hosts.
     pub(super) unshared_streams: Vec<StreamId>,
     pub(super) stream_requests: StreamRequests,
+    /// The calls that return after a refusal.
+    pub(super) returning: ReturningCalls,
+    pub(super) wait_checks: WaitChecks,
     pub(super) acting_since: Moment,
     /// The number of hosts that share the limits of an owner that serves its own host
     /// only.
@@ -89,6 +98,8 @@
     /// accepted.
     pub(super) recovery: Option<QuotaRecovery>,
     pub(super) release_rate: EventRate,
+    pub(super) host_connections: HostConnections,
+    pub(super) paces: PoolPaces,
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
@@ -106,7 +117,7 @@
             identity,
             shard,
             now,
-            queue: RequestQueue::default(),
+            queue: RequestQueue::with_shares(opts.scheduling.account_share_half_life),
             targets: TargetSet::new(),
             targets_known: false,
             permits: PermitTable::default(),
@@ -121,10 +132,14 @@
             streams: StreamTable::default(),
             unshared_streams: Vec::new(),
             stream_requests: StreamRequests::default(),
+            returning: ReturningCalls::new(now),
+            wait_checks: WaitChecks::default(),
             acting_since: now,
             limit_hosts: 1,
             recovery: Some(QuotaRecovery::new(now)),
             release_rate: EventRate::over(RELEASE_WINDOW),
+            host_connections: HostConnections::of_opts(&opts),
+            paces: PoolPaces::new(opts.scheduling.slow_moment),
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
@@ -136,20 +151,35 @@
     /// applies the new limits with the next request.
     pub fn set_opts(&mut self, opts: OwnerOptions) {
         self.keys.set_bounds(opts.key_retention, opts.max_keys);
+        self.queue
+            .set_share_half_life(opts.scheduling.account_share_half_life);
+        if HostConnections::is_outdated(&self.opts, &opts) {
+            self.host_connections = HostConnections::of_opts(&opts);
+        }
+        if opts.scheduling.slow_moment != self.opts.scheduling.slow_moment {
+            self.set_slow_moment(opts.scheduling.slow_moment);
+        }
         self.opts = opts;
     }
 
     /// Process one event and get the resulting actions.
     pub fn handle(&mut self, now: Moment, event: OwnerEvent) -> Vec<OwnerAction> {
+        if self.absorb_usual_paces(now, &event) {
+            return Vec::new();
+        }
         let mut actions = Vec::new();
         self.now = now;
         self.quotas
             .set_portion(now, self.attached_hosts.quota_portion(now));
         self.adjust_pace(now);
+        self.refresh_paces(now);
         self.review_cold(now, &mut actions);
         self.keys.expire(now);
         self.streams.expire(now);
+        self.expire_promises(now, &mut actions);
         self.expire_requests(now, &mut actions);
+        self.check_waits(now, &mut actions);
+        self.queue.promote_due(now);
         self.queue.demote_late(now);
         let incoming = match &event {
             OwnerEvent::Message(_, OwnerMessage::PermitRequest(request)) => {
@@ -187,6 +217,7 @@
             OwnerEvent::HostTerminated(host, incarnation) => {
                 self.attached_hosts
                     .detach(now, &host, self.opts.owner_overlap);
+                self.host_connections.drop_host(&host);
                 self.drop_incarnation(now, incarnation);
             }
             OwnerEvent::HandedOver => {
@@ -201,6 +232,9 @@
         self.dispatch(now, &mut actions);
         if let Some((attempt, tier)) = incoming {
             let infeasible = !was_queued && self.shed_infeasible(now, &attempt, &mut actions);
+            if !was_queued {
+                self.schedule_wait_check(now, attempt);
+            }
             if self.shed(now, tier, &mut actions) || infeasible {
                 // Targets may have been reserved for a request that was shed.
                 self.dispatch(now, &mut actions);
@@ -244,6 +278,7 @@
             let on_time_end = self.queue.first_on_time_end();
             wake = wake.min(on_time_end.unwrap_or(Moment::NEVER));
             wake = wake.min(self.now.plus(QUEUE_POLL_INTERVAL));
+            wake = wake.min(self.wait_checks.next().unwrap_or(Moment::NEVER));
         }
         if !self.stream_requests.is_empty() {
             wake = wake.min(self.now.plus(QUEUE_POLL_INTERVAL));
@@ -324,10 +359,12 @@
                     self.keys.hold(now, claim);
                 }
             }
-            OwnerMessage::AccountUse { .. }
-            | OwnerMessage::Signature { .. }
-            | OwnerMessage::Promises { .. }
-            | OwnerMessage::TargetPaces { .. } => {}
+            OwnerMessage::AccountUse { accounts, .. } => self.on_account_use(now, &accounts),
+            OwnerMessage::TargetPaces { targets, .. } => self.on_target_paces(now, &targets),
+            OwnerMessage::Signature {
+                attempt, signature, ..
+            } => self.on_signature(host, attempt, signature),
+            OwnerMessage::Promises { promises, .. } => self.on_promises(now, promises),
             // Handled by the owner's key guard.
             OwnerMessage::OwnerConfirmed { .. } => {}
         }
@@ -410,20 +447,24 @@
         if let Some(claim) = &request.claim {
             self.keys.claim(now, claim);
         }
-        let plan = WaitPlan::new(
-            now,
-            &request,
-            self.min_first_token_time(request.cost),
-            self.expected_run_time(request.cost),
-        );
+        let earlier = self.redeem_promise(now, &host, &request);
+        let run = self.expected_run_time(request.cost);
+        let first = self.min_first_token_time(request.cost);
+        let plan = WaitPlan::new(now, &request, first, run);
+        let plan = match earlier.promise {
+            Some(_) => plan.until_last_start(run),
+            None => plan,
+        };
         let queued = QueuedRequest {
             request,
             host,
             plan: self.with_version_timeout(now, plan, &placement),
             placement: Arc::new(placement),
             origin,
+            earlier,
         };
-        self.queue.push(now, queued);
+        let slot_time = self.slot_time(queued.request.cost, run);
+        self.queue.push_costing(now, queued, slot_time);
     }
 
     /// Get whether all targets publish their slots, the number of requests that
@@ -444,7 +485,7 @@
     }
 
     /// Get the predicted run time: the mean over the targets that work.
-    fn expected_run_time(&self, cost: TokenCost) -> Duration {
+    pub(super) fn expected_run_time(&self, cost: TokenCost) -> Duration {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
         let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -111,7 +111,7 @@
         warm: &[WarmTarget],
         actions: &mut Vec<OwnerAction>,
     ) {
-        let Some(queued) = self.queue.serve(attempt) else {
+        let Some((queued, charge)) = self.queue.serve_at(now, attempt) else {
             return;
         };
         self.quotas
@@ -129,6 +129,7 @@
         let tokens = request.cost.total();
         load.back_off_mut().start_probe(id);
         let utilization = load.utilization();
+        let full_time = load.full_time(now);
         load.add_permit(now, tokens, queued.placement.long);
         load.take_pace(now);
         let tokens_ahead = load.tokens_ahead_of(now, tokens);
@@ -140,6 +141,7 @@
         if let Some(claim) = &request.claim {
             self.keys.grant(now, claim);
         }
+        self.use_connection(now, &queued.host, &route.target);
         let permit = GrantedPermit {
             id,
             host: queued.host.clone(),
@@ -148,6 +150,7 @@
             tier: request.tier,
             account: request.account,
             cost: request.cost,
+            charge,
             long: queued.placement.long,
             preemptible: request.preemptible,
             claim: request.claim,
@@ -156,6 +159,7 @@
             granted_at: now,
             tokens_ahead,
             utilization,
+            full_time,
             limit_named: false,
             finish_at: now.plus(Duration::from_micros(route.finish_micros)),
             preempted_at: None,
@@ -165,6 +169,7 @@
             load.add_expected_end(permit.expected_end());
         }
         self.counts.granted += 1;
+        self.record_started_work(now, permit.tier);
         let reply = self.granted_reply(&permit);
         actions.push(OwnerAction::Reply(queued.host, reply));
         self.permits.insert(permit);
--- a/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
@@ -1,11 +1,13 @@
 //! Provides the table of granted permits that have not been released.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
 
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::permit::{KeyClaim, PermitId};
+use crate::pool_owner::admission::account_shares::UseCharge;
 use crate::pool_owner::learning::speed_estimator::ExpectedEnd;
 use crate::request::{AttemptId, PrefixHash, TokenCost};
 use crate::rules::Tier;
@@ -28,6 +30,8 @@
     pub account: AccountName,
     /// The estimated cost.
     pub cost: TokenCost,
+    /// What its account was charged, if the use of accounts is remembered.
+    pub charge: Option<UseCharge>,
     /// Whether the request counts as long.
     pub long: bool,
     /// Whether the stream may be preempted for a higher tier.
@@ -45,6 +49,8 @@
     pub tokens_ahead: u64,
     /// The target's utilization with this request, 1 when full.
     pub utilization: f64,
+    /// For how long the target had been nearly full in total at the grant.
+    pub full_time: Duration,
     /// Whether the answer named a limit of the target's request rate.
     pub limit_named: bool,
     /// When the request is predicted to end.
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -9,8 +9,12 @@
 use crate::rules::Tier;
 use crate::target::{RequestRate, TargetName};
 
+use super::admission::account_shares::AccountShareView;
 use super::owner::ShardOwner;
 
+/// The pace from which a target is shown as slow, in hundredths of the usual time.
+const SLOW_PACE: u64 = 125;
+
 /// A `TierView` is the queue of one tier.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct TierView {
@@ -42,6 +46,10 @@
     /// The limit of its request rate that the target named, in requests per 1,000
     /// seconds.
     pub rate_limit: Option<RequestRate>,
+    /// The time that work takes there at this moment, in hundredths of the usual time.
+    pub pace: u64,
+    /// The mean run time at the usual pace, in milliseconds; 0 before the first run.
+    pub run_ms: u64,
     /// How long the target stays cold, and limited for that reason, in milliseconds; 0 if it
     /// is warm.
     pub cold_ms: u64,
@@ -60,6 +68,27 @@
     pub count: u64,
 }
 
+/// A `ConnectionView` is the use of hosts' connections to targets, as seen by the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct ConnectionView {
+    /// The number of idle connections that hosts are likely to have.
+    pub idle: usize,
+    /// The number of permits for which an idle connection was likely, since the owner
+    /// took over.
+    pub reused: u64,
+    /// The number of permits for which a new connection was likely.
+    pub opened: u64,
+}
+
+/// A `PromiseCount` is how often a state of promises to returning callers was reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PromiseCount {
+    /// The state.
+    pub state: &'static str,
+    /// The number since the owner took over.
+    pub count: u64,
+}
+
 /// A `ShardView` is the state of a shard owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ShardView {
@@ -81,10 +110,30 @@
     pub keys_known: u64,
     /// The refusals by reason.
     pub refusals: Vec<RefusalCount>,
+    /// What became of the promises to returning callers.
+    pub promises: Vec<PromiseCount>,
+    /// The number of promises that are not claimed yet.
+    pub promised: usize,
     /// The number of keys in the table.
     pub keys: usize,
     /// The number of prefixes in the table.
     pub prefixes: usize,
+    /// The client accounts that are furthest above their shares; empty without fair
+    /// admission.
+    pub account_shares: Vec<AccountShareView>,
+    /// The use of connections; absent if targets are not chosen by them.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub connections: Option<ConnectionView>,
+}
+
+/// The maximum number of client accounts in a [`ShardView`].
+const MAX_SHARES: usize = 16;
+impl ShardView {
+    /// Get the number of targets that are slow at this moment.
+    pub fn slow_targets(&self) -> usize {
+        let targets = self.targets.iter();
+        targets.filter(|target| target.pace >= SLOW_PACE).count()
+    }
 }
 
 impl ShardOwner {
@@ -102,6 +151,7 @@
     pub fn view(&self) -> ShardView {
         let queued = self.queue.tiers();
         let refusals = self.counts.refusals.iter();
+        let shares = self.queue.shares.as_ref();
         ShardView {
             shard: self.shard.clone(),
             queued: queued
@@ -123,8 +173,19 @@
                     count: *count,
                 })
                 .collect(),
+            promises: self
+                .promise_counts()
+                .map(|(state, count)| PromiseCount {
+                    state: state.as_str(),
+                    count,
+                })
+                .collect(),
+            promised: self.returning.promised(),
             keys: self.keys.len(),
             prefixes: self.prefixes.len(),
+            account_shares: shares
+                .map_or_else(Vec::new, |shares| shares.view(self.now, MAX_SHARES)),
+            connections: self.connection_view(),
         }
     }
 
@@ -139,6 +200,8 @@
                 limit: load.limit(self.now),
                 speed: load.speed(self.now) as u64,
                 rate_limit: load.rate_limit(),
+                run_ms: load.mean_run_ms().round() as u64,
+                pace: (load.pace_factor() * 100.0).round() as u64,
                 cold_ms: load
                     .warm_at()
                     .map_or(0, |at| at.since(self.now).as_millis() as u64),
--- a/bergamotswitch-core/tests/burst_cost.rs
+++ b/bergamotswitch-core/tests/burst_cost.rs
@@ -4,6 +4,7 @@
 mod burst_load;
 mod owner_bench;
 
+use bergamotswitch_core::pool_owner::SchedulingOptions;
 use burst_load::{BurstLoad, LoadPlan, RequestClass};
 use owner_bench::*;
 
@@ -37,8 +38,8 @@
 }
 
 /// Run the load and get the mean CPU time per event in microseconds.
-fn event_micros() -> f64 {
-    let mut burst = BurstLoad::new(plan());
+fn event_micros(opts: OwnerOptions) -> f64 {
+    let mut burst = BurstLoad::with_options(plan(), opts);
     let started = cpu_nanos();
     burst.run();
     (cpu_nanos() - started) as f64 / burst.events as f64 / 1_000.0
@@ -56,7 +57,20 @@
 // out.
 #[test]
 fn event_cpu_time() {
-    let micros = (0..RUNS).map(|_| event_micros());
+    check_cpu_time(OwnerOptions::default());
+}
+
+// Guards against the same with fair admission.
+#[test]
+fn fair_cpu_time() {
+    check_cpu_time(OwnerOptions::default().with_scheduling(SchedulingOptions {
+        account_share_half_life: Some(Duration::from_secs(1)),
+        ..SchedulingOptions::default()
+    }));
+}
+
+fn check_cpu_time(opts: OwnerOptions) {
+    let micros = (0..RUNS).map(|_| event_micros(opts.clone()));
     let fastest = micros.min_by(f64::total_cmp).expect("a run");
     println!("{fastest:.1} us of CPU time per event");
     assert!(fastest < EVENT_MICROS, "{fastest:.1} us");
--- a/bergamotswitch-core/tests/node_limits.rs
+++ b/bergamotswitch-core/tests/node_limits.rs
@@ -11,6 +11,8 @@
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::publication::FleetLimits;
 use bergamotswitch_core::refusal::RunClaim;
+use bergamotswitch_core::rendezvous;
+use bergamotswitch_core::target::{MomentaryPace, NamedPace};
 use entry_support::*;
 use node_support::*;
 
@@ -23,8 +25,7 @@
 
 /// The limits whose decisions are not built yet. A part that builds one moves its limit
 /// to the probes.
-const PENDING_LIMITS: &str = "account_share_half_life_ms return_room_permille slow_moment_ms \
-    match_window_requests idle_connection_permille";
+const PENDING_LIMITS: &str = "match_window_requests";
 
 type Probe = fn(&Value) -> u64;
 
@@ -55,6 +56,13 @@
         ("queue_limit_ms", (1_000, none(), shed)),
         ("queue_limit_requests", (1, none(), shed)),
         ("permit_lifetime_ms", (700, none(), permit_lifetime)),
+        (
+            "account_share_half_life_ms",
+            (1_000, none(), remembered_accounts),
+        ),
+        ("idle_connection_permille", (100, none(), connections)),
+        ("slow_moment_ms", (400, none(), pace)),
+        ("return_room_permille", (500, none(), signatures)),
     ])
 }
 
@@ -203,6 +211,49 @@
     node.count(|action| matches!(action, NodeAction::Conclude(_, Conclusion::Refused(_))))
 }
 
+/// Get the number of accounts whose use is remembered after a request was granted.
+fn remembered_accounts(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    node.submit(submission());
+    let view = node.core.view(node.now);
+    view.shards[0].account_shares.len() as u64
+}
+
+/// Get the number of call signatures that are sent to the owner of a call's shard.
+fn signatures(limits: &Value) -> u64 {
+    let me: HostName = name("me");
+    let others: Vec<HostName> = (0..40).map(|number| name(&format!("h{number}"))).collect();
+    let is_first = |host: &&HostName| rendezvous::rank(&shard(), [&me, *host].into_iter())[0] != me;
+    let owner = others
+        .iter()
+        .find(is_first)
+        .expect("a host before this one");
+    let mut node = node_with_hosts("me", &["me", owner.as_str()], json!({}));
+    node.publish("limits", limits.clone());
+    node.link_up(owner.as_str());
+    for _ in 0..100 {
+        for action in std::mem::take(&mut node.actions) {
+            if let NodeAction::Send(_, LinkMessage::Heartbeat(heartbeat)) = action {
+                let heard = heartbeat.sequence;
+                let reply = Heartbeat {
+                    sequence: 0,
+                    heard,
+                    ..heartbeat
+                };
+                node.message(owner.as_str(), LinkMessage::Heartbeat(reply));
+            }
+        }
+        node.advance(Duration::from_millis(100));
+    }
+    node.submit(submission());
+    node.count(|action| {
+        matches!(
+            action,
+            NodeAction::Send(_, LinkMessage::ToOwner(OwnerMessage::Signature { .. }))
+        )
+    })
+}
+
 fn permit_lifetime(limits: &Value) -> u64 {
     let mut node = bound(limits, ALONE, json!({}));
     node.link_up("peer");
@@ -220,6 +271,25 @@
     granted.expect("a permit")
 }
 
+/// Get the number of connections for whose sake a target is chosen.
+fn connections(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    node.submit(submission());
+    let view = node.core.view(node.now);
+    let connections = view.shards.iter().filter_map(|shard| shard.connections);
+    connections.map(|connections| connections.opened).sum()
+}
+
+/// Get the pace at which the owner expects a target to work that named 250 in an answer.
+fn pace(limits: &Value) -> u64 {
+    let mut node = bound(limits, ALONE, json!({}));
+    let attempt = node.start(submission());
+    let named = MomentaryPace::try_from(250).expect("a pace");
+    let named = AttemptEvent::PaceNamed(NamedPace::Pace(named));
+    node.event(NodeEvent::Attempt(attempt, named));
+    node.core.view(node.now).shards[0].targets[0].pace
+}
+
 // Guards against limits that are adopted but not applied by the state machines.
 #[test]
 fn each_limit_binds() {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -20,10 +20,11 @@
 
 use labels::{
     ForwardLabels, IncidentLabels, MessageLabels, ReasonLabels, RefusalLabels, ShardLabels,
-    TierLabels, ValueLabels, WasteLabels, tier_labels,
+    StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
+use crate::target_client::connection::ConnectionCounts;
 
 pub use owner_totals::OwnerTotals;
 
@@ -79,17 +80,25 @@
     unmarked_exposure: Counter,
     link_messages: Family<MessageLabels, Counter>,
     owner_refusals: Family<ReasonLabels, Counter>,
+    return_promises: Family<StateLabels, Counter>,
     preemptions: Counter,
     reclaimed_permits: Counter,
     shard_queue: Family<ShardLabels, Gauge>,
+    account_share_ratio_max: Gauge<f64, AtomicU64>,
     load: Gauge,
     crashed_calls: Gauge,
     quarantined_calls: Gauge,
     limited_targets: Gauge,
+    slow_targets: Gauge,
+    malformed_paces: Counter,
     cold_targets: Gauge,
     evacuated_domains: Gauge,
     lost_paths: Gauge,
     open_tunnels: Gauge,
+    opened_connections: Counter,
+    reused_connections: Counter,
+    closed_connections: Counter,
+    idle_connections: Gauge,
 }
 
 impl NodeMetrics {
@@ -120,17 +129,25 @@
             unmarked_exposure: Counter::default(),
             link_messages: Family::default(),
             owner_refusals: Family::default(),
+            return_promises: Family::default(),
             preemptions: Counter::default(),
             reclaimed_permits: Counter::default(),
             shard_queue: Family::default(),
+            account_share_ratio_max: Gauge::default(),
             load: Gauge::default(),
             crashed_calls: Gauge::default(),
             quarantined_calls: Gauge::default(),
             limited_targets: Gauge::default(),
+            slow_targets: Gauge::default(),
+            malformed_paces: Counter::default(),
             cold_targets: Gauge::default(),
             evacuated_domains: Gauge::default(),
             lost_paths: Gauge::default(),
             open_tunnels: Gauge::default(),
+            opened_connections: Counter::default(),
+            reused_connections: Counter::default(),
+            closed_connections: Counter::default(),
+            idle_connections: Gauge::default(),
         };
         metrics.register_outcomes();
         metrics.register_state();
@@ -308,6 +325,13 @@
         self.limited_targets.set(count as i64);
     }
 
+    /// Set the number of targets that are slow at this moment, as this host knows as owner,
+    /// and the total number of paces that could not be read.
+    pub fn set_paces(&self, slow: usize, malformed: u64) {
+        self.slow_targets.set(slow as i64);
+        set_total(&self.malformed_paces, malformed);
+    }
+
     /// Set the number of targets that are cold.
     pub fn set_cold_targets(&self, count: usize) {
         self.cold_targets.set(count as i64);
@@ -328,6 +352,14 @@
         self.open_tunnels.set(count as i64);
     }
 
+    /// Set the use of connections to targets.
+    pub fn set_target_connections(&self, counts: &ConnectionCounts) {
+        set_total(&self.opened_connections, counts.opened);
+        set_total(&self.reused_connections, counts.reused);
+        set_total(&self.closed_connections, counts.closed);
+        self.idle_connections.set(gauge_value(counts.idle));
+    }
+
     /// Set the total number of requests admitted without a shard owner.
     pub fn set_degraded_admissions(&self, total: u64) {
         set_total(&self.degraded_admissions, total);
--- a/bergamotswitch-net/src/metrics/owner_totals.rs
+++ b/bergamotswitch-net/src/metrics/owner_totals.rs
@@ -6,7 +6,7 @@
 use bergamotswitch_core::pool_owner::ShardView;
 use bergamotswitch_core::refusal::RefusalReason;
 
-use super::labels::{ReasonLabels, ShardLabels};
+use super::labels::{ReasonLabels, ShardLabels, StateLabels};
 use super::{NodeMetrics, gauge_value};
 
 /// The value of the label `domain` for a shard that spans all failure domains.
@@ -18,6 +18,7 @@
     preempted: u64,
     reclaimed: u64,
     refusals: BTreeMap<RefusalReason, u64>,
+    promises: BTreeMap<&'static str, u64>,
 }
 
 /// An `OwnerTotals` accumulates the counts of shard owners, which restart from
@@ -32,6 +33,7 @@
     /// Update the metrics of owned shards.
     pub fn refresh(&mut self, metrics: &NodeMetrics, views: &[ShardView]) {
         metrics.shard_queue.clear();
+        metrics.account_share_ratio_max.set(max_share_ratio(views));
         let mut earlier = std::mem::take(&mut self.shards);
         for view in views {
             let before = earlier.remove(&view.shard).unwrap_or_default();
@@ -45,10 +47,12 @@
 
 fn totals_of(view: &ShardView) -> ShardTotals {
     let refusals = view.refusals.iter();
+    let promises = view.promises.iter();
     ShardTotals {
         preempted: view.preempted,
         reclaimed: view.reclaimed,
         refusals: refusals.map(|found| (found.reason, found.count)).collect(),
+        promises: promises.map(|found| (found.state, found.count)).collect(),
     }
 }
 
@@ -74,6 +78,19 @@
         let counter = metrics.owner_refusals.get_or_create(&labels);
         counter.inc_by(increase(counted, *count));
     }
+    for (state, count) in &after.promises {
+        let counted = before.promises.get(state).copied().unwrap_or_default();
+        let counter = metrics
+            .return_promises
+            .get_or_create(&StateLabels { state });
+        counter.inc_by(increase(counted, *count));
+    }
+}
+
+fn max_share_ratio(views: &[ShardView]) -> f64 {
+    let shares = views.iter().flat_map(|view| &view.account_shares);
+    let highest = shares.map(|share| share.ratio_permille).max();
+    highest.map_or(1.0, |permille| permille as f64 / 1_000.0)
 }
 
 fn set_queue(metrics: &NodeMetrics, view: &ShardView) {
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -76,6 +76,11 @@
             "Asks queued at this host as owner, by shard and tier",
             self.shard_queue.clone(),
         );
+        registry.register(
+            "account_share_ratio_max",
+            "Use of the most over-served client account divided by its share, 1 if none is",
+            self.account_share_ratio_max.clone(),
+        );
         registry.register(
             "load_permille",
             "How busy the host is, in thousandths of what it can carry",
@@ -117,6 +122,11 @@
             "Asks that this host refused as a shard's owner, by reason",
             self.owner_refusals.clone(),
         );
+        registry.register(
+            "return_promises",
+            "Promises to refused callers that this host made as owner, by what became of them",
+            self.return_promises.clone(),
+        );
         registry.register(
             "preemptions",
             "Streams that this host had stopped for a higher tier as owner",
@@ -142,6 +152,16 @@
             "Targets that have named a rate limit to this host",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "slow_targets",
+            "Targets that are slow at this moment, as known to this host as owner",
+            self.slow_targets.clone(),
+        );
+        registry.register(
+            "malformed_paces",
+            "Momentary paces of targets that this host could not read",
+            self.malformed_paces.clone(),
+        );
         registry.register(
             "cold_targets",
             "Targets that are cold, so that their owner limits their rate",
@@ -162,6 +182,26 @@
             "Connections to targets that other hosts use through this host",
             self.open_tunnels.clone(),
         );
+        registry.register(
+            "target_connections_opened",
+            "Connections to targets opened for calls",
+            self.opened_connections.clone(),
+        );
+        registry.register(
+            "target_connections_reused",
+            "Calls sent over an idle connection to a target",
+            self.reused_connections.clone(),
+        );
+        registry.register(
+            "idle_connections_closed",
+            "Idle connections to targets closed to stay within a limit",
+            self.closed_connections.clone(),
+        );
+        registry.register(
+            "idle_connections",
+            "Idle connections to targets",
+            self.idle_connections.clone(),
+        );
         registry.register(
             "degraded_admissions",
             "Requests admitted by this host's own fraction, without an owner",
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -127,6 +127,8 @@
         "crashed_calls",
         "quarantined_calls",
         "limited_targets",
+        "malformed_paces",
+        "unsent_paces",
         "resting_targets",
         "lost_paths",
     ];
@@ -162,10 +164,35 @@
         format!("{} {}", text(&refusal["reason"]), text(&refusal["count"]))
     });
     writeln!(f, "  refused  {refusals}")?;
+    if !items(&shard["account_shares"]).is_empty() {
+        writeln!(f, "{}", share_table(&shard["account_shares"]))?;
+    }
+    let promises = list(&shard["promises"], |promise| {
+        format!("{} {}", text(&promise["state"]), text(&promise["count"]))
+    });
+    let open = text(&shard["promised"]);
+    writeln!(f, "  returns  {open} promised; {promises}")?;
     writeln!(f, "{}", target_table(&shard["targets"]))?;
     Ok(())
 }
 
+fn share_table(shares: &Value) -> TextTable {
+    let head = ["account", "tier", "weight", "used ms", "share ms", "ratio"];
+    let mut table = TextTable::new(&head).with_indent(2);
+    for share in items(shares) {
+        let ratio = share["ratio_permille"].as_f64().unwrap_or(1_000.0) / 1_000.0;
+        table.add(vec![
+            text(&share["account"]),
+            text(&share["tier"]),
+            text(&share["weight"]),
+            text(&share["used_ms"]),
+            text(&share["share_ms"]),
+            format!("{ratio:.2}"),
+        ]);
+    }
+    table
+}
+
 fn target_state(target: &Value) -> &'static str {
     if target["leaving"] == true {
         return "leaving";
@@ -189,6 +216,8 @@
         "limit",
         "tokens/s",
         "rate limit/s",
+        "pace",
+        "run ms",
     ];
     let mut table = TextTable::new(&head).with_indent(2);
     for target in items(targets) {
@@ -202,6 +231,8 @@
             text(&target["limit"]),
             text(&target["speed"]),
             rate_text(&target["rate_limit"]),
+            text(&target["pace"]),
+            text(&target["run_ms"]),
         ]);
     }
     table
