--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -180,8 +180,8 @@
     DomainEvacuated = 716, Warn, "failure domain evacuated";
     /// An evacuated failure domain is taken back.
     DomainTakenBack = 717, Info, "failure domain taken back";
-    /// Idle connections to targets were closed to stay within a limit.
-    IdleConnectionsClosed = 719, Info, "idle connections to targets closed";
     /// A target named a momentary pace that could not be read.
     PaceMalformed = 718, Warn, "target names an unreadable pace";
+    /// Idle connections to targets were closed to stay within a limit.
+    IdleConnectionsClosed = 719, Info, "idle connections to targets closed";
 }
