--- a/bergamotswitch-core/src/entry/dispatcher/target_paces.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/target_paces.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Forget the paces of targets that are gone.
+    /// Drop the paces of targets that are no longer published.
     pub(super) fn prune_paces(&mut self) {
         let pools = &self.pools;
         self.paces.retain(|target| pools.has_target(target));
--- a/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
@@ -85,7 +85,7 @@
 /// there are too many.
 #[derive(Debug, Default)]
 struct RefusedCalls {
-    /// Until when calls of a signature may return, and how many.
+    /// The refused calls by signature: when the last of them can return, and their number.
     calls: BTreeMap<CallSignature, (Moment, u32)>,
     by_end: BTreeSet<(Moment, CallSignature)>,
 }
--- a/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
@@ -60,7 +60,7 @@
         if !self.makes_promises() || !has_limit || self.has_free_slot(now) {
             return give_up;
         }
-        // The prediction leaves out what higher tiers will send meanwhile.
+        // The prediction does not include requests of higher tiers that arrive later.
         let left = queued.plan.on_time_until.since(now);
         left.mul_f64(self.left_by_higher(now, queued.request.tier))
             .min(give_up)
