Log each begun stream that its host ends

Event 213, a warning, names the request, the reason, what became of its latest run, how long it had been silent, how much time was left, and its targets. No decision is changed.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -98,6 +98,8 @@
     StreamTakenUp = 211, Info, "stream taken up at its version";
     /// A stream was refused for want of the version that began it.
     StreamVersionMissing = 212, Warn, "stream refused for want of its version";
+    /// This host ended a stream that had begun and whose caller was still there.
+    StreamCut = 213, Warn, "begun stream ended by this host";
     /// The host has started to act as owner of a shard.
     OwnershipTaken = 300, Warn, "acting as owner of shard";
     /// The host no longer acts as owner of a shard.
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bergamotswitch_core::clock::Moment;
-use bergamotswitch_core::entry::{AttemptEvent, Conclusion, SubmitOutcome};
+use bergamotswitch_core::entry::{Conclusion, SubmitOutcome};
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent};
 use bergamotswitch_core::pool::PoolKind;
@@ -253,10 +253,8 @@
             }
             NodeInput::Attempt(id, event) => {
                 let now = self.now();
-                if event == AttemptEvent::FirstToken
-                    && let Some(request) = self.requests.get_mut(id.request)
-                {
-                    request.log.record_first_token(now);
+                if let Some(request) = self.requests.get_mut(id.request) {
+                    request.log.record_event(now, event);
                 }
                 self.handle(NodeEvent::Attempt(id, event));
             }
@@ -341,7 +339,12 @@
                 };
                 self.start(attempt, &target, kind, route);
             }
-            NodeAction::Abort { attempt, cancel } => self.targets.abort(attempt, cancel),
+            NodeAction::Abort { attempt, cancel } => {
+                if let Some(request) = self.requests.get_mut(attempt.request) {
+                    request.log.record_abort();
+                }
+                self.targets.abort(attempt, cancel);
+            }
             NodeAction::Conclude(id, conclusion) => self.conclude(id, conclusion),
             NodeAction::DropAnswer(id) => self.requests.remove(id),
             NodeAction::Forward(id, holder) => {
@@ -397,6 +400,10 @@
         request
             .log
             .write_end(now, Some(id), &conclusion, data_parts);
+        if let Some(reason) = request.log.cut_reason(&conclusion) {
+            request.log.write_cut(now, id, reason);
+            self.metrics.count_incident(Incident::StreamCut);
+        }
         let part = match conclusion {
             Conclusion::Answered | Conclusion::TargetError => AnswerPart::End,
             Conclusion::Refused(refusal) => AnswerPart::Refused(refusal),
--- a/bergamotswitch-net/src/node/request_log.rs
+++ b/bergamotswitch-net/src/node/request_log.rs
@@ -5,9 +5,10 @@
 
 use bergamotswitch_core::call_signature::CallSignature;
 use bergamotswitch_core::clock::Moment;
-use bergamotswitch_core::entry::{Conclusion, Submission};
+use bergamotswitch_core::entry::{AttemptEvent, Conclusion, Submission};
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::name::AccountName;
+use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::request::{PartId, RequestId};
 use bergamotswitch_core::rules::{RuleName, Tier};
 use bergamotswitch_core::target::TargetName;
@@ -16,6 +17,30 @@
 use crate::event_log;
 use crate::input::OutgoingCall;
 
+/// A `LatestRun` is what became of the latest run of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LatestRun {
+    /// There was none.
+    #[default]
+    None,
+    Running,
+    /// This host aborted it.
+    Aborted,
+    /// The target or its connection ended it.
+    Ended,
+}
+
+impl LatestRun {
+    fn as_str(self) -> &'static str {
+        match self {
+            LatestRun::None => "none",
+            LatestRun::Running => "running",
+            LatestRun::Aborted => "aborted",
+            LatestRun::Ended => "ended",
+        }
+    }
+}
+
 /// A `RequestLog` holds the data for the log lines about a request.
 #[derive(Debug)]
 pub(super) struct RequestLog {
@@ -36,6 +61,11 @@
     received_at: Moment,
     started_at: Option<Moment>,
     first_token_at: Option<Moment>,
+    /// The last time at which a run reported output.
+    output_at: Option<Moment>,
+    latest_run: LatestRun,
+    deadline: Moment,
+    is_stream: bool,
     targets: Vec<TargetName>,
     /// The start of the planned stop during which the request was received.
     stop_at: Option<Moment>,
@@ -59,6 +89,10 @@
             received_at: now,
             started_at: None,
             first_token_at: None,
+            output_at: None,
+            latest_run: LatestRun::None,
+            deadline: now.plus(submission.deadline_in),
+            is_stream: submission.streaming,
             targets: Vec::new(),
             stop_at: None,
         }
@@ -73,12 +107,68 @@
     /// Record a dispatch to a target.
     pub(super) fn record_dispatch(&mut self, now: Moment, target: &TargetName) {
         self.started_at.get_or_insert(now);
+        self.latest_run = LatestRun::Running;
         self.targets.push(target.clone());
     }
 
-    /// Record the arrival of the first token.
-    pub(super) fn record_first_token(&mut self, now: Moment) {
-        self.first_token_at.get_or_insert(now);
+    /// Record an event of a run.
+    pub(super) fn record_event(&mut self, now: Moment, event: AttemptEvent) {
+        match event {
+            AttemptEvent::FirstToken => {
+                self.first_token_at.get_or_insert(now);
+                self.output_at = Some(now);
+            }
+            AttemptEvent::Progress(_) => self.output_at = Some(now),
+            AttemptEvent::NotSent(_)
+            | AttemptEvent::Refused
+            | AttemptEvent::Failed
+            | AttemptEvent::Finished(_)
+            | AttemptEvent::Broken(_)
+            | AttemptEvent::TunnelBroken(_) => self.latest_run = LatestRun::Ended,
+            AttemptEvent::Connected
+            | AttemptEvent::LimitNamed(_)
+            | AttemptEvent::LeavingNamed
+            | AttemptEvent::BrittleNamed(_)
+            | AttemptEvent::PaceNamed(_)
+            | AttemptEvent::RestAsked(_)
+            | AttemptEvent::Resumed
+            | AttemptEvent::Stalled => {}
+        }
+    }
+
+    /// Record that this host aborted the latest run.
+    pub(super) fn record_abort(&mut self) {
+        self.latest_run = LatestRun::Aborted;
+    }
+
+    /// Get the reason for which this host ends a stream that has begun, unless its caller
+    /// has left.
+    pub(super) fn cut_reason(&self, conclusion: &Conclusion) -> Option<RefusalReason> {
+        let Conclusion::Refused(refusal) = conclusion else {
+            return None;
+        };
+        let has_begun = self.is_stream && self.first_token_at.is_some();
+        let is_cut = has_begun && refusal.reason() != RefusalReason::CallerLeft;
+        is_cut.then(|| refusal.reason())
+    }
+
+    /// Write the log line about a stream that this host ends after it has begun.
+    pub(super) fn write_cut(&self, now: Moment, id: RequestId, reason: RefusalReason) {
+        let caller_id = self.caller_id.as_deref().unwrap_or_default();
+        let silent = self.output_at.map_or(0, |at| now.since(at).as_millis());
+        let left = self.deadline.since(now).as_millis();
+        let targets = self.target_names();
+        let pairs: [(&str, &dyn Display); 8] = [
+            ("request", &caller_id),
+            ("number", &id.sequence),
+            ("route", &self.rule),
+            ("reason", &reason.as_str()),
+            ("latest_run", &self.latest_run.as_str()),
+            ("silent_ms", &silent),
+            ("left_ms", &left),
+            ("targets", &targets),
+        ];
+        event_log::write(Incident::StreamCut, &pairs);
     }
 
     /// Write the log line about the end of the request.
