Reproduce begun streams that are cut while their targets are silent

A host aborts a run after a second without an event, and only then asks for a permit; what the owner refuses ends the stream, although its target goes on a moment later.

--- /dev/null
+++ b/bergamotswitch/tests/stalled_streams.rs
@@ -0,0 +1,46 @@
+//! Tests of streams through the gateway whose sound targets fall silent for a while.
+
+mod users;
+
+use std::time::Duration;
+
+use bergamotswitch_standin::gateway_target::{ResponseMode, event_text};
+use users::{Call, Site, SiteOptions, until};
+
+/// Longer than the stall timeout of a stream, and shorter than callers wait.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+fn events(count: u32) -> String {
+    (1..=count).map(event_text).collect()
+}
+
+// Guards against a begun stream that is cut at its host because its target is silent and
+// no other target has room.
+#[tokio::test]
+async fn full_targets() {
+    let options = SiteOptions {
+        slots: 1,
+        ..SiteOptions::default()
+    };
+    let site = Site::start_with(options).await;
+    // One of the engines is occupied for longer than the stream has.
+    let address = site.address();
+    let long = Call::stream("/once/1?events=200", "r-1").send(address);
+    let long = tokio::spawn(long);
+    let occupied = async || {
+        let calls = site.engines.iter().map(|engine| engine.calls().len());
+        calls.sum::<usize>() == 1
+    };
+    until("an engine is occupied", occupied).await;
+    for engine in &site.engines {
+        engine.queue_responses(&[ResponseMode::PauseAfter(3, SILENCE)]);
+    }
+    let call = Call::stream("/draft/2", "r-2").with("deadline-ms", "3000");
+    let answer = call.send(address).await.expect("answer");
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.text(), events(8));
+    let runs: usize = site.engines.iter().map(|engine| engine.calls().len()).sum();
+    assert_eq!(runs, 2, "the stream ran once");
+    let long = long.await.expect("no panic").expect("answer");
+    assert!(long.whole, "{long:?}");
+}
