Give a silent run up only once another one has a permit

Cause: a host aborted a run that had brought no event for a second, and asked for the permit of another run only then. What the owner refused (no time, above its share, no room) ended the stream, although its target went on a moment later. The class: something that works is given up before its replacement is certain.

Change: a silent run goes on while a permit is requested for another one. It is aborted with the grant, in the step that starts the other. Output in between withdraws the request; a refusal, a grant of the same target or one that can no longer be used changes nothing. The retry is spent with the request and returned if no run follows. After a pause, and where its shard is gone, the request is dropped; a new owner gets it again.

The last assertion of full_targets could not hold as it was committed (its other stream had less time than it needed); that stream now has 5 s, the check is the same.

entry_retries::silent_stream asked for the abort at the stall; it now asks that there is none before the grant, and for the abort with it.

--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -8,7 +8,9 @@
 use crate::clock::Moment;
 use crate::host::HostName;
 use crate::permit::{Permit, Usage};
+use crate::pool::PoolShard;
 use crate::refusal::{Refusal, RefusalReason};
+use crate::request::AttemptId;
 use crate::target::TargetVersion;
 use crate::target_path::TargetPath;
 
@@ -95,6 +97,16 @@
     pub(super) resends: u32,
 }
 
+/// A `PendingReplacement` is the request for a permit under which another run would
+/// replace a silent one. It has been charged to the retry budget.
+#[derive(Debug)]
+pub(super) struct PendingReplacement {
+    pub(super) attempt: AttemptId,
+    pub(super) shard: PoolShard,
+    /// The owner to which the permit request was sent, if one is known.
+    pub(super) requested_from: Option<HostName>,
+}
+
 /// A `RunningAttempt` is an attempt that was dispatched under a permit.
 #[derive(Debug)]
 pub(super) struct RunningAttempt {
@@ -116,6 +128,8 @@
     pub(super) rest_asked: bool,
     /// Whether the answer was recorded as one that has been written for a while.
     pub(super) is_recorded_sound: bool,
+    /// The run that would replace this one, which is silent.
+    pub(super) replacement: Option<Box<PendingReplacement>>,
 }
 
 impl RunningAttempt {
--- a/bergamotswitch-core/src/entry/dispatcher/completion.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/completion.rs
@@ -13,7 +13,7 @@
 
 impl EntryDispatcher {
     /// Release the permit of an attempt to the acting owner, to which this host
-    /// reported the permit at takeover.
+    /// reported the permit at takeover. Another run no longer replaces the attempt.
     pub(super) fn release(
         &mut self,
         now: Moment,
@@ -22,6 +22,9 @@
         outcome: ReleaseOutcome,
         actions: &mut Vec<EntryAction>,
     ) {
+        if let Some(pending) = &running.replacement {
+            self.withdraw_replacement(now, record, pending, actions);
+        }
         let rule = &record.submission.verdict.rule;
         let span = |usage: Usage| {
             let chunks = usage.decode.max(running.decoded);
--- a/bergamotswitch-core/src/entry/dispatcher/mod.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod permit_requests;
 mod progress;
 mod quarantine;
+mod replacement;
 mod replies;
 mod retries;
 mod stopping;
--- a/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
@@ -5,7 +5,7 @@
 use crate::clock::Moment;
 use crate::entry::EntryAction;
 use crate::entry::attempt::{AttemptStage, WaitingAttempt, WaitingState, to_millis};
-use crate::entry::request_table::{LiveEntry, RequestRecord};
+use crate::entry::request_table::{LiveEntry, PermitQuery, RequestRecord};
 use crate::host::HostName;
 use crate::incident::Incident;
 use crate::permit::{KeyClaim, OwnerMessage, PermitRequest};
@@ -40,7 +40,7 @@
         }
         let requested_from = self.owners.get(&record.shard).cloned();
         if let Some(owner) = &requested_from {
-            self.send_permit_request(now, owner, &record, actions);
+            self.send_permit_request(now, owner, record.permit_query(), actions);
         }
         let waiting = WaitingAttempt {
             state,
@@ -82,7 +82,7 @@
         actions: &mut Vec<EntryAction>,
     ) {
         if let Some(owner) = &waiting.requested_from {
-            self.send_permit_request(now, owner, &record, actions);
+            self.send_permit_request(now, owner, record.permit_query(), actions);
         }
         let waiting = WaitingAttempt {
             requested_at: now,
@@ -95,17 +95,18 @@
         });
     }
 
-    fn send_permit_request(
+    pub(super) fn send_permit_request(
         &self,
         now: Moment,
         owner: &HostName,
-        record: &RequestRecord,
+        query: PermitQuery<'_>,
         actions: &mut Vec<EntryAction>,
     ) {
-        let request = self.permit_request(now, record);
+        let record = query.record;
+        let request = self.permit_request(now, query);
         if let Some(origin) = &record.stream {
             let message = OwnerMessage::Stream {
-                shard: record.shard.clone(),
+                shard: query.shard.clone(),
                 attempt: request.attempt,
                 origin: origin.clone(),
             };
@@ -114,7 +115,7 @@
         // A call that was dispatched before was not refused.
         if self.options.sends_signatures && record.dispatches == 0 {
             let message = OwnerMessage::Signature {
-                shard: record.shard.clone(),
+                shard: query.shard.clone(),
                 attempt: request.attempt,
                 signature: CallSignature::of(&record.submission),
             };
@@ -124,11 +125,12 @@
         actions.push(EntryAction::Send(owner.clone(), message));
     }
 
-    fn permit_request(&self, now: Moment, record: &RequestRecord) -> PermitRequest {
+    fn permit_request(&self, now: Moment, query: PermitQuery<'_>) -> PermitRequest {
+        let record = query.record;
         let submission = &record.submission;
         PermitRequest {
-            attempt: record.attempt_id(),
-            shard: record.shard.clone(),
+            attempt: query.attempt,
+            shard: query.shard.clone(),
             tier: submission.verdict.tier,
             account: submission.account.clone(),
             share: submission.verdict.share,
@@ -179,11 +181,11 @@
         state: WaitingState,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(attempt) = record.attempt.checked_add(1) else {
+        let Some(attempt) = record.new_attempt() else {
             let refusal = state.refuse(RefusalReason::RetriesExhausted);
             return self.refuse(now, record, refusal, actions);
         };
-        record.attempt = attempt;
+        record.attempt = attempt.attempt;
         let shard = self.pools.shard_for(&record.shard_query());
         if let Some(shard) = shard {
             record.shard = shard;
@@ -199,6 +201,16 @@
         state: WaitingState,
         reason: RetryReason,
         actions: &mut Vec<EntryAction>,
+    ) {
+        self.count_retry(&record, reason, actions);
+        self.request_for_new_attempt(now, record, state, actions);
+    }
+
+    pub(super) fn count_retry(
+        &mut self,
+        record: &RequestRecord,
+        reason: RetryReason,
+        actions: &mut Vec<EntryAction>,
     ) {
         self.counts.retried += 1;
         actions.push(EntryAction::CountRetry(reason));
@@ -206,7 +218,6 @@
             Incident::AttemptRetried,
             record.id,
         ));
-        self.request_for_new_attempt(now, record, state, actions);
     }
 
     /// Try to spend one retry on a request.
@@ -218,6 +229,23 @@
         &mut self,
         now: Moment,
         record: &RequestRecord,
+    ) -> Result<(), RefusalReason> {
+        self.check_retry(now, record)?;
+        match self.budget(now, record).try_spend(now) {
+            true => Ok(()),
+            false => Err(RefusalReason::RetriesExhausted),
+        }
+    }
+
+    /// Check whether a request may be retried, apart from the budget.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the request must not be retried.
+    pub(super) fn check_retry(
+        &self,
+        now: Moment,
+        record: &RequestRecord,
     ) -> Result<(), RefusalReason> {
         if now >= record.deadline {
             return Err(RefusalReason::DeadlinePassed);
@@ -229,12 +257,9 @@
         if attempts >= self.options.attempts_per_request {
             return Err(RefusalReason::RetriesExhausted);
         }
-        if !self.may_start(now, &record.submission, record.deadline) {
-            return Err(RefusalReason::Stopping);
-        }
-        match self.budget(now, record).try_spend(now) {
+        match self.may_start(now, &record.submission, record.deadline) {
             true => Ok(()),
-            false => Err(RefusalReason::RetriesExhausted),
+            false => Err(RefusalReason::Stopping),
         }
     }
 
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -58,6 +58,7 @@
                 self.put_back(record, running);
             }
             AttemptEvent::FirstToken => {
+                self.end_silence(now, &record, &mut running, actions);
                 self.earn_reconnect(now, &record, &running);
                 running.first_token_at.get_or_insert(now);
                 self.record_stream_version(now, &mut record, &running, actions);
@@ -87,6 +88,7 @@
                 self.put_back(record, running);
             }
             AttemptEvent::Progress(tokens) => {
+                self.end_silence(now, &record, &mut running, actions);
                 running.decoded = running.decoded.max(tokens);
                 self.record_progress(now, &record, &mut running);
                 self.put_back(record, running);
@@ -95,7 +97,7 @@
                 actions.push(EntryAction::LogIncident(Incident::StreamResumed, record.id));
                 self.put_back(record, running);
             }
-            AttemptEvent::Stalled => self.replace_stalled(now, record, running, actions),
+            AttemptEvent::Stalled => self.stalled(now, record, running, actions),
             AttemptEvent::Finished(usage) => self.finished(now, record, running, usage, actions),
             AttemptEvent::NotSent(reason) => self.not_sent(now, record, running, reason, actions),
             AttemptEvent::Refused => self.target_refused(now, record, running, actions),
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -3,7 +3,7 @@
 use super::EntryDispatcher;
 use crate::clock::Moment;
 use crate::entry::EntryAction;
-use crate::entry::attempt::{AttemptStage, RunningAttempt, WaitingAttempt};
+use crate::entry::attempt::{AttemptStage, RunningAttempt, WaitingAttempt, WaitingState};
 use crate::entry::request_table::{LiveEntry, RequestRecord};
 use crate::host::{HostIncarnation, HostName};
 use crate::incident::Incident;
@@ -82,7 +82,10 @@
             return;
         }
         let Some(entry) = self.requests.take_attempt(permit.attempt) else {
-            return return_permit(host, shard, &permit, actions);
+            return match self.requests.take_replaced(permit.attempt) {
+                Some(replaced) => self.replacement_granted(now, host, replaced, permit, actions),
+                None => return_permit(host, shard, &permit, actions),
+            };
         };
         let LiveEntry { record, stage } = entry;
         match stage {
@@ -159,6 +162,19 @@
             let reason = RetryReason::PermitVoid;
             return self.retry(now, record, waiting.state, reason, actions);
         }
+        self.dispatch(now, record, waiting.state, owner, permit, actions);
+    }
+
+    /// Dispatch the current attempt of a request under a permit.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Moment,
+        mut record: RequestRecord,
+        state: WaitingState,
+        owner: HostName,
+        permit: Permit,
+        actions: &mut Vec<EntryAction>,
+    ) {
         if record.dispatches == 0 {
             self.budget(now, &record).earn(now);
             self.record_quota_use(now, &record);
@@ -171,7 +187,7 @@
         // The state changes to dispatched before the action is emitted, so the
         // request can no longer be reported as "not run".
         let running = RunningAttempt {
-            state: waiting.state.dispatch(),
+            state: state.dispatch(),
             paths: vec![self.paths.choose(now, &permit.target)],
             version: self.published_version(&permit.target),
             permit,
@@ -183,6 +199,7 @@
             brittle_named: false,
             rest_asked: false,
             is_recorded_sound: false,
+            replacement: None,
         };
         actions.push(self.start_action(&running));
         self.put_back(record, running);
@@ -211,7 +228,7 @@
         actions: &mut Vec<EntryAction>,
     ) {
         let Some(entry) = self.requests.take_attempt(attempt) else {
-            return;
+            return self.replacement_refused(now, host, attempt);
         };
         match entry.stage {
             AttemptStage::Waiting(waiting) if waiting.requested_from.as_ref() == Some(host) => {
@@ -292,7 +309,7 @@
 }
 
 /// Return an unused permit to its owner.
-fn return_permit(
+pub(super) fn return_permit(
     host: HostName,
     shard: PoolShard,
     permit: &Permit,
--- a/bergamotswitch-core/src/entry/dispatcher/retries.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/retries.rs
@@ -96,31 +96,6 @@
         }
     }
 
-    /// Replace an attempt whose stream has stalled by another one, if a retry
-    /// is allowed now. Otherwise the attempt continues, as its target may still
-    /// produce the rest of the answer.
-    pub(super) fn replace_stalled(
-        &mut self,
-        now: Moment,
-        mut record: RequestRecord,
-        running: RunningAttempt,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        record.runs = record.runs.saturating_add(1);
-        let may_follow = self.may_run_again(&record, &running);
-        if !may_follow || self.try_retry(now, &record).is_err() {
-            record.runs -= 1;
-            return self.put_back(record, running);
-        }
-        record.avoid_target(&running.permit.target);
-        if running.tunnel_host().is_none() && !self.is_path_lost(&running) {
-            self.record_crash(now, &record, &running);
-        }
-        self.abort_stalled(now, &record, &running, actions);
-        let state = running.state.rerun();
-        self.retry(now, record, state, RetryReason::ConnectionBroke, actions);
-    }
-
     /// Get whether a request may be retried after an attempt that may have run.
     /// It may not if it is not idempotent, or if its caller has received part
     /// of an answer that cannot be resumed.
--- a/bergamotswitch-core/src/entry/dispatcher/submission.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/submission.rs
@@ -169,6 +169,7 @@
             accepted_at: now,
             deadline,
             attempt: 0,
+            last_attempt: 0,
             dispatches: 0,
             reconnects: 0,
             runs: 0,
--- a/bergamotswitch-core/src/entry/dispatcher/takeover.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/takeover.rs
@@ -18,6 +18,7 @@
         if self.may_use_permits_after_pause() {
             return;
         }
+        self.drop_replacements(now, |_, _| true, actions);
         for id in self.requests.waiting_ids() {
             let Some(entry) = self.requests.take(id) else {
                 continue;
@@ -49,6 +50,7 @@
         self.report_limits(now, &shard, &host, actions);
         self.report_notices(&shard, &host, actions);
         self.report_streams(now, &shard, &host, actions);
+        self.request_replacements(now, &shard, &host, actions);
         for id in self.requests.waiting_ids() {
             let Some(entry) = self.requests.take(id) else {
                 continue;
@@ -140,6 +142,12 @@
     /// Reassign waiting requests whose shard no longer exists or is no longer
     /// allowed.
     pub(super) fn reassign_waiting(&mut self, now: Moment, actions: &mut Vec<EntryAction>) {
+        let is_gone = |dispatcher: &Self, entry: &LiveEntry| {
+            let verdict = &entry.record.submission.verdict;
+            let shard = entry.replacement().map(|pending| &pending.shard);
+            shard.is_some_and(|shard| !dispatcher.pools.allows(shard, verdict))
+        };
+        self.drop_replacements(now, is_gone, actions);
         for id in self.requests.waiting_ids() {
             let Some(entry) = self.requests.take(id) else {
                 continue;
--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Submission;
-use super::attempt::AttemptStage;
+use super::attempt::{AttemptStage, PendingReplacement, RunningAttempt};
 use super::key_store::KeyId;
 use super::placement::ShardQuery;
 use crate::clock::Moment;
@@ -34,6 +34,8 @@
     pub(super) deadline: Moment,
     /// The number of the current attempt, from 0.
     pub(super) attempt: u16,
+    /// The highest number of an attempt for which a permit was requested.
+    pub(super) last_attempt: u16,
     pub(super) dispatches: u16,
     /// The dispatches that reached no target and were paid for by a reconnect.
     pub(super) reconnects: u16,
@@ -57,6 +59,24 @@
         }
     }
 
+    /// Get the id of a new attempt, or `None` if all numbers are used.
+    pub(super) fn new_attempt(&mut self) -> Option<AttemptId> {
+        self.last_attempt = self.last_attempt.checked_add(1)?;
+        Some(AttemptId {
+            request: self.id,
+            attempt: self.last_attempt,
+        })
+    }
+
+    /// Get the attempt and the shard of the current permit request.
+    pub(super) fn permit_query(&self) -> PermitQuery<'_> {
+        PermitQuery {
+            record: self,
+            attempt: self.attempt_id(),
+            shard: &self.shard,
+        }
+    }
+
     /// Get the query that selects the shard for a permit request.
     pub(super) fn shard_query(&self) -> ShardQuery<'_> {
         ShardQuery {
@@ -97,6 +117,14 @@
     }
 }
 
+/// A `PermitQuery` is the attempt of a request for which a permit is requested.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PermitQuery<'a> {
+    pub(super) record: &'a RequestRecord,
+    pub(super) attempt: AttemptId,
+    pub(super) shard: &'a PoolShard,
+}
+
 /// Get the hash of the key of a submission, if it must not run twice.
 pub(super) fn run_once_key(submission: &Submission, key: Option<&KeyId>) -> Option<u128> {
     match submission.may_rerun() {
@@ -113,6 +141,19 @@
 }
 
 impl LiveEntry {
+    /// Get the request for a permit that would replace a silent run, if there is one.
+    pub(super) fn replacement(&self) -> Option<&PendingReplacement> {
+        match &self.stage {
+            AttemptStage::Running(running) => running.replacement.as_deref(),
+            AttemptStage::Waiting(_) => None,
+        }
+    }
+
+    /// Get whether a permit is requested for the entry.
+    fn awaits_permit(&self) -> bool {
+        matches!(self.stage, AttemptStage::Waiting(_)) || self.replacement().is_some()
+    }
+
     /// Get the time at which the entry's timer expires.
     fn due(&self, permit_resend_interval: Duration) -> Moment {
         match &self.stage {
@@ -136,6 +177,15 @@
     }
 }
 
+/// A `ReplacedEntry` is a live request with a silent run, and the request for the permit
+/// of another run.
+#[derive(Debug)]
+pub(super) struct ReplacedEntry {
+    pub(super) record: RequestRecord,
+    pub(super) running: RunningAttempt,
+    pub(super) pending: Box<PendingReplacement>,
+}
+
 /// A `RequestTable` holds the live requests. An entry has to be taken out for a
 /// change and put back, which keeps the timer index consistent.
 #[derive(Debug)]
@@ -143,7 +193,7 @@
     entries: BTreeMap<RequestId, LiveEntry>,
     due: BTreeSet<DueEntry>,
     waiting: usize,
-    /// The number of live requests of each shard. It is read after every event,
+    /// The number of permits held or requested of each shard. It is read after every event,
     /// so it is not computed by iterating over the entries.
     shard_counts: BTreeMap<PoolShard, usize>,
     permit_resend_interval: Duration,
@@ -170,10 +220,13 @@
         let id = entry.record.id;
         let due = entry.due(self.permit_resend_interval);
         self.due.insert(DueEntry { due, id });
-        if matches!(entry.stage, AttemptStage::Waiting(_)) {
+        if entry.awaits_permit() {
             self.waiting += 1;
         }
         self.count_shard(&entry.record.shard);
+        if let Some(pending) = entry.replacement() {
+            self.count_shard(&pending.shard);
+        }
         self.entries.insert(id, entry);
     }
 
@@ -181,10 +234,13 @@
         let entry = self.entries.remove(&id)?;
         let due = entry.due(self.permit_resend_interval);
         self.due.remove(&DueEntry { due, id });
-        if matches!(entry.stage, AttemptStage::Waiting(_)) {
+        if entry.awaits_permit() {
             self.waiting -= 1;
         }
         self.uncount_shard(&entry.record.shard);
+        if let Some(pending) = entry.replacement() {
+            self.uncount_shard(&pending.shard);
+        }
         Some(entry)
     }
 
@@ -217,6 +273,32 @@
         }
     }
 
+    /// Take out the entry whose silent run `attempt` would replace, and the request for
+    /// its permit.
+    pub(super) fn take_replaced(&mut self, attempt: AttemptId) -> Option<ReplacedEntry> {
+        let entry = self.entries.get(&attempt.request)?;
+        if entry.replacement()?.attempt != attempt {
+            return None;
+        }
+        let LiveEntry { record, stage } = self.take(attempt.request)?;
+        let AttemptStage::Running(mut running) = stage else {
+            return None;
+        };
+        let pending = running.replacement.take()?;
+        Some(ReplacedEntry {
+            record,
+            running,
+            pending,
+        })
+    }
+
+    /// Get the requests with a silent run for which a replacement is requested.
+    pub(super) fn replaced_ids(&self) -> Vec<RequestId> {
+        let entries = self.entries.values();
+        let replaced = entries.filter(|entry| entry.replacement().is_some());
+        replaced.map(|entry| entry.record.id).collect()
+    }
+
     /// Take out the first entry whose timer has expired at `now`.
     pub(super) fn take_due(&mut self, now: Moment) -> Option<LiveEntry> {
         let mark = *self.due.first()?;
@@ -251,7 +333,7 @@
         entry.is_some_and(|entry| matches!(entry.stage, AttemptStage::Waiting(_)))
     }
 
-    /// Get whether any request waits for a permit.
+    /// Get whether a permit is requested for any request.
     pub(super) fn has_waiting(&self) -> bool {
         self.waiting > 0
     }
--- a/bergamotswitch-core/src/retry.rs
+++ b/bergamotswitch-core/src/retry.rs
@@ -151,6 +151,11 @@
         true
     }
 
+    /// Return a retry that was spent and did not reach a target.
+    pub fn refund(&mut self) {
+        self.add(ONE_RETRY);
+    }
+
     /// Earn one reconnect for an answer that begins.
     pub fn earn_reconnect(&mut self) {
         self.reconnects = (self.reconnects + 1).min(MAX_RECONNECTS);
--- a/bergamotswitch-core/tests/entry_retries.rs
+++ b/bergamotswitch-core/tests/entry_retries.rs
@@ -151,15 +151,18 @@
     let first = dispatcher.begin(stream, "t0");
     dispatcher.attempt(first, AttemptEvent::FirstToken);
     let actions = dispatcher.attempt(first, AttemptEvent::Stalled);
-    assert!(retried(&actions, RetryReason::ConnectionBroke));
+    let second = permit_requests(&actions)[0].attempt;
     let aborted = |attempt| EntryAction::Abort {
         attempt,
         cancel: true,
     };
+    assert!(!actions.contains(&aborted(first)));
+    let permit = dispatcher.permit(second, "t1");
+    let actions = dispatcher.grant(&permit);
     assert!(actions.contains(&aborted(first)));
+    assert!(actions.contains(&EntryAction::CountRetry(RetryReason::ConnectionBroke)));
+    assert_eq!(starts(&actions), vec![second]);
     // No further run is allowed, so the stalled one continues.
-    let second = permit_requests(&actions)[0].attempt;
-    dispatcher.start(second, "t1");
     assert_eq!(dispatcher.attempt(second, AttemptEvent::Stalled), vec![]);
     let actions = dispatcher.attempt(second, AttemptEvent::Finished(usage()));
     assert_eq!(conclusions(&actions), vec![Conclusion::Answered]);
--- a/bergamotswitch/tests/stalled_streams.rs
+++ b/bergamotswitch/tests/stalled_streams.rs
@@ -25,8 +25,8 @@
     let site = Site::start_with(options).await;
     // One of the engines is occupied for longer than the stream has.
     let address = site.address();
-    let long = Call::stream("/once/1?events=200", "r-1").send(address);
-    let long = tokio::spawn(long);
+    let long = Call::stream("/once/1?events=200", "r-1").with("deadline-ms", "5000");
+    let long = tokio::spawn(long.send(address));
     let occupied = async || {
         let calls = site.engines.iter().map(|engine| engine.calls().len());
         calls.sum::<usize>() == 1
