Keep a run that is silent from its start until another one can replace it

A run without an answer by its start timeout counted as broken, also the last one that the route allows, so the host answered 502 although the target answered later.

Change: the start timeout reports a silence, as the gap between events does, and the wait goes on. The run is replaced where another one is allowed and has its permit; the last one lasts until the deadline. Event 702 tells it, with the cause; 700 stays for connections that are closed.

Evidence: stalled_streams::late_last_run, real host and targets silent for 3.2 s: 502 target-failed before, passes. The stand-in target can now stand still.

--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -164,7 +164,7 @@
     Progress(u32),
     /// The stream was resumed over a new connection.
     Resumed,
-    /// The stream has been idle for so long that its target may have failed.
+    /// There has been no output for so long that the target may have failed.
     Stalled,
     /// The answer is complete.
     Finished(Usage),
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -150,8 +150,8 @@
     ConnectionSilent = 700, Warn, "connection unresponsive, closed";
     /// An answer from a target was truncated, invalid or for another request.
     AnswerRejected = 701, Error, "answer truncated, invalid or for another request";
-    /// A stream that has started received no event in time.
-    StreamStalled = 702, Info, "stream stalled";
+    /// A target sent no answer, or no event of a stream, in time.
+    RunStalled = 702, Info, "run stalled";
     /// A target named a limit of its request rate, or another one than before.
     TargetLimited = 703, Warn, "target limits its request rate";
     /// A target no longer names a limit of its request rate.
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -36,7 +36,7 @@
 
 /// The start timeout of an attempt that may be retried, as a multiple of the
 /// route's goal for the first answer. An attempt without an answer until then
-/// counts as failed.
+/// is replaced by another one if possible.
 const START_TIMEOUT_FACTOR: u32 = 4;
 
 /// The part of the remaining time to which the start timeout is limited (one in
@@ -44,7 +44,7 @@
 const START_TIMEOUT_DIVISOR: u32 = 3;
 
 /// The longest gap between events of a stream that may be retried; after it the
-/// attempt counts as failed. It exceeds the gaps of slow targets (300 ms) and is
+/// attempt is replaced by another one if possible. It exceeds the gaps of slow targets (300 ms) and is
 /// below the callers' own timeout (2 s).
 const STREAM_GAP_TIMEOUT: Duration = Duration::from_millis(1_000);
 
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::attempt_report::AttemptReport;
 use super::call_context::{CallContext, CallEnd, FirstResponse, SendError};
@@ -42,11 +42,11 @@
     pub deadline: Instant,
     /// Whether the answer is an event stream.
     pub is_stream: bool,
-    /// The timeout for the start of the answer, after which the target counts
-    /// as unresponsive. `None` means until the deadline.
+    /// How long a target may take to start the answer until it is reported as
+    /// silent, repeatedly; `None` for never.
     pub start_timeout: Option<Duration>,
-    /// The timeout between two events of a stream, after which the target may
-    /// be unavailable. `None` means until the deadline.
+    /// How long a target may take between two events of a stream until it is
+    /// reported as silent, repeatedly; `None` for never.
     pub gap_timeout: Option<Duration>,
 }
 
@@ -67,7 +67,7 @@
     };
     let mut meter = UsageMeter::start(context.options.progress_period);
     match context
-        .send_first(request, wait_for_silence(routed.start_timeout))
+        .send_first(request, report_silence(context, routed, report))
         .await
     {
         Ok(first) => read(context, routed, first, &mut meter, report).await,
@@ -79,21 +79,24 @@
             );
             CallEnd::Broken(meter.usage())
         }
-        Err(SendError::Unresponsive(_)) => {
-            context.log_incident(Incident::ConnectionSilent, "no answer started in time");
-            CallEnd::Broken(meter.usage())
-        }
+        Err(SendError::Unresponsive(_)) => CallEnd::Broken(meter.usage()),
     }
 }
 
-/// Wait until the target counts as unresponsive.
-async fn wait_for_silence(wait: Option<Duration>) -> SilenceVerdict {
-    match wait {
-        Some(wait) => {
-            tokio::time::sleep(wait).await;
-            SilenceVerdict::Unavailable
-        }
-        None => pending().await,
+/// Report the target as silent each time the start timeout passes. The wait never ends: the
+/// event loop ends the call if another run can replace it.
+async fn report_silence(
+    context: &CallContext,
+    routed: &RoutedCall,
+    report: &AttemptReport,
+) -> SilenceVerdict {
+    let Some(wait) = routed.start_timeout else {
+        return pending().await;
+    };
+    loop {
+        sleep(wait).await;
+        context.log_incident(Incident::RunStalled, "no answer started in time");
+        report.step(AttemptEvent::Stalled);
     }
 }
 
@@ -299,22 +302,19 @@
         kind.is_none_or(|kind| kind.as_bytes().starts_with(EVENT_STREAM_TYPE))
     }
 
-    /// Try to get the next frame of a stream, or `None` at its end. A stall
-    /// after the first event is reported, and the wait goes on until the event
-    /// loop ends the attempt.
+    /// Try to get the next frame of a stream, or `None` at its end. A silence is
+    /// reported, and the wait goes on until the event loop ends the attempt.
     async fn next_frame(
         &self,
         body: &mut Incoming,
         meter: &UsageMeter,
         report: &AttemptReport,
     ) -> Result<Option<hyper::body::Frame<bytes::Bytes>>, CallEnd> {
-        let is_resumed = self.context.answer.last_event_id().is_some();
-        let has_started = is_resumed || !meter.awaits_first();
-        let wait = match meter.awaits_first() {
-            true => self.routed.start_timeout,
-            false => self.routed.gap_timeout,
+        let (wait, cause) = match meter.awaits_first() {
+            true => (self.routed.start_timeout, "no first event in time"),
+            false => (self.routed.gap_timeout, "no event in time"),
         };
-        let cause = loop {
+        loop {
             let next = match wait {
                 Some(wait) => timeout(wait, body.frame()).await,
                 None => Ok(body.frame().await),
@@ -322,17 +322,17 @@
             match next {
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => return Ok(Some(frame)),
-                Ok(Some(Err(_))) => break "stream truncated",
-                Err(_) if has_started => {
+                Ok(Some(Err(_))) => {
                     self.context
-                        .log_incident(Incident::StreamStalled, "no event in time");
+                        .log_incident(Incident::AnswerRejected, "stream truncated");
+                    return Err(CallEnd::Broken(meter.usage()));
+                }
+                Err(_) => {
+                    self.context.log_incident(Incident::RunStalled, cause);
                     report.step(AttemptEvent::Stalled);
                 }
-                Err(_) => break "no first event in time",
             }
-        };
-        self.context.log_incident(Incident::AnswerRejected, cause);
-        Err(CallEnd::Broken(meter.usage()))
+        }
     }
 
     fn push_head(&self) {
--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -106,6 +106,7 @@
     warmth: Mutex<TargetWarmth>,
     fatal_part: Mutex<Option<FatalPart>>,
     crashes: Mutex<Vec<Instant>>,
+    silent_until: Mutex<Option<Instant>>,
     control: OnceLock<ListenerControl>,
 }
 
@@ -134,6 +135,18 @@
 }
 
 impl TargetShared {
+    /// Wait until the target is no longer silent.
+    async fn wait_silence(&self) {
+        loop {
+            let until = *lock(&self.silent_until);
+            let left = until.map(|until| until.saturating_duration_since(Instant::now()));
+            match left {
+                Some(left) if !left.is_zero() => sleep(left).await,
+                Some(_) | None => return,
+            }
+        }
+    }
+
     fn crash(&self, down: Duration) {
         lock(&self.crashes).push(Instant::now());
         if let Some(control) = self.control.get() {
@@ -221,6 +234,7 @@
             warmth: Mutex::default(),
             fatal_part: Mutex::default(),
             crashes: Mutex::default(),
+            silent_until: Mutex::default(),
             control: OnceLock::new(),
         });
         let served = Arc::clone(&shared);
@@ -241,6 +255,12 @@
         &self.shared.name
     }
 
+    /// Stand still for a duration from now on, as a process that is not scheduled: new
+    /// calls and open streams wait, and go on afterwards.
+    pub fn fall_silent(&self, duration: Duration) {
+        *lock(&self.shared.silent_until) = Some(Instant::now() + duration);
+    }
+
     /// Simulate a process restart under the same name: close all connections,
     /// abort all calls, and start a new instance whose registrations count from
     /// zero.
@@ -342,6 +362,7 @@
     shared: Arc<TargetShared>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, io::Error> {
+    shared.wait_silence().await;
     if request.uri().path() == HEALTH_PATH {
         return Ok(health_response(&shared));
     }
@@ -508,11 +529,13 @@
     let frames = stream::iter(first..=last).then(move |id| {
         // The stream owns the guard until it ends or is dropped.
         let _guard = &guard;
+        let shared = Arc::clone(&guard.shared);
         async move {
             sleep(gap).await;
             if paused_at == Some(id) {
                 sleep(pause).await;
             }
+            shared.wait_silence().await;
             match truncated_at {
                 Some(cut) if id > cut => Err(io::ErrorKind::ConnectionReset.into()),
                 Some(cut) if id == cut => Ok(Frame::data(Bytes::from(format!("id: {id}\nda")))),
--- a/bergamotswitch/tests/stalled_streams.rs
+++ b/bergamotswitch/tests/stalled_streams.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use bergamotswitch_standin::gateway_target::{ResponseMode, event_text};
+use http::StatusCode;
 use users::{Call, Site, SiteOptions, until};
 
 /// Longer than the stall timeout of a stream, and shorter than callers wait.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Longer than two runs may take to begin, and shorter than the deadline of a call.
+const LONG_SILENCE: Duration = Duration::from_millis(3_200);
+
 fn events(count: u32) -> String {
     (1..=count).map(event_text).collect()
 }
@@ -44,3 +48,22 @@
     let long = long.await.expect("no panic").expect("answer");
     assert!(long.whole, "{long:?}");
 }
+
+// Guards against a call that fails because the last run that its route allows does not
+// start in time, although its target answers later.
+#[tokio::test]
+async fn late_last_run() {
+    let site = Site::start(1).await;
+    for target in site.desks.iter().chain(&site.engines) {
+        target.fall_silent(LONG_SILENCE);
+    }
+    let address = site.address();
+    let status = Call::new("POST", "/status/1", "r-1").send(address);
+    let draft = Call::stream("/draft/1", "r-2").send(address);
+    let (status, draft) = tokio::join!(status, draft);
+    let status = status.expect("answer");
+    assert_eq!(status.status, StatusCode::OK, "{status:?}");
+    let draft = draft.expect("answer");
+    assert!(draft.whole, "{draft:?}");
+    assert_eq!(draft.text(), events(8));
+}
