Let sound targets of the soak stand still, and document silent runs

Seeds from 7000 on: silences of one or both targets of a service for 1 to 1.9 s, each with a configuration change shortly before, during other faults; streams of a lower priority, some of them long. Every second seed has planned changes alone, where each cut stream counts.

--- a/bergamotswitch/tests/soak.rs
+++ b/bergamotswitch/tests/soak.rs
@@ -146,6 +146,16 @@
     );
 }
 
+// Regression, with five hosts: sound targets fall silent while the configuration changes, and
+// hosts cut begun streams for which no other target has room.
+#[test]
+fn kept_silences() {
+    assert_eq!(
+        failed_seeds([7_000, 7_010], FULL_RUN_HOSTS, 1),
+        Vec::<u64>::new()
+    );
+}
+
 #[test]
 #[ignore = "takes minutes; run manually, with seeds from SOAK_SEEDS"]
 fn many_seeds() {
--- a/bergamotswitch/tests/soak_world/mod.rs
+++ b/bergamotswitch/tests/soak_world/mod.rs
@@ -167,7 +167,10 @@
             });
         }
         let mut hosts: Vec<WorldHost> = Vec::new();
-        let options = plan.grace.map(work::site_options).unwrap_or_default();
+        let options = SiteOptions {
+            stream_priority: plan.stream_priority,
+            ..plan.grace.map(work::site_options).unwrap_or_default()
+        };
         for number in 0..count {
             let (store_relay, store_address) = Relay::start_on_free_port(store.address());
             let seed = hosts.first().map(|host| host.process.borrow().link);
@@ -383,6 +386,11 @@
                 cold,
             } => self.evacuate(domain, duration, cold).await,
             SiteFault::Cold { target } => self.turn_cold(target).await,
+            SiteFault::Silence {
+                service,
+                targets,
+                duration,
+            } => self.silence(service, targets, duration),
             SiteFault::OverwriteEntry { target, bytes } => self.overwrite(target, bytes).await,
         }
     }
@@ -430,6 +438,14 @@
         self.publish();
     }
 
+    /// Let targets of a service stand still. They are sound, so this is no disturbance.
+    fn silence(&self, service: usize, count: usize, duration: Duration) {
+        let targets = self.targets.iter().skip(service).step_by(2);
+        for target in targets.take(count) {
+            target.target.fall_silent(duration);
+        }
+    }
+
     fn add_route(&self) {
         let prefix = format!("/added-{}/", self.routes.borrow().len());
         let published = Instant::now();
--- a/bergamotswitch/tests/soak_world/plan.rs
+++ b/bergamotswitch/tests/soak_world/plan.rs
@@ -48,6 +48,20 @@
 const DOMAIN_KINDS: u32 = 21;
 /// How long a domain is evacuated, in milliseconds: longer than it may still get calls.
 const EVACUATION_MS: std::ops::Range<u64> = 5_500..8_000;
+/// The first seed whose sound targets fall silent, around configuration changes above all.
+/// Lower seeds must keep drawing the same faults.
+const FIRST_SILENCE_SEED: u64 = 7_000;
+/// The same as [`PLANNED_ONE_IN`], from [`FIRST_SILENCE_SEED`] on.
+const SILENCE_PLANNED_ONE_IN: u64 = 2;
+/// The number of silences in a run, the longest pause between two of them, and how long they
+/// last, in milliseconds: about as long as a stream may stall.
+const SILENCE_COUNT: std::ops::Range<usize> = 4..8;
+const SILENCE_INTERVAL_MS: std::ops::Range<u64> = 300..1_500;
+const SILENCE_MS: std::ops::Range<u64> = 1_000..1_900;
+/// The time from SIGTERM to SIGKILL in these runs, enough for the longest stream and a silence.
+const SILENCE_GRACE: Duration = Duration::from_secs(20);
+/// How long before a silence the configuration changes, at most, in milliseconds.
+const CHANGE_LEAD_MS: std::ops::Range<u64> = 0..800;
 /// The invalid entries that another writer stores under a target's key.
 const FOREIGN_ENTRIES: [&str; 3] = [
     "\u{fffd}\u{0}no registration",
@@ -107,6 +121,12 @@
     },
     /// A target turns cold while it serves.
     Cold { target: usize },
+    /// Sound targets of a service stand still.
+    Silence {
+        service: usize,
+        targets: usize,
+        duration: Duration,
+    },
     /// Another writer overwrites a target's store entry.
     OverwriteEntry { target: usize, bytes: &'static str },
 }
@@ -121,6 +141,7 @@
                 | SiteFault::AddRoute
                 | SiteFault::Drain { .. }
                 | SiteFault::Evacuate { .. }
+                | SiteFault::Silence { .. }
         )
     }
 }
@@ -140,10 +161,15 @@
     /// The time from SIGTERM to SIGKILL, or `None` in runs without a forced end of
     /// stops and with short calls only.
     pub grace: Option<Duration>,
+    /// The priority of streams, 0 for the highest.
+    pub stream_priority: u32,
 }
 
 /// Draw the plan of a run from its seed.
 pub fn plan(seed: u64, hosts: usize, targets: usize) -> RunPlan {
+    if seed >= FIRST_SILENCE_SEED {
+        return plan_silences(seed, hosts, targets);
+    }
     let stops = match seed < FIRST_DOMAIN_SEED {
         true => seed >= FIRST_STOP_SEED,
         false => seed.is_multiple_of(2),
@@ -165,6 +191,7 @@
         faults,
         planned,
         grace: None,
+        stream_priority: 0,
     }
 }
 
@@ -198,6 +225,42 @@
         faults,
         planned,
         grace: Some(Duration::from_secs(grace)),
+        stream_priority: 0,
+    }
+}
+
+/// Draw the plan of a run in which sound targets fall silent while the configuration changes,
+/// during other faults.
+fn plan_silences(seed: u64, hosts: usize, targets: usize) -> RunPlan {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let planned = seed.is_multiple_of(SILENCE_PLANNED_ONE_IN);
+    let mut faults = Vec::new();
+    let mut at = FIRST_STOP_DELAY;
+    for _ in 0..rng.random_range(SILENCE_COUNT) {
+        let change = SiteFault::AddRoute;
+        let lead = Duration::from_millis(rng.random_range(CHANGE_LEAD_MS));
+        faults.push(TimedFault { at, fault: change });
+        at += lead;
+        let duration = Duration::from_millis(rng.random_range(SILENCE_MS));
+        let fault = SiteFault::Silence {
+            service: usize::from(rng.random_bool(0.25)),
+            targets: rng.random_range(1..=2),
+            duration,
+        };
+        faults.push(TimedFault { at, fault });
+        at += duration + Duration::from_millis(rng.random_range(SILENCE_INTERVAL_MS));
+    }
+    let count = faults.len() + rng.random_range(FAULT_COUNT);
+    while faults.len() < count {
+        let fault = draw_fault(&mut rng, hosts, targets, DOMAIN_KINDS);
+        faults.extend(draw_time(&mut rng, fault, at, planned));
+    }
+    faults.sort_by_key(|fault| fault.at);
+    RunPlan {
+        faults,
+        planned,
+        grace: Some(SILENCE_GRACE),
+        stream_priority: 1,
     }
 }
 
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -69,6 +69,8 @@
     pub timeout: Duration,
     /// The grace period: the time from SIGTERM until a host is killed.
     pub grace: Duration,
+    /// The priority of the routes to engines, 0 for the highest.
+    pub stream_priority: u32,
 }
 
 impl Default for SiteOptions {
@@ -82,6 +84,7 @@
             target_latency: Duration::from_secs(1),
             timeout: Duration::from_secs(5),
             grace: Duration::from_secs(8),
+            stream_priority: 0,
         }
     }
 }
@@ -310,9 +313,13 @@
     let timeout = options.timeout.as_millis() as u64;
     let target_latency = options.target_latency.as_millis() as u64;
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        let priority = match service {
+            "drafting" => options.stream_priority,
+            _ => 0,
+        };
         json!({
             "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": timeout, "targetLatencyMs": target_latency, "priority": 0,
+            "timeoutMs": timeout, "targetLatencyMs": target_latency, "priority": priority,
             "service": service, "maxAttempts": 2, "public": false,
             "resumable": name == "draft", "gapAimMs": 300,
         })
