Say in two doc comments what the code does

Read again as a newcomer: release also withdraws the request for a replacement, and a permit query names the shard too. Comments alone, no code.

--- a/bergamotswitch-core/src/entry/dispatcher/completion.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/completion.rs
@@ -13,7 +13,7 @@
 
 impl EntryDispatcher {
     /// Release the permit of an attempt to the acting owner, to which this host
-    /// reported the permit at takeover. Another run no longer replaces the attempt.
+    /// reported the permit at takeover, and withdraw the request for its replacement.
     pub(super) fn release(
         &mut self,
         now: Moment,
--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// A `PermitQuery` is the attempt of a request for which a permit is requested.
+/// A `PermitQuery` identifies a permit request: the attempt of a request, and the shard.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PermitQuery<'a> {
     pub(super) record: &'a RequestRecord,
