Measure what the event loop's inputs cost and how long they wait

Cause for it: no line or metric told how old an input is when the loop takes it, how many wait, or what a kind of input costs, so that the hypotheses of the incident could not be told apart; event 500 did not name the revision.

Change: inputs are stamped when they arrive at the loop, and counted with their time by kind (four metrics); 110 is logged where one waited 250 ms or longer, once a second at most; 500 and 501 name the revision. The order of inputs is unchanged.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -71,6 +71,8 @@
     AdmissionClosed = 108, Info, "no longer accepting callers";
     /// The grace period of a planned stop is nearly over and requests are open.
     GraceEnding = 109, Warn, "grace period nearly over, requests still open";
+    /// Inputs waited long for the event loop.
+    LoopBehind = 110, Warn, "event loop behind";
     /// A request was refused.
     RequestRefused = 200, Info, "request refused";
     /// A request that must not run twice was lost and may have run.
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -28,6 +28,10 @@
                 let text = format!("value={name}");
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
+            RevisionAction::LogRevision(incident, name, revision) => {
+                let text = format!("value={name} revision={}", revision.0);
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
         }
     }
 
--- a/bergamotswitch-core/src/revision/mod.rs
+++ b/bergamotswitch-core/src/revision/mod.rs
@@ -183,4 +183,6 @@
     Link(EntryHost),
     /// Log an incident of a value.
     LogIncident(Incident, ValueName),
+    /// Log what became of a revision of a value.
+    LogRevision(Incident, ValueName, Revision),
 }
--- a/bergamotswitch-core/src/revision/replica.rs
+++ b/bergamotswitch-core/src/revision/replica.rs
@@ -168,7 +168,11 @@
             None => false,
         };
         if recorded {
-            actions.push(RevisionAction::LogIncident(incident, name.clone()));
+            actions.push(RevisionAction::LogRevision(
+                incident,
+                name.clone(),
+                revision,
+            ));
         }
         self.reconcile(now, &mut actions);
         actions
--- a/bergamotswitch-core/tests/replica_net/mod.rs
+++ b/bergamotswitch-core/tests/replica_net/mod.rs
@@ -223,7 +223,10 @@
                 RevisionAction::Link(entry) => {
                     node.wanted_links.insert(entry.name);
                 }
-                RevisionAction::LogIncident(incident, value) => node.logs.push((incident, value)),
+                RevisionAction::LogIncident(incident, value)
+                | RevisionAction::LogRevision(incident, value, _) => {
+                    node.logs.push((incident, value));
+                }
             }
         }
     }
--- a/bergamotswitch-net/src/metrics/labels.rs
+++ b/bergamotswitch-net/src/metrics/labels.rs
@@ -47,6 +47,12 @@
     pub(super) value: String,
 }
 
+/// An `InputLabels` is the label set of the event loop's inputs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct InputLabels {
+    pub(super) kind: &'static str,
+}
+
 /// A `ForwardLabels` is the label set of requests forwarded to another host.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct ForwardLabels {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -19,11 +19,12 @@
 use prometheus_client::registry::Registry;
 
 use labels::{
-    ForwardLabels, IncidentLabels, MessageLabels, ReasonLabels, RefusalLabels, ShardLabels,
-    StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
+    ForwardLabels, IncidentLabels, InputLabels, MessageLabels, ReasonLabels, RefusalLabels,
+    ShardLabels, StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
+use crate::node::loop_stats::LoopStats;
 use crate::target_client::connection::ConnectionCounts;
 
 pub use owner_totals::OwnerTotals;
@@ -99,6 +100,10 @@
     reused_connections: Counter,
     closed_connections: Counter,
     idle_connections: Gauge,
+    loop_inputs: Family<InputLabels, Counter>,
+    loop_busy: Family<InputLabels, Counter<f64, AtomicU64>>,
+    loop_delay: Gauge<f64, AtomicU64>,
+    loop_waiting: Gauge,
 }
 
 impl NodeMetrics {
@@ -148,6 +153,10 @@
             reused_connections: Counter::default(),
             closed_connections: Counter::default(),
             idle_connections: Gauge::default(),
+            loop_inputs: Family::default(),
+            loop_busy: Family::default(),
+            loop_delay: Gauge::default(),
+            loop_waiting: Gauge::default(),
         };
         metrics.register_outcomes();
         metrics.register_state();
@@ -308,6 +317,20 @@
         set_total(&counter, counts.of(kind).messages);
     }
 
+    /// Record what the event loop processed in one interval.
+    pub(crate) fn record_loop(&self, stats: &LoopStats) {
+        for (kind, stats) in stats.kinds() {
+            let labels = InputLabels {
+                kind: kind.as_str(),
+            };
+            self.loop_inputs.get_or_create(&labels).inc_by(stats.count);
+            let busy = self.loop_busy.get_or_create(&labels);
+            busy.inc_by(stats.busy.as_secs_f64());
+        }
+        self.loop_delay.set(stats.max_delay().as_secs_f64());
+        self.loop_waiting.set(gauge_value(stats.max_waiting()));
+    }
+
     /// Set the load of the host, in thousandths of its capacity.
     pub fn set_load(&self, permille: u16) {
         self.load.set(i64::from(permille));
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -202,6 +202,26 @@
             "Idle connections to targets",
             self.idle_connections.clone(),
         );
+        registry.register(
+            "loop_inputs",
+            "Inputs that the event loop processed, by kind",
+            self.loop_inputs.clone(),
+        );
+        registry.register(
+            "loop_busy_seconds",
+            "Time for which the event loop processed inputs, by kind",
+            self.loop_busy.clone(),
+        );
+        registry.register(
+            "loop_delay_seconds",
+            "Longest time for which an input waited for the event loop, over a second",
+            self.loop_delay.clone(),
+        );
+        registry.register(
+            "loop_waiting_inputs",
+            "Most inputs that waited for the event loop, over a second",
+            self.loop_waiting.clone(),
+        );
         registry.register(
             "degraded_admissions",
             "Requests admitted by this host's own fraction, without an owner",
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -23,6 +23,8 @@
 use super::gateway_setup;
 use super::host_parts::HostParts;
 use super::load_gauge::LoadGauge;
+use super::loop_inbox::{LoopInbox, WaitingInput};
+use super::loop_stats::{InputKind, LoopStats};
 use super::open_request::{OpenRequest, OpenRequests};
 use super::request_log::RequestLog;
 use super::stop::StopPhase;
@@ -54,7 +56,7 @@
     metrics: Arc<NodeMetrics>,
     publication: watch::Sender<Arc<Publication>>,
     callers: CallerServer,
-    inbox: mpsc::UnboundedReceiver<NodeInput>,
+    inbox: LoopInbox,
     sender: NodeSender,
     stop: StopPhase,
     clock: BootClock,
@@ -62,6 +64,7 @@
     store_failing: bool,
     gauges_due: Moment,
     load: LoadGauge,
+    stats: LoopStats,
     owner_totals: OwnerTotals,
 }
 
@@ -107,7 +110,7 @@
             metrics: setup.metrics,
             publication,
             callers: parts.callers,
-            inbox,
+            inbox: LoopInbox::new(inbox),
             sender,
             stop: StopPhase::Serving,
             clock: BootClock::start(),
@@ -115,6 +118,7 @@
             store_failing: false,
             gauges_due: Moment::START,
             load: LoadGauge::default(),
+            stats: LoopStats::default(),
             owner_totals: OwnerTotals::default(),
         })
     }
@@ -139,12 +143,13 @@
         {
             let wake = self.core.next_wake().min(self.stop.next_wake());
             let delay = wake.since(self.now());
+            let clock = self.clock;
             tokio::select! {
-                input = self.inbox.recv() => match input {
-                    Some(input) => self.on_input(input),
-                    None => break,
+                is_open = self.inbox.wait(|| clock.now()) => match is_open {
+                    true => self.process_next(),
+                    false => break,
                 },
-                () = tokio::time::sleep(delay) => self.handle(NodeEvent::Tick),
+                () = tokio::time::sleep(delay) => self.process_tick(),
             }
             self.refresh_gauges();
             self.advance_stop();
@@ -161,12 +166,16 @@
         let HostNode {
             me,
             callers,
-            mut inbox,
+            inbox,
             clock,
             metrics,
             ..
         } = self;
         let stop_at = schedule.map(|schedule| schedule.started_at);
+        let (mut inbox, waiting) = inbox.into_parts();
+        for waiting in waiting {
+            refuse_late_request(Some(waiting.input), now, stop_at, &metrics);
+        }
         let mut timeout = Box::pin(tokio::time::sleep(left));
         let mut closing = Box::pin(callers.close());
         loop {
@@ -186,6 +195,28 @@
         self.clock.now()
     }
 
+    /// Process the next input that waits.
+    fn process_next(&mut self) {
+        let started = self.now();
+        self.inbox.collect(started);
+        if let Some(WaitingInput { arrived, input }) = self.inbox.next() {
+            let kind = InputKind::of(&input);
+            self.on_input(input);
+            self.record_processed(kind, arrived, started);
+        }
+    }
+
+    fn process_tick(&mut self) {
+        let started = self.now();
+        self.handle(NodeEvent::Tick);
+        self.record_processed(InputKind::Tick, started, started);
+    }
+
+    fn record_processed(&mut self, kind: InputKind, arrived: Moment, started: Moment) {
+        let span = (started, self.now());
+        self.stats.record(kind, arrived, span, self.inbox.len());
+    }
+
     fn on_input(&mut self, input: NodeInput) {
         match input {
             NodeInput::Submit {
--- a/bergamotswitch-net/src/node/event_loop/reports.rs
+++ b/bergamotswitch-net/src/node/event_loop/reports.rs
@@ -107,6 +107,24 @@
         status
     }
 
+    /// Update the metrics of the event loop, and log that it is behind.
+    fn report_loop(&mut self) {
+        let stats = std::mem::take(&mut self.stats);
+        self.metrics.record_loop(&stats);
+        if !stats.is_behind() {
+            return;
+        }
+        self.metrics.count_incident(Incident::LoopBehind);
+        let delay = stats.max_delay().as_millis();
+        let pairs: [(&str, &dyn Display); 4] = [
+            ("host", &self.me.incarnation.host),
+            ("delay_ms", &delay),
+            ("waiting", &stats.max_waiting()),
+            ("inputs", &stats),
+        ];
+        event_log::write(Incident::LoopBehind, &pairs);
+    }
+
     pub(super) fn refresh_gauges(&mut self) {
         let now = self.now();
         if now < self.gauges_due {
@@ -116,6 +134,7 @@
         self.log_key_trust();
         let view = self.core.view(now);
         let load = self.load.measure(now, &view.entry);
+        self.report_loop();
         gauges::refresh(&self.metrics, &view);
         self.owner_totals.refresh(&self.metrics, &view.shards);
         self.metrics.set_service_reads(self.platform.calls());
--- a/bergamotswitch-net/src/node/event_loop/stopping.rs
+++ b/bergamotswitch-net/src/node/event_loop/stopping.rs
@@ -67,11 +67,9 @@
     /// Process all inputs that have already arrived. Otherwise an answer whose end
     /// is still in the inbox would be reported as truncated.
     pub(super) fn process_inbox(&mut self) {
+        self.inbox.collect(self.now());
         for _ in 0..self.inbox.len() {
-            let Ok(input) = self.inbox.try_recv() else {
-                return;
-            };
-            self.on_input(input);
+            self.process_next();
         }
     }
 
--- a/bergamotswitch-net/src/node/mod.rs
+++ b/bergamotswitch-net/src/node/mod.rs
@@ -8,6 +8,8 @@
 mod gauges;
 mod host_parts;
 mod load_gauge;
+mod loop_inbox;
+pub(crate) mod loop_stats;
 mod open_request;
 mod request_log;
 mod stop;
