Reproduce an owner's event loop that stays behind after a burst

A simulation in virtual time of a shard owner whose processor takes time for each input: 400 requests a second, 3,500 for four seconds, 400 again. Before the burst all calls are answered on time, from three to seven seconds after its end none is, although the processor bears four times what is asked; a heartbeat waits 6.7 s.

The backlog of the event loop moves into the core, where a test runs it without a network; inputs are still taken in the order of their arrival.

--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! published values.
 
 mod actions;
+mod backlog;
 mod core;
 mod crash_reports;
 mod discovery;
@@ -37,6 +38,7 @@
 use crate::target_list::TargetUpdate;
 use crate::target_path::TargetPath;
 
+pub use self::backlog::{InputBacklog, NextInput};
 pub use self::core::{NodeCore, NodeOptions, RosterSetup};
 pub use self::exposure::NodeCounts;
 pub use self::view::NodeView;
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -9,7 +9,7 @@
 use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::entry::{Conclusion, SubmitOutcome};
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::node::{NodeAction, NodeCore, NodeEvent};
+use bergamotswitch_core::node::{NextInput, NodeAction, NodeCore, NodeEvent};
 use bergamotswitch_core::pool::PoolKind;
 use bergamotswitch_core::publication::{FleetLimits, Publication};
 use bergamotswitch_core::request::{AttemptId, RequestId};
@@ -23,7 +23,7 @@
 use super::gateway_setup;
 use super::host_parts::HostParts;
 use super::load_gauge::LoadGauge;
-use super::loop_inbox::{LoopInbox, WaitingInput};
+use super::loop_inbox::LoopInbox;
 use super::loop_stats::{InputKind, LoopStats};
 use super::open_request::{OpenRequest, OpenRequests};
 use super::request_log::RequestLog;
@@ -172,9 +172,9 @@
             ..
         } = self;
         let stop_at = schedule.map(|schedule| schedule.started_at);
-        let (mut inbox, waiting) = inbox.into_parts();
-        for waiting in waiting {
-            refuse_late_request(Some(waiting.input), now, stop_at, &metrics);
+        let (mut backlog, mut inbox) = inbox.into_parts();
+        while let Some(next) = backlog.next(now) {
+            refuse_late_request(Some(next.input), now, stop_at, &metrics);
         }
         let mut timeout = Box::pin(tokio::time::sleep(left));
         let mut closing = Box::pin(callers.close());
@@ -199,7 +199,7 @@
     fn process_next(&mut self) {
         let started = self.now();
         self.inbox.collect(started);
-        if let Some(WaitingInput { arrived, input }) = self.inbox.next() {
+        if let Some(NextInput { arrived, input }) = self.inbox.next(started) {
             let kind = InputKind::of(&input);
             self.on_input(input);
             self.record_processed(kind, arrived, started);
