Process control first, and drop or refuse requests that waited too long

What callers saw: from a burst on, an owner answered next to nothing in time, also long after the burst had ended. Its callers left before they got a permit, and each permit for one of them cost as much as a useful one.

Cause: the event loop took its inputs in the order of their arrival, without a bound. A permit request names the time that was left when it was sent, so an owner that was behind granted and queued what nobody waited for; heartbeats, published values and readiness checks waited behind it. Links were read one frame a turn, so most of the backlog lay unread where its order could not be changed.

Change: the backlog of the loop has an order. What a peer announces about a request stays with it. Links are read up to 64 KB a turn.

--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -27,6 +27,7 @@
 use crate::permit::{OwnerMessage, OwnerReply, Permit, Usage};
 use crate::pool::{PoolKind, PoolName, PoolShard, TargetPool};
 use crate::pool_owner::QuotaRate;
+use crate::pool_owner::wait_plan::spread_retry_after;
 use crate::quarantine::{CrashReport, QuarantineChange};
 use crate::refusal::{Refusal, RefusalReason, RetryReason, WasteCause};
 use crate::request::{AttemptId, CallerKey, PartId, PrefixHash, RequestId, TokenCost};
@@ -92,6 +93,18 @@
         self.resubmission && (self.holder.is_none() || self.may_rerun())
     }
 
+    /// Get the submission after it has waited to be processed.
+    pub fn after_wait(mut self, waited: Duration) -> Self {
+        self.deadline_in = self.deadline_in.saturating_sub(waited);
+        self
+    }
+
+    /// Get the refusal of a submission for which this host has no processor time.
+    pub fn overload_refusal(&self, number: u64) -> Refusal {
+        self.refuse(RefusalReason::Overloaded)
+            .with_retry_after(spread_retry_after(self.deadline_in, number))
+    }
+
     /// Get the refusal of a submission that arrives during a planned stop.
     pub fn stopping_refusal(&self) -> Refusal {
         self.refuse(RefusalReason::Stopping)
--- a/bergamotswitch-core/src/link.rs
+++ b/bergamotswitch-core/src/link.rs
@@ -1,6 +1,7 @@
 //! Provides the messages on the links between entry hosts.
 
 use std::borrow::Cow;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -149,6 +150,24 @@
     }
 }
 
+impl LinkEvent {
+    /// Get the event after it has waited to be processed; `None` if it is of no use any
+    /// more, because the deadline of its permit request has passed.
+    pub fn after_wait(self, waited: Duration) -> Option<Self> {
+        match self {
+            LinkEvent::Message(
+                remote,
+                LinkMessage::ToOwner(OwnerMessage::PermitRequest(request)),
+            ) => {
+                let request = Box::new(request.after_wait(waited)?);
+                let message = OwnerMessage::PermitRequest(request);
+                Some(LinkEvent::Message(remote, LinkMessage::ToOwner(message)))
+            }
+            event => Some(event),
+        }
+    }
+}
+
 /// A `LinkEvent` is an event on a link to a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LinkEvent {
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -21,7 +21,7 @@
 use crate::incident::Incident;
 use crate::link::{LinkEvent, LinkMessage};
 use crate::membership::{Membership, MembershipAction, MembershipEvent, MembershipOptions};
-use crate::permit::{OwnerMessage, OwnerReply};
+use crate::permit::{OwnerMessage, OwnerReply, PermitRequest};
 use crate::pool::PoolShard;
 use crate::pool_owner::{OwnerAction, OwnerEvent, OwnerOptions};
 use crate::publication::{FleetLimits, Publication};
@@ -225,6 +225,7 @@
                 self.notify_entry(now, EntryEvent::AnswerSize(id, bytes));
             }
             NodeEvent::Link(event) => self.on_link(now, event),
+            NodeEvent::Overdue(remote, request) => self.on_overdue(now, remote.host, *request),
             NodeEvent::Read(value) => self.notify_revisions(now, RevisionEvent::Read(value)),
             NodeEvent::Unchanged(name) => {
                 self.notify_revisions(now, RevisionEvent::Unchanged(name))
@@ -418,6 +419,18 @@
         }
     }
 
+    /// Refuse a permit request that has waited for the event loop for too long.
+    fn on_overdue(&mut self, now: Moment, host: HostName, request: PermitRequest) {
+        if !self.shards.serves(&request.shard, false) {
+            let shard = request.shard;
+            return self.send_reply(now, host, OwnerReply::NotOwner { shard });
+        }
+        let shard = request.shard.clone();
+        let event = OwnerEvent::Overdue(host, Box::new(request));
+        let actions = self.shards.notify_shard(now, &shard, event);
+        self.queue_owner(actions);
+    }
+
     pub(super) fn send_reply(&mut self, now: Moment, host: HostName, reply: OwnerReply) {
         if host != self.identity.host {
             let message = LinkMessage::FromOwner(reply);
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -28,6 +28,7 @@
 use crate::host::{EntryHost, HostIncarnation, HostName};
 use crate::incident::Incident;
 use crate::link::{LinkEvent, LinkMessage};
+use crate::permit::PermitRequest;
 use crate::pool::PoolKind;
 use crate::refusal::{RefusalReason, RetryReason, WasteCause};
 use crate::request::{AttemptId, PrefixHash, RequestId};
@@ -38,7 +39,7 @@
 use crate::target_list::TargetUpdate;
 use crate::target_path::TargetPath;
 
-pub use self::backlog::{InputBacklog, NextInput};
+pub use self::backlog::{InputBacklog, InputRole, LoopInput, NextInput};
 pub use self::core::{NodeCore, NodeOptions, RosterSetup};
 pub use self::exposure::NodeCounts;
 pub use self::view::NodeView;
@@ -57,6 +58,8 @@
     AnswerSize(RequestId, u64),
     /// A link changed state or received a message.
     Link(LinkEvent),
+    /// A permit request of a peer waited for the event loop for too long and is refused.
+    Overdue(HostIncarnation, Box<PermitRequest>),
     /// A read or watch returned a value.
     Read(PublishedValue),
     /// A watch ended without a change of the value.
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -77,7 +77,7 @@
 impl PermitRequest {
     /// Get the permit request after it has been held; `None` if its deadline has passed,
     /// which its entry host has reported to the caller.
-    pub(crate) fn after_wait(self, waited: Duration) -> Option<Self> {
+    pub fn after_wait(self, waited: Duration) -> Option<Self> {
         let waited = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
         let left = self.deadline_ms.checked_sub(waited)?;
         Some(PermitRequest {
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -6,6 +6,7 @@
 use crate::host::{HostIncarnation, HostName};
 use crate::permit::{OwnerReply, PermitRequest};
 use crate::pool_owner::OwnerAction;
+use crate::pool_owner::order::wait_plan::spread_retry_after;
 use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
@@ -54,6 +55,41 @@
             self.refuse(queued.host, *attempt, reason, retry_after, actions);
         }
     }
+
+    /// Refuse a permit request that waited for the event loop for too long, at less
+    /// cost than a request that was queued.
+    pub(in crate::pool_owner) fn refuse_overdue(
+        &mut self,
+        now: Moment,
+        host: &HostName,
+        request: &PermitRequest,
+    ) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        self.stream_requests.take(host, &request.attempt);
+        // An earlier copy of the request may have been queued or granted.
+        if let Some(permit) = self.permits.of_attempt(&request.attempt) {
+            let reply = self.granted_reply(permit);
+            actions.push(OwnerAction::Reply(host.clone(), reply));
+            return actions;
+        }
+        if self.queue.get(&request.attempt).is_some() {
+            return actions;
+        }
+        self.record_refused_arrival(now, host, request);
+        self.queue.record_outcome(now, request.tier, false);
+        let left = Duration::from_millis(u64::from(request.deadline_ms));
+        let retry_after = spread_retry_after(left, request.attempt.request.sequence);
+        let reason = RefusalReason::Overloaded;
+        self.refuse(
+            host.clone(),
+            request.attempt,
+            reason,
+            retry_after,
+            &mut actions,
+        );
+        actions
+    }
+
     pub(in crate::pool_owner) fn refuse(
         &mut self,
         host: HostName,
--- a/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
@@ -275,6 +275,30 @@
         }
     }
 
+    /// Record the arrival of a request that is refused without being queued.
+    pub(in crate::pool_owner) fn record_refused_arrival(
+        &mut self,
+        now: Moment,
+        host: &HostName,
+        request: &PermitRequest,
+    ) {
+        if !self.makes_promises() {
+            return;
+        }
+        let returning = &mut self.returning;
+        let signature = returning.take_signature(host, &request.attempt);
+        let returned = signature.is_some_and(|signature| returning.refused.take(signature));
+        if !returned {
+            let work = returning.rates.mean_work(request.tier);
+            returning.rates.record_arrival(now, request.tier, work);
+        }
+        let left = Duration::from_millis(u64::from(request.deadline_ms));
+        if let Some(signature) = signature {
+            returning.refused.record(signature, now.plus(left));
+        }
+        returning.count(PromiseState::RefusedTwice, u64::from(returned));
+    }
+
     /// Record that a request was granted a slot.
     pub(in crate::pool_owner) fn record_started_work(&mut self, now: Moment, tier: Tier) {
         if self.makes_promises() {
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -33,7 +33,7 @@
 use crate::cold_targets::ColdTarget;
 use crate::host::{HostName, Incarnation};
 use crate::incident::Incident;
-use crate::permit::{OwnerMessage, OwnerReply};
+use crate::permit::{OwnerMessage, OwnerReply, PermitRequest};
 use crate::pool::PoolShard;
 use crate::request::PrefixHash;
 use crate::target::{LoadReport, PoolTarget, TargetName};
@@ -43,6 +43,8 @@
 pub enum OwnerEvent {
     /// An entry host sent a message.
     Message(HostName, OwnerMessage),
+    /// A permit request waited for the event loop for too long and is refused.
+    Overdue(HostName, Box<PermitRequest>),
     /// The shard's targets that accept new requests have changed.
     Targets(Vec<PoolTarget>),
     /// The cold targets of the shard's pool, with their limits, have changed.
--- a/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
+++ b/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
@@ -94,9 +94,14 @@
 
     /// Get the retry-after time of a request that is refused now.
     pub fn retry_after(&self, now: Moment, attempt: &AttemptId) -> Duration {
-        let left = self.run_until.since(now);
-        let spread = attempt.request.sequence.wrapping_mul(SPREAD_STEP) % SPREAD_PERCENT;
-        let percent = RETRY_AFTER_PERCENT * (100 - spread as u32) / 100;
-        left * percent / 100
+        spread_retry_after(self.run_until.since(now), attempt.request.sequence)
     }
 }
+
+/// Get the retry-after time of a request that has `left` until its deadline, spread by
+/// the request's number.
+pub fn spread_retry_after(left: Duration, number: u64) -> Duration {
+    let spread = number.wrapping_mul(SPREAD_STEP) % SPREAD_PERCENT;
+    let percent = RETRY_AFTER_PERCENT * (100 - spread as u32) / 100;
+    left * percent / 100
+}
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -164,8 +164,8 @@
 
     /// Process one event and get the resulting actions.
     pub fn handle(&mut self, now: Moment, event: OwnerEvent) -> Vec<OwnerAction> {
-        if self.absorb_usual_paces(now, &event) {
-            return Vec::new();
+        if let Some(actions) = self.handle_briefly(now, &event) {
+            return actions;
         }
         let mut actions = Vec::new();
         self.now = now;
@@ -194,6 +194,8 @@
                 self.record_attached_host(now, &host, &message);
                 self.on_message(now, host, message, &mut actions);
             }
+            // Handled above.
+            OwnerEvent::Overdue(..) => {}
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
             OwnerEvent::ColdTargets(cold) => self.on_cold_targets(now, cold, &mut actions),
             OwnerEvent::Quotas(rates) => self.quotas.set_rates(now, rates),
@@ -245,6 +247,29 @@
         actions
     }
 
+    /// Handle an event that changes neither the queue nor the targets, without looking at
+    /// them; `None` for any other event.
+    fn handle_briefly(&mut self, now: Moment, event: &OwnerEvent) -> Option<Vec<OwnerAction>> {
+        if self.absorb_usual_paces(now, event) {
+            return Some(Vec::new());
+        }
+        match event {
+            OwnerEvent::Message(
+                host,
+                OwnerMessage::Signature {
+                    shard,
+                    attempt,
+                    signature,
+                },
+            ) if *shard == self.shard => {
+                self.on_signature(host.clone(), *attempt, *signature);
+                Some(Vec::new())
+            }
+            OwnerEvent::Overdue(host, request) => Some(self.refuse_overdue(now, host, request)),
+            _ => None,
+        }
+    }
+
     /// Record that this process was paused. Another owner may have admitted
     /// requests meanwhile, and entry hosts may use that one now.
     pub fn on_resumed(&mut self, now: Moment, paused_for: Duration) {
--- a/bergamotswitch-net/src/input.rs
+++ b/bergamotswitch-net/src/input.rs
@@ -1,5 +1,7 @@
 //! Provides the inputs of a host's event loop, sent by its I/O tasks.
 
+use std::time::Duration;
+
 use bergamotswitch_core::address::{AddressAnswer, AddressQuery};
 use bergamotswitch_core::entry::{
     AttemptEvent, OutcomeQuery, OutcomeView, Submission, SubmitOutcome,
@@ -7,6 +9,7 @@
 use bergamotswitch_core::evacuation::EvacuationUpdate;
 use bergamotswitch_core::host::{EntryHost, HostIncarnation};
 use bergamotswitch_core::link::LinkEvent;
+use bergamotswitch_core::node::{InputRole, LoopInput};
 use bergamotswitch_core::refusal::RefusalReason;
 use bergamotswitch_core::request::{AttemptId, RequestId};
 use bergamotswitch_core::revision::{PublishedValue, Revision, ValueName};
@@ -111,6 +114,53 @@
     Stop,
 }
 
+impl NodeInput {
+    /// Get the input after it has waited to be processed; `None` if it is of no use any
+    /// more.
+    pub(crate) fn after_wait(self, waited: Duration) -> Option<Self> {
+        match self {
+            NodeInput::Link(event) => event.after_wait(waited).map(NodeInput::Link),
+            NodeInput::Submit {
+                submission,
+                call,
+                reply,
+            } => Some(NodeInput::Submit {
+                submission: Box::new(submission.after_wait(waited)),
+                call,
+                reply,
+            }),
+            input => Some(input),
+        }
+    }
+}
+
+impl LoopInput for NodeInput {
+    fn role(&self) -> InputRole<'_> {
+        match self {
+            NodeInput::Link(event) => event.role(),
+            NodeInput::Submit { submission, .. } => InputRole::Submission(submission.verdict.tier),
+            NodeInput::CallerDisconnected(_)
+            | NodeInput::Attempt(..)
+            | NodeInput::AnswerTooLong(_)
+            | NodeInput::Load(..)
+            | NodeInput::Prefix(..)
+            | NodeInput::EarlyRefusal(..) => InputRole::Progress,
+            NodeInput::Outcome(..)
+            | NodeInput::Address(..)
+            | NodeInput::ReadyHosts(_)
+            | NodeInput::IsReady(_)
+            | NodeInput::KeysTrusted(_)
+            | NodeInput::Status(_)
+            | NodeInput::Platform(_)
+            | NodeInput::Targets(_)
+            | NodeInput::Evacuations(_)
+            | NodeInput::Gossip(_)
+            | NodeInput::Settings(_)
+            | NodeInput::Stop => InputRole::Control,
+        }
+    }
+}
+
 /// A `NodeSender` is the sending half of the event loop's input queue.
 pub type NodeSender = mpsc::UnboundedSender<NodeInput>;
 
--- a/bergamotswitch-net/src/link/session.rs
+++ b/bergamotswitch-net/src/link/session.rs
@@ -20,6 +20,9 @@
 /// bounded send queue.
 pub(crate) const H2_SEND_BYTES: usize = 64 << 10;
 
+/// The bytes that are read from a peer until other tasks run.
+const READ_BYTES_IN_TURN: usize = 64 << 10;
+
 /// The maximum size of a header list in bytes, well above that of a handshake.
 pub(crate) const HEADER_BYTES: u32 = 4 << 10;
 
@@ -86,8 +89,10 @@
     frames: &mut FrameReader,
     received: &AtomicU64,
 ) -> SessionEnd {
+    let mut in_turn = 0;
     while let Some(Ok(data)) = reader.data().await {
         received.fetch_add(1, Ordering::Relaxed);
+        in_turn += data.len();
         frames.push(&data);
         if reader.flow_control().release_capacity(data.len()).is_err() {
             return SessionEnd::Closed;
@@ -99,8 +104,13 @@
                 Err(error) => return SessionEnd::Malformed(error),
             }
         }
-        // Yield, so that a peer that sends continuously does not starve other tasks.
-        tokio::task::yield_now().await;
+        // Messages that stay unread have no place in the order of the event loop, so most
+        // of what has arrived is read at once. A peer that sends continuously does not
+        // starve other tasks.
+        if in_turn >= READ_BYTES_IN_TURN {
+            in_turn = 0;
+            tokio::task::yield_now().await;
+        }
     }
     SessionEnd::Closed
 }
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -9,7 +9,9 @@
 use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::entry::{Conclusion, SubmitOutcome};
 use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::link::{LinkEvent, LinkMessage};
 use bergamotswitch_core::node::{NextInput, NodeAction, NodeCore, NodeEvent};
+use bergamotswitch_core::permit::OwnerMessage;
 use bergamotswitch_core::pool::PoolKind;
 use bergamotswitch_core::publication::{FleetLimits, Publication};
 use bergamotswitch_core::request::{AttemptId, RequestId};
@@ -65,6 +67,8 @@
     gauges_due: Moment,
     load: LoadGauge,
     stats: LoopStats,
+    /// The number of submissions refused because they waited for the loop.
+    overdue: u64,
     owner_totals: OwnerTotals,
 }
 
@@ -119,6 +123,7 @@
             gauges_due: Moment::START,
             load: LoadGauge::default(),
             stats: LoopStats::default(),
+            overdue: 0,
             owner_totals: OwnerTotals::default(),
         })
     }
@@ -199,10 +204,47 @@
     fn process_next(&mut self) {
         let started = self.now();
         self.inbox.collect(started);
-        if let Some(NextInput { arrived, input }) = self.inbox.next(started) {
-            let kind = InputKind::of(&input);
-            self.on_input(input);
-            self.record_processed(kind, arrived, started);
+        let Some(next) = self.inbox.next(started) else {
+            return;
+        };
+        let NextInput {
+            announcements,
+            input,
+            arrived,
+            is_overdue,
+        } = next;
+        for announcement in announcements {
+            self.on_input(announcement);
+        }
+        let kind = InputKind::of(&input);
+        match input.after_wait(started.since(arrived)) {
+            Some(input) if is_overdue => self.refuse_overdue(input),
+            Some(input) => self.on_input(input),
+            None => {}
+        }
+        self.record_processed(kind, arrived, started);
+    }
+
+    /// Refuse a request that has waited for too long.
+    fn refuse_overdue(&mut self, input: NodeInput) {
+        match input {
+            NodeInput::Submit {
+                submission,
+                call,
+                reply,
+            } => {
+                self.overdue += 1;
+                let log = RequestLog::of(self.now(), &submission, &call);
+                let refusal = submission.overload_refusal(self.overdue);
+                let outcome = SubmitOutcome::Refused(refusal);
+                // The caller may have disconnected.
+                let _ = reply.send(self.receive(outcome, *call, log));
+            }
+            NodeInput::Link(LinkEvent::Message(
+                remote,
+                LinkMessage::ToOwner(OwnerMessage::PermitRequest(request)),
+            )) => self.handle(NodeEvent::Overdue(remote, request)),
+            input => self.on_input(input),
         }
     }
 
