Send a permit request again only once its owner should have answered

Cause: a gateway's entry host sent each waiting request again after 0.5, 1.5 and 3.5 s, while an owner keeps one in its queue for three times its first-token limit without a word. Each copy, with its signature, went through the whole handling of an event.

Change: the first copy is sent after that time at the earliest. An owner answers copies, signatures and withdrawals of unknown requests without looking at queue and targets.

A loss still shows at once, since links keep their order and an owner is announced again with its link. Ruled out: no copies at all; an owner in degraded mode drops a keyed request and relies on a copy.

--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -9,6 +9,7 @@
 use super::placement::ShardQuery;
 use crate::clock::Moment;
 use crate::pool::PoolShard;
+use crate::pool_owner::wait_plan::MAX_WAIT_FACTOR;
 use crate::quarantine::{Admission, RequestSuspects};
 use crate::request::{AttemptId, RequestId};
 use crate::stream_table::StreamOrigin;
@@ -110,6 +111,13 @@
         !self.submission.options.ends_at_deadline && self.outlives_caller()
     }
 
+    /// Get how long an owner may keep the request in its queue without an answer. A copy
+    /// that is sent earlier tells it nothing, and costs it as much as a new request.
+    fn max_queue_time(&self) -> Duration {
+        let limit = self.submission.options.first_token_limit;
+        limit.unwrap_or_default() * MAX_WAIT_FACTOR
+    }
+
     /// Get whether the limit on runs allows another run after this one.
     pub(super) fn may_run_elsewhere(&self) -> bool {
         let most = self.submission.options.max_runs;
@@ -159,7 +167,8 @@
         match &self.stage {
             AttemptStage::Waiting(waiting) if waiting.requested_from.is_some() => {
                 let doublings = waiting.resends.min(MAX_RESEND_DOUBLINGS);
-                let interval = permit_resend_interval.saturating_mul(1 << doublings);
+                let interval = permit_resend_interval.max(self.record.max_queue_time());
+                let interval = interval.saturating_mul(1 << doublings);
                 self.record
                     .deadline
                     .min(waiting.requested_at.plus(interval))
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -64,17 +64,11 @@
         host: &HostName,
         request: &PermitRequest,
     ) -> Vec<OwnerAction> {
-        let mut actions = Vec::new();
-        self.stream_requests.take(host, &request.attempt);
-        // An earlier copy of the request may have been queued or granted.
-        if let Some(permit) = self.permits.of_attempt(&request.attempt) {
-            let reply = self.granted_reply(permit);
-            actions.push(OwnerAction::Reply(host.clone(), reply));
-            return actions;
-        }
-        if self.queue.get(&request.attempt).is_some() {
+        if let Some(actions) = self.answer_copy(now, host, &request.attempt) {
             return actions;
         }
+        let mut actions = Vec::new();
+        self.stream_requests.take(host, &request.attempt);
         self.record_refused_arrival(now, host, request);
         self.queue.record_outcome(now, request.tier, false);
         let left = Duration::from_millis(u64::from(request.deadline_ms));
--- a/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
+++ b/bergamotswitch-core/src/pool_owner/order/wait_plan.rs
@@ -19,7 +19,7 @@
 
 /// The multiple of its time-to-first-token limit for which a request waits at
 /// most.
-const MAX_WAIT_FACTOR: u32 = 3;
+pub(crate) const MAX_WAIT_FACTOR: u32 = 3;
 
 /// A `WaitPlan` is how long a request waits, and its sort key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -11,7 +11,7 @@
 use crate::permit::{KeyClaim, OwnerMessage, OwnerReply, PermitRequest, QuotaLevel};
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
-use crate::request::TokenCost;
+use crate::request::{AttemptId, TokenCost};
 use crate::stream_table::{StreamId, StreamOrigin, StreamTable};
 use crate::target::TargetName;
 
@@ -187,8 +187,6 @@
             }
             _ => None,
         };
-        // A resent request has been queued already.
-        let was_queued = incoming.is_some_and(|(attempt, _)| self.queue.get(&attempt).is_some());
         match event {
             OwnerEvent::Message(host, message) => {
                 self.record_attached_host(now, &host, &message);
@@ -233,10 +231,8 @@
         self.review_held_streams(now, &mut actions);
         self.dispatch(now, &mut actions);
         if let Some((attempt, tier)) = incoming {
-            let infeasible = !was_queued && self.shed_infeasible(now, &attempt, &mut actions);
-            if !was_queued {
-                self.schedule_wait_check(now, attempt);
-            }
+            let infeasible = self.shed_infeasible(now, &attempt, &mut actions);
+            self.schedule_wait_check(now, attempt);
             if self.shed(now, tier, &mut actions) || infeasible {
                 // Targets may have been reserved for a request that was shed.
                 self.dispatch(now, &mut actions);
@@ -265,11 +261,41 @@
                 self.on_signature(host.clone(), *attempt, *signature);
                 Some(Vec::new())
             }
+            OwnerEvent::Message(host, OwnerMessage::PermitRequest(request))
+                if request.shard == self.shard =>
+            {
+                self.answer_copy(now, host, &request.attempt)
+            }
+            OwnerEvent::Message(_, OwnerMessage::Withdraw { shard, attempt })
+                if *shard == self.shard && self.queue.get(attempt).is_none() =>
+            {
+                self.stream_requests.withdraw(attempt);
+                Some(Vec::new())
+            }
             OwnerEvent::Overdue(host, request) => Some(self.refuse_overdue(now, host, request)),
             _ => None,
         }
     }
 
+    /// Answer a permit request that was received before; `None` if it is a new one. A
+    /// second permit would hold a slot without using it.
+    pub(super) fn answer_copy(
+        &mut self,
+        now: Moment,
+        host: &HostName,
+        attempt: &AttemptId,
+    ) -> Option<Vec<OwnerAction>> {
+        let permit = self.permits.of_attempt(attempt);
+        let reply = permit.map(|permit| self.granted_reply(permit));
+        if reply.is_none() && self.queue.get(attempt).is_none() {
+            return None;
+        }
+        self.attached_hosts.attach(now, host);
+        self.stream_requests.take(host, attempt);
+        let reply = reply.map(|reply| OwnerAction::Reply(host.clone(), reply));
+        Some(reply.into_iter().collect())
+    }
+
     /// Record that this process was paused. Another owner may have admitted
     /// requests meanwhile, and entry hosts may use that one now.
     pub fn on_resumed(&mut self, now: Moment, paused_for: Duration) {
@@ -403,16 +429,6 @@
         actions: &mut Vec<OwnerAction>,
     ) {
         let origin = self.stream_requests.take(&host, &request.attempt);
-        // A request is resent if its answer is late. It must find its queue
-        // entry or permit: a second permit would hold a slot without using it.
-        if let Some(permit) = self.permits.of_attempt(&request.attempt) {
-            let reply = self.granted_reply(permit);
-            actions.push(OwnerAction::Reply(host, reply));
-            return;
-        }
-        if self.queue.get(&request.attempt).is_some() {
-            return;
-        }
         if request.deadline_ms == 0 {
             let retry_after = self.drain_time(now, request.tier);
             let reason = RefusalReason::DeadlinePassed;
