Pass a received change on instead of computing it again

Cause: a relay that had applied a change parsed both values again, compared them and wrote their canonical form, for each revision that a peer may have from which the change leads. On a host of 0.12 core that delays its own adoption, which comes after it in the same event, and that of the hosts behind it.

Change: the received change is kept with the value that it leads to.

Evidence: relayed_changes::received_change failed before (the patch sent on was another text). Ruled out: adoption before sending; the hosts behind a relay would wait for it too.

--- a/bergamotswitch-core/src/revision/propagation.rs
+++ b/bergamotswitch-core/src/revision/propagation.rs
@@ -50,11 +50,18 @@
                 match body {
                     Some(body) => {
                         let value = PublishedValue {
-                            name,
+                            name: name.clone(),
                             revision: to,
                             body,
                         };
-                        self.accept_value(now, value, actions);
+                        let change = RevisionMessage::Change {
+                            name,
+                            from,
+                            to,
+                            checksum,
+                            patch,
+                        };
+                        self.accept_change(now, value, Some((from, change)), actions);
                     }
                     // A gap in the revisions, or a different text under the
                     // same revision. The complete value resolves both.
@@ -88,6 +95,19 @@
         now: Moment,
         value: PublishedValue,
         actions: &mut Vec<RevisionAction>,
+    ) {
+        self.accept_change(now, value, None, actions);
+    }
+
+    /// Accept a value with the change that it results from, by the revision from which
+    /// that leads. Peers get the same change: to compute it again takes longer than to
+    /// apply it.
+    fn accept_change(
+        &mut self,
+        now: Moment,
+        value: PublishedValue,
+        change: Option<(Revision, RevisionMessage)>,
+        actions: &mut Vec<RevisionAction>,
     ) {
         let name = value.name.clone();
         let replica = match self.values.get_mut(&name) {
@@ -97,6 +117,9 @@
         if !replica.take(value.clone(), self.opts.kept_bases) {
             return;
         }
+        if let Some((from, change)) = change {
+            replica.keep_change(from, change);
+        }
         actions.push(RevisionAction::Validate(value));
         let (best, seen) = (self.best_known(&name), self.seen(&name));
         match self.catch_ups.get_mut(&name) {
--- a/bergamotswitch-core/src/revision/value_replica.rs
+++ b/bergamotswitch-core/src/revision/value_replica.rs
@@ -112,6 +112,11 @@
         self.changes.get(&from).cloned().flatten()
     }
 
+    /// Keep a change that leads from an earlier revision to the current value.
+    pub(super) fn keep_change(&mut self, from: Revision, change: RevisionMessage) {
+        self.changes.insert(from, Some(change));
+    }
+
     fn find_change(&self, from: Revision) -> Option<RevisionMessage> {
         let value = self.seen.as_ref()?;
         let base = self.bases.iter().find(|base| base.revision == from)?;
