Spend less of the owner's time on a request that is refused

Cause: an owner in a flood refuses most of what arrives, and looked at all of its targets some twelve times for each: for their slots, the run, the first token and the slot time, again for the forecast at the refusal, four times for a drain time that the forecast replaces, and for the shard's speed.

Change: whether targets publish their slots is known from their last change; the times of a request are predicted in one pass and kept with it for its refusal; the drain time is computed only where it is used; the predicted wait takes one pass; the speed is computed again after an event other than a permit request, or after 50 ms.

--- a/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
@@ -44,7 +44,6 @@
         let Some(queued) = self.queue.get(arrival) else {
             return false;
         };
-        let tier = queued.request.tier;
         let Some(refused) = self.request_to_refuse(now, queued) else {
             return false;
         };
@@ -52,8 +51,7 @@
         if reason == RefusalReason::AboveShare {
             self.log_above_share(now, &refused, actions);
         }
-        let retry_after = self.drain_time(now, tier);
-        self.refuse_queued(&refused, reason, retry_after, actions);
+        self.refuse_for_want(now, &refused, reason, actions);
         true
     }
 
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -10,7 +10,6 @@
 use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
-use crate::rules::Tier;
 
 impl ShardOwner {
     /// Refuse the queued requests whose waiting time is over.
@@ -21,7 +20,6 @@
     ) {
         while let Some(attempt) = self.queue.expired(now) {
             let queued = self.queue.get(&attempt);
-            let tier = queued.map_or(Tier(0), |queued| queued.request.tier);
             let reason = match queued.is_some_and(|queued| now < queued.plan.run_until) {
                 true if queued.is_some_and(|queued| self.lacks_version(&queued.placement)) => {
                     RefusalReason::VersionGone
@@ -29,11 +27,29 @@
                 true => RefusalReason::Overloaded,
                 false => RefusalReason::DeadlinePassed,
             };
-            let retry_after = self.drain_time(now, tier);
-            self.refuse_queued(&attempt, reason, retry_after, actions);
+            self.refuse_for_want(now, &attempt, reason, actions);
         }
     }
 
+    /// Refuse a queued request for want of room. The caller returns by the forecast, or
+    /// else when the queue has drained.
+    pub(in crate::pool_owner) fn refuse_for_want(
+        &mut self,
+        now: Moment,
+        attempt: &AttemptId,
+        reason: RefusalReason,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let Some(queued) = self.queue.get(attempt) else {
+            return;
+        };
+        let retry_after = match self.forecasts_return(queued, reason) {
+            true => Duration::ZERO,
+            false => self.drain_time(now, queued.request.tier),
+        };
+        self.refuse_queued(attempt, reason, retry_after, actions);
+    }
+
     /// Refuse a queued request. It was not run under a permit of this owner.
     pub(in crate::pool_owner) fn refuse_queued(
         &mut self,
--- a/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
@@ -10,11 +10,11 @@
 use crate::incident::Incident;
 use crate::permit::{PermitRequest, ReturnPromise};
 use crate::pool_owner::OwnerAction;
-use crate::pool_owner::learning::run_time_estimator::from_millis;
+use crate::pool_owner::learning::run_estimate::RunEstimate;
 use crate::pool_owner::order::queue::QueuedRequest;
 use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
-use crate::request::{AttemptId, TokenCost};
+use crate::request::AttemptId;
 use crate::rules::Tier;
 
 use super::return_promises::{PromiseOptions, RedeemedPromise, ReturnPromises, ReturningCaller};
@@ -138,6 +138,8 @@
     pub returned: bool,
     /// The promise that the call redeemed.
     pub promise: Option<RedeemedPromise>,
+    /// The predicted times of the call when it arrived.
+    pub estimate: RunEstimate,
 }
 
 /// A `ReturningCalls` is the state of a shard owner about calls that return.
@@ -251,6 +253,7 @@
         now: Moment,
         host: &HostName,
         request: &PermitRequest,
+        estimate: &RunEstimate,
     ) -> ReturnState {
         if !self.makes_promises() {
             return ReturnState::default();
@@ -264,14 +267,14 @@
         let returned = signature.is_some_and(|signature| returning.refused.take(signature));
         // Calls that return do not keep arriving.
         if !returned && promise.is_none() {
-            let work = self.mean_slot_time(request.cost);
             let rates = &mut self.returning.rates;
-            rates.record_arrival(now, request.tier, work);
+            rates.record_arrival(now, request.tier, estimate.work);
         }
         ReturnState {
             signature,
             returned,
             promise,
+            estimate: *estimate,
         }
     }
 
@@ -332,14 +335,14 @@
             return None;
         }
         let request = &queued.request;
-        let last_start = self.last_start(now, queued);
+        let last_start = last_start(now, queued);
         let left = run_until.since(now);
         let latest = now.plus(left * RETURN_PERCENT / 100).min(last_start);
         let caller = ReturningCaller {
             signature,
             tier: request.tier,
             account: request.account.clone(),
-            work: self.mean_slot_time(request.cost),
+            work: queued.earlier.estimate.work,
             wait: last_start.since(latest),
         };
         let portion = self.attached_hosts.quota_portion(now);
@@ -362,43 +365,35 @@
         Some(at.since(now))
     }
 
-    /// Get the latest moment from which the run of a request can still end in time.
-    fn last_start(&self, now: Moment, queued: &QueuedRequest) -> Moment {
-        let left = queued.plan.run_until.since(now);
-        let run = self.expected_run_time(queued.request.cost);
-        now.plus(left.saturating_sub(run.mul_f64(RUN_SAFETY_FACTOR)))
+    /// Get whether the refusal of a queued request is answered by the forecast.
+    pub(in crate::pool_owner) fn forecasts_return(
+        &self,
+        queued: &QueuedRequest,
+        reason: RefusalReason,
+    ) -> bool {
+        let is_signed = self.makes_promises() && queued.earlier.signature.is_some();
+        is_signed && returns_by_forecast(reason) && self.has_forecast()
     }
 
-    /// Get how long a request is predicted to hold a slot, on average over the slots
-    /// that are in use; zero before the first run.
-    fn mean_slot_time(&self, cost: TokenCost) -> Duration {
-        let working = self.targets.values();
-        let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
-        let measured = working.filter(|load| load.has_run());
-        // Fast targets serve more requests, so the mean is the harmonic one.
-        let (slots, rate) = measured.fold((0.0, 0.0), |(slots, rate), load| {
-            let own = f64::from(load.target().slots.unwrap_or_default());
-            (slots + own, rate + own / load.run_ms(cost).max(1.0))
-        });
-        match rate > 0.0 {
-            true => from_millis(slots / rate),
-            false => Duration::ZERO,
-        }
+    /// Get whether room can be forecast: targets publish their slots, do not limit their
+    /// request rate, and have ended a run.
+    fn has_forecast(&self) -> bool {
+        let mut working = self.targets.values();
+        self.has_slots()
+            && self.limited.is_empty()
+            && working
+                .any(|load| !load.back_off().is_active() && !load.is_draining() && load.has_run())
     }
 
-    /// Get the forecast room; `None` if it is not known, because targets do not publish
-    /// their slots, limit their request rate, or have not ended a run.
+    /// Get the forecast room; `None` if it is not known.
     fn room_forecast(&self, now: Moment) -> Option<RoomForecast> {
-        let working = self.targets.values();
-        let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
-        let (mut slots, mut any_run) = (0.0, false);
-        for load in working {
-            slots += f64::from(load.target().slots?);
-            any_run |= load.has_run();
-        }
-        if !any_run || !self.limited.is_empty() {
+        if !self.has_forecast() {
             return None;
         }
+        let working = self.targets.values();
+        let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
+        let slots = working.map(|load| f64::from(load.target().slots.unwrap_or_default()));
+        let slots: f64 = slots.sum();
         let queued = self.queue.tiers().map(|(tier, count, _)| (tier, count));
         let demands = self.returning.rates.demands(now, &queued.collect());
         // Several owners that each serve their own host share the targets.
@@ -447,6 +442,13 @@
     }
 }
 
+/// Get the latest moment from which the run of a request can still end in time.
+fn last_start(now: Moment, queued: &QueuedRequest) -> Moment {
+    let left = queued.plan.run_until.since(now);
+    let run = queued.earlier.estimate.run;
+    now.plus(left.saturating_sub(run.mul_f64(RUN_SAFETY_FACTOR)))
+}
+
 /// Get whether a call that is refused for this reason meets more room later.
 fn returns_by_forecast(reason: RefusalReason) -> bool {
     matches!(
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -23,6 +23,10 @@
 /// entry.
 const DRAIN_TOLERANCE: f64 = 2.0;
 
+/// How long the shard's speed is used while nothing but permit requests arrives. It
+/// changes with the targets' runs, and takes a look at each target to compute.
+const SPEED_INTERVAL: Duration = Duration::from_millis(50);
+
 impl ShardOwner {
     /// Shed requests until the queue is within its limits, after a request of
     /// `tier` was queued; get whether any was shed.
@@ -44,8 +48,7 @@
                 true => RefusalReason::ShedForHigherTier,
                 false => self.overload_reason(now, &attempt),
             };
-            let retry_after = self.drain_time(now, queued.request.tier);
-            self.refuse_queued(&attempt, reason, retry_after, actions);
+            self.refuse_for_want(now, &attempt, reason, actions);
             shed = true;
         }
         shed
@@ -103,18 +106,22 @@
         if !self.has_slots() {
             return None;
         }
-        if let Some(limited) = self.limited_rate() {
+        if !self.limited.is_empty()
+            && let Some(limited) = self.limited_rate()
+        {
             return self.limited_wait(now, ahead, limited);
         }
-        // Without a completed run on each target the release rate is unknown.
-        if !self.targets.values().all(TargetLoad::has_run) {
-            return None;
-        }
         // The recent rate alone is only valid while the shard was saturated.
         // After an idle second it would be too low, and the first requests of a
         // burst would be refused although targets are free.
-        let running = self.targets.values();
-        let expected: f64 = running.map(TargetLoad::release_rate).sum();
+        let mut expected = 0.0;
+        for load in self.targets.values() {
+            // Without a completed run on each target the release rate is unknown.
+            if !load.has_run() {
+                return None;
+            }
+            expected += load.release_rate();
+        }
         let recent = self.release_rate.per_second(now) * self.paces.rate_change();
         let rate = recent.max(expected);
         (rate > 0.0).then(|| Duration::from_secs_f64(ahead as f64 / rate))
@@ -177,6 +184,17 @@
     /// Get the total speed of all targets that accept requests, in tokens per
     /// second.
     fn shard_speed(&self, now: Moment) -> f64 {
+        if let Some((at, speed)) = self.recent_speed.get()
+            && now.since(at) < SPEED_INTERVAL
+        {
+            return speed;
+        }
+        let speed = self.current_speed(now);
+        self.recent_speed.set(Some((now, speed)));
+        speed
+    }
+
+    fn current_speed(&self, now: Moment) -> f64 {
         let live = self.targets.values().filter(|load| !load.is_draining());
         let working = live.clone().filter(|load| !load.back_off().is_active());
         let speed: f64 = working.map(|load| load.speed(now)).sum();
--- a/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
@@ -129,9 +129,8 @@
                 .predicted_wait(now, ahead)
                 .is_some_and(|wait| wait > limit)
             {
-                let retry_after = self.drain_time(now, tier);
                 let reason = RefusalReason::Overloaded;
-                self.refuse_queued(&attempt, reason, retry_after, actions);
+                self.refuse_for_want(now, &attempt, reason, actions);
             }
         }
     }
--- a/bergamotswitch-core/src/pool_owner/learning/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/mod.rs
@@ -12,6 +12,7 @@
 pub(in crate::pool_owner) mod moment_span;
 pub(in crate::pool_owner) mod pool_paces;
 pub(in crate::pool_owner) mod release;
+pub mod run_estimate;
 pub(in crate::pool_owner) mod run_time_estimator;
 pub mod slot_limit;
 pub mod slow_moments;
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -217,6 +217,7 @@
         let load = self.targets.get(target);
         if load.is_some_and(|load| load.is_draining() && load.permits() == 0) {
             self.targets.remove(target);
+            self.review_slots();
         }
     }
 
--- a/bergamotswitch-core/src/pool_owner/learning/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -41,6 +41,7 @@
         self.leaving.retain(|name, _| names.contains(name));
         self.targets
             .retain(|_, load| !load.is_draining() || load.permits() > 0);
+        self.review_slots();
         self.refuse_unplaceable(actions);
     }
 
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -1,6 +1,7 @@
 //! Provides the owner of a pool shard, which orders the shard's permit
 //! requests.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +27,7 @@
 use super::learning::event_rate::EventRate;
 use super::learning::host_connections::HostConnections;
 use super::learning::pool_paces::PoolPaces;
-use super::learning::run_time_estimator::from_millis;
+use super::learning::run_estimate::{RunEstimate, RunSums};
 use super::options::OwnerOptions;
 use super::order::queue::{Placement, QueuedRequest, RequestQueue};
 use super::order::wait_plan::WaitPlan;
@@ -70,6 +71,10 @@
     pub(super) queue: RequestQueue,
     pub(super) targets: TargetSet,
     pub(super) targets_known: bool,
+    /// Whether all targets publish their slots.
+    slots_known: bool,
+    /// The shard's speed, and when it was computed.
+    pub(super) recent_speed: Cell<Option<(Moment, f64)>>,
     pub(super) permits: PermitTable,
     pub(super) keys: KeyTable,
     pub(super) prefixes: PrefixTable,
@@ -120,6 +125,8 @@
             queue: RequestQueue::with_shares(opts.scheduling.account_share_half_life),
             targets: TargetSet::new(),
             targets_known: false,
+            slots_known: true,
+            recent_speed: Cell::new(None),
             permits: PermitTable::default(),
             keys: KeyTable::new(now, opts.key_retention, opts.max_keys),
             prefixes: PrefixTable::new(opts.max_prefixes, opts.prefix_lifetime),
@@ -169,6 +176,12 @@
         }
         let mut actions = Vec::new();
         self.now = now;
+        if !matches!(
+            event,
+            OwnerEvent::Message(_, OwnerMessage::PermitRequest(_))
+        ) {
+            self.recent_speed.set(None);
+        }
         self.quotas
             .set_portion(now, self.attached_hosts.quota_portion(now));
         self.adjust_pace(now);
@@ -488,10 +501,10 @@
         if let Some(claim) = &request.claim {
             self.keys.claim(now, claim);
         }
-        let earlier = self.redeem_promise(now, &host, &request);
-        let run = self.expected_run_time(request.cost);
-        let first = self.min_first_token_time(request.cost);
-        let plan = WaitPlan::new(now, &request, first, run);
+        let estimate = self.run_estimate(request.cost);
+        let earlier = self.redeem_promise(now, &host, &request, &estimate);
+        let run = estimate.run;
+        let plan = WaitPlan::new(now, &request, estimate.first_token, run);
         let plan = match earlier.promise {
             Some(_) => plan.until_last_start(run),
             None => plan,
@@ -511,27 +524,23 @@
     /// Get whether all targets publish their slots, the number of requests that
     /// they serve concurrently.
     pub(super) fn has_slots(&self) -> bool {
-        let mut targets = self.targets.values();
-        targets.all(|load| load.target().slots.is_some())
+        self.slots_known
     }
 
-    /// Get the predicted time to first token on the fastest target.
-    fn min_first_token_time(&self, cost: TokenCost) -> Duration {
-        let working = self.targets.values();
-        let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
-        let firsts = working.map(|load| load.first_ms(cost));
-        firsts
-            .min_by(f64::total_cmp)
-            .map_or(Duration::ZERO, from_millis)
+    /// Update what is known of the targets as a whole after a change of them.
+    pub(super) fn review_slots(&mut self) {
+        let mut targets = self.targets.values();
+        self.slots_known = targets.all(|load| load.target().slots.is_some());
     }
 
-    /// Get the predicted run time: the mean over the targets that work.
-    pub(super) fn expected_run_time(&self, cost: TokenCost) -> Duration {
+    /// Get the predicted times of a request, from the targets that work.
+    pub(super) fn run_estimate(&self, cost: TokenCost) -> RunEstimate {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
-        let (count, sum_ms) = working.fold((0_u32, 0.0), |(count, sum_ms), load| {
-            (count + 1, sum_ms + load.run_ms(cost))
-        });
-        from_millis(sum_ms / f64::from(count.max(1)))
+        let mut sums = RunSums::default();
+        for load in working {
+            sums.add(load, cost);
+        }
+        sums.estimate()
     }
 }
--- a/bergamotswitch-core/tests/burst_cost.rs
+++ b/bergamotswitch-core/tests/burst_cost.rs
@@ -34,12 +34,24 @@
             class(2, 690, 288, 500, 10_000),
             class(5, 1_860, 27, 800, 2_500),
         ],
+        signatures: false,
+    }
+}
+
+/// Get a load of 3,500 requests per second of calls whose signatures are announced.
+fn flood_plan() -> LoadPlan {
+    LoadPlan {
+        targets: 90,
+        slots: 8,
+        per_second: 3_500,
+        signatures: true,
+        ..plan()
     }
 }
 
 /// Run the load and get the mean CPU time per event in microseconds.
-fn event_micros(opts: OwnerOptions) -> f64 {
-    let mut burst = BurstLoad::with_options(plan(), opts);
+fn event_micros(plan: LoadPlan, opts: OwnerOptions) -> f64 {
+    let mut burst = BurstLoad::with_options(plan, opts);
     let started = cpu_nanos();
     burst.run();
     (cpu_nanos() - started) as f64 / burst.events as f64 / 1_000.0
@@ -57,20 +69,33 @@
 // out.
 #[test]
 fn event_cpu_time() {
-    check_cpu_time(OwnerOptions::default());
+    check_cpu_time(&plan(), &OwnerOptions::default());
 }
 
 // Guards against the same with fair admission.
 #[test]
 fn fair_cpu_time() {
-    check_cpu_time(OwnerOptions::default().with_scheduling(SchedulingOptions {
+    let opts = OwnerOptions::default().with_scheduling(SchedulingOptions {
         account_share_half_life: Some(Duration::from_secs(1)),
         ..SchedulingOptions::default()
-    }));
+    });
+    check_cpu_time(&plan(), &opts);
+}
+
+// Guards against the same with all options of a deployment, in a flood.
+#[test]
+fn flood_cpu_time() {
+    let opts = OwnerOptions::default().with_scheduling(SchedulingOptions {
+        account_share_half_life: Some(Duration::from_secs(4)),
+        return_room: Some(0.4),
+        idle_connection_tolerance: Some(0.2),
+        ..SchedulingOptions::default()
+    });
+    check_cpu_time(&flood_plan(), &opts);
 }
 
-fn check_cpu_time(opts: OwnerOptions) {
-    let micros = (0..RUNS).map(|_| event_micros(opts.clone()));
+fn check_cpu_time(plan: &LoadPlan, opts: &OwnerOptions) {
+    let micros = (0..RUNS).map(|_| event_micros(plan.clone(), opts.clone()));
     let fastest = micros.min_by(f64::total_cmp).expect("a run");
     println!("{fastest:.1} us of CPU time per event");
     assert!(fastest < EVENT_MICROS, "{fastest:.1} us");
--- a/bergamotswitch-core/tests/burst_load/mod.rs
+++ b/bergamotswitch-core/tests/burst_load/mod.rs
@@ -7,6 +7,8 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use bergamotswitch_core::call_signature::CallSignature;
+
 use crate::owner_bench::*;
 
 /// The token limit of a target.
@@ -39,6 +41,8 @@
     pub duration: Duration,
     /// The request classes by tier; their weights add up to ten.
     pub classes: Vec<RequestClass>,
+    /// Whether entry hosts announce the signatures of calls.
+    pub signatures: bool,
 }
 
 impl LoadPlan {
@@ -156,6 +160,14 @@
         permit_request.cost = class.cost;
         permit_request.first_answer_ms = Some(class.first_token_limit_ms);
         permit_request.deadline_ms = class.deadline_ms;
+        if self.plan.signatures {
+            let announced = OwnerMessage::Signature {
+                shard: shard(),
+                attempt: permit_request.attempt,
+                signature: CallSignature::new(&permit_request.account, u128::from(sequence)),
+            };
+            self.send(now, announced);
+        }
         self.send(now, OwnerMessage::PermitRequest(Box::new(permit_request)));
     }
 
--- a/bergamotswitch-core/tests/tier_floors.rs
+++ b/bergamotswitch-core/tests/tier_floors.rs
@@ -30,6 +30,7 @@
 /// needs few.
 fn run(per_second: u64) -> Vec<TierCount> {
     let mut burst = BurstLoad::new(LoadPlan {
+        signatures: false,
         targets: 9,
         slots: 16,
         per_second,
