Close a connection to a target that sends bytes that are no answer, without end

What callers saw: nothing beside a host that is busy; the target's bytes were read for as long as they came, until the call's deadline.

Cause: heads, fields, bodies and events have bounds of their own. The size of a chunk has none in the HTTP library as long as its digits are zeros: 201 MB were read for one call on loopback.

Change: at most 1 MiB is read from a connection to a target without a head or a part of a body to show for it; then the connection fails, as with any answer that is invalid.

--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -16,7 +16,6 @@
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::CallRoute;
@@ -26,6 +25,7 @@
 use super::options::TargetClientOptions;
 use super::silence_watch::SilenceVerdict;
 use super::stream_status::StreamId;
+use super::target_body::TargetBody;
 use crate::answer::{AnswerPart, AnswerWriter};
 use crate::event_log;
 use crate::input::OutgoingCall;
@@ -117,7 +117,7 @@
 #[derive(Debug)]
 pub(super) struct FirstResponse {
     pub connection: TargetConnection,
-    pub response: Response<Incoming>,
+    pub response: Response<TargetBody>,
 }
 
 /// A `SendError` is the reason why no response head was received.
@@ -246,7 +246,7 @@
     }
 
     /// Get whether the response carries the id of another request.
-    pub fn is_mismatched(&self, response: &Response<Incoming>) -> bool {
+    pub fn is_mismatched(&self, response: &Response<TargetBody>) -> bool {
         match response.headers().get(REQUEST_ID) {
             Some(id) => id.as_bytes() != self.request_id.as_bytes(),
             None => false,
@@ -267,7 +267,7 @@
     }
 
     /// Read an error answer and forward it, but only if it is complete.
-    pub async fn forward_error(&self, response: Response<Incoming>, usage: Usage) -> CallEnd {
+    pub async fn forward_error(&self, response: Response<TargetBody>, usage: Usage) -> CallEnd {
         let (head, body) = response.into_parts();
         let reading = Limited::new(body, MAX_EVENT_BYTES).collect();
         match timeout(ERROR_BODY_WAIT, reading).await {
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
@@ -24,6 +23,7 @@
 
 use super::idle_limits::IdleLimits;
 use super::options::TargetClientOptions;
+use super::target_body::{BoundedStream, TargetBody, UnparsedBytes};
 use crate::event_log;
 use crate::task_guard::TaskGuard;
 use crate::tunnel::{TunnelHealth, TunnelPool};
@@ -75,6 +75,7 @@
     address: SocketAddr,
     tunnel: Option<Tunnel>,
     sender: SendRequest<Full<Bytes>>,
+    unparsed: UnparsedBytes,
     _task: TaskGuard,
 }
 
@@ -102,6 +103,8 @@
     where
         Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
+        let unparsed = UnparsedBytes::default();
+        let stream = BoundedStream::new(stream, unparsed.clone());
         let handshake = http1::handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = TaskGuard::spawn(async move {
@@ -112,6 +115,7 @@
             address,
             tunnel: None,
             sender,
+            unparsed,
             _task: task,
         })
     }
@@ -158,9 +162,14 @@
     pub async fn send(
         &mut self,
         request: TargetRequest,
-    ) -> Result<Response<Incoming>, SendFailure> {
+    ) -> Result<Response<TargetBody>, SendFailure> {
+        self.unparsed.reset();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.unparsed.reset();
+                let unparsed = self.unparsed.clone();
+                Ok(response.map(|body| TargetBody::new(body, unparsed)))
+            }
             Err(mut failure) => Err(SendFailure {
                 unsent: failure.take_message(),
                 error: failure.into_error(),
--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::{Response, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::attempt_report::AttemptReport;
@@ -18,6 +17,7 @@
 use super::event_stream::{EventParser, ServerEvent};
 use super::silence_watch::{SilenceVerdict, SilenceWatch};
 use super::stream_status::StreamId;
+use super::target_body::TargetBody;
 use super::usage_meter::{StreamChunk, TokenStep, UsageMeter};
 use crate::answer::AnswerPart;
 use crate::input::OutgoingCall;
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub(super) struct OpenStream {
     connection: TargetConnection,
-    body: Incoming,
+    body: TargetBody,
 }
 
 /// An `OpenOutcome` is the result of sending the request.
@@ -188,7 +188,7 @@
     async fn check_head(
         &mut self,
         connection: TargetConnection,
-        response: Response<Incoming>,
+        response: Response<TargetBody>,
     ) -> OpenOutcome {
         if self.context.is_mismatched(&response) {
             return OpenOutcome::Failed(StreamError::RequestMismatch);
@@ -211,7 +211,7 @@
     pub(super) fn accept_head(
         &mut self,
         connection: TargetConnection,
-        response: Response<Incoming>,
+        response: Response<TargetBody>,
     ) -> OpenStream {
         let (head, body) = response.into_parts();
         if !self.head_pushed {
@@ -249,7 +249,7 @@
         }
     }
 
-    async fn next_chunk(&self, body: &mut Incoming) -> Result<Bytes, StreamError> {
+    async fn next_chunk(&self, body: &mut TargetBody) -> Result<Bytes, StreamError> {
         // Buffered data is read before the timers are checked: after a pause of
         // this process a timer may fire although the data has arrived.
         tokio::select! {
@@ -305,7 +305,7 @@
 }
 
 /// Get whether the response is an event stream.
-pub(super) fn is_event_stream(response: &Response<Incoming>) -> bool {
+pub(super) fn is_event_stream(response: &Response<TargetBody>) -> bool {
     let named = response.headers().get(header::CONTENT_TYPE);
     named
         .and_then(|value| value.to_str().ok())
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -19,6 +19,7 @@
 mod stream_cancel;
 mod stream_resume;
 mod stream_status;
+mod target_body;
 pub(crate) mod usage_meter;
 
 use std::collections::HashMap;
--- a/bergamotswitch-net/src/target_client/plain_call.rs
+++ b/bergamotswitch-net/src/target_client/plain_call.rs
@@ -5,10 +5,10 @@
 use bergamotswitch_core::incident::Incident;
 use http::{Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use super::attempt_report::AttemptReport;
 use super::call_context::{CallContext, CallEnd, FirstResponse, SendError, is_refusal};
+use super::target_body::TargetBody;
 use super::usage_meter::{UsageMeter, report_step};
 use crate::answer::AnswerPart;
 use crate::input::OutgoingCall;
@@ -85,7 +85,7 @@
 /// Get whether the end of the answer is distinguishable from a lost connection.
 /// A truncated body that is delimited only by the connection's end looks
 /// complete.
-fn is_delimited(method: &Method, response: &Response<Incoming>) -> bool {
+fn is_delimited(method: &Method, response: &Response<TargetBody>) -> bool {
     let bodiless = method == Method::HEAD
         || matches!(
             response.status(),
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -13,7 +13,6 @@
 use http::response::Parts;
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use tokio::time::{sleep, timeout};
 
 use super::attempt_report::AttemptReport;
@@ -21,6 +20,7 @@
 use super::connection::{TargetConnection, TargetRequest};
 use super::event_blocks::EventSplitter;
 use super::silence_watch::SilenceVerdict;
+use super::target_body::TargetBody;
 use super::usage_meter::{UsageMeter, report_step};
 use crate::answer::AnswerPart;
 use crate::input::OutgoingCall;
@@ -190,7 +190,7 @@
 async fn drain(
     context: &CallContext,
     connection: TargetConnection,
-    body: Incoming,
+    body: TargetBody,
     idle_timeout: Option<Duration>,
 ) {
     const WAIT: Duration = Duration::from_millis(50);
@@ -216,7 +216,7 @@
     /// Read the complete answer before forwarding it.
     async fn read_complete(
         self,
-        body: Incoming,
+        body: TargetBody,
         meter: &mut UsageMeter,
         report: &AttemptReport,
     ) -> CallEnd {
@@ -246,7 +246,7 @@
     /// Forward a stream's events as they arrive.
     async fn read_stream(
         self,
-        mut body: Incoming,
+        mut body: TargetBody,
         meter: &mut UsageMeter,
         report: &AttemptReport,
     ) -> CallEnd {
@@ -306,7 +306,7 @@
     /// reported, and the wait goes on until the event loop ends the attempt.
     async fn next_frame(
         &self,
-        body: &mut Incoming,
+        body: &mut TargetBody,
         meter: &UsageMeter,
         report: &AttemptReport,
     ) -> Result<Option<hyper::body::Frame<bytes::Bytes>>, CallEnd> {
