--- a/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/fair_admission.rs
@@ -51,7 +51,7 @@
         if reason == RefusalReason::AboveShare {
             self.log_above_share(now, &refused, actions);
         }
-        self.refuse_for_want(now, &refused, reason, actions);
+        self.refuse_for_capacity(now, &refused, reason, actions);
         true
     }
 
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -27,13 +27,13 @@
                 true => RefusalReason::Overloaded,
                 false => RefusalReason::DeadlinePassed,
             };
-            self.refuse_for_want(now, &attempt, reason, actions);
+            self.refuse_for_capacity(now, &attempt, reason, actions);
         }
     }
 
     /// Refuse a queued request for want of room. The caller returns by the forecast, or
     /// else when the queue has drained.
-    pub(in crate::pool_owner) fn refuse_for_want(
+    pub(in crate::pool_owner) fn refuse_for_capacity(
         &mut self,
         now: Moment,
         attempt: &AttemptId,
--- a/bergamotswitch-core/src/pool_owner/admission/shedding.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/shedding.rs
@@ -48,7 +48,7 @@
                 true => RefusalReason::ShedForHigherTier,
                 false => self.overload_reason(now, &attempt),
             };
-            self.refuse_for_want(now, &attempt, reason, actions);
+            self.refuse_for_capacity(now, &attempt, reason, actions);
             shed = true;
         }
         shed
--- a/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/wait_limit.rs
@@ -130,7 +130,7 @@
                 .is_some_and(|wait| wait > limit)
             {
                 let reason = RefusalReason::Overloaded;
-                self.refuse_for_want(now, &attempt, reason, actions);
+                self.refuse_for_capacity(now, &attempt, reason, actions);
             }
         }
     }
