Refuse nothing unseen that was accepted or may have run

What callers could see, found by reading the change again: a host that is behind refuses late requests of the lowest tier without a look at what it knows. A retry of a call that had been accepted was refused like a new one, and a call with an idempotency key, or one that was submitted before, was told that it had not run although an earlier copy may have.

Change: only first attempts without a key, and submissions without key, holder or resubmission mark, are refused unseen; all others are handled as usual.

Evidence: by reading; loop_backlog::refusable_unseen holds the condition. The whole checks were not run again on it.

--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -99,6 +99,12 @@
         self
     }
 
+    /// Get whether the submission may be refused without a look at what this host knows.
+    /// One with a key, or that was sent before, may have run.
+    pub fn is_refusable_unseen(&self) -> bool {
+        self.key.is_none() && self.holder.is_none() && !self.resubmission
+    }
+
     /// Get the refusal of a submission for which this host has no processor time.
     pub fn overload_refusal(&self, number: u64) -> Refusal {
         self.refuse(RefusalReason::Overloaded)
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -425,6 +425,10 @@
             let shard = request.shard;
             return self.send_reply(now, host, OwnerReply::NotOwner { shard });
         }
+        if !request.is_refusable_unseen() {
+            let message = OwnerMessage::PermitRequest(Box::new(request));
+            return self.on_owner_message(now, host, message);
+        }
         let shard = request.shard.clone();
         let event = OwnerEvent::Overdue(host, Box::new(request));
         let actions = self.shards.notify_shard(now, &shard, event);
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -87,6 +87,13 @@
         })
     }
 
+    /// Get whether the request may be refused without a look at what its owner knows. A
+    /// later attempt belongs to a call that was accepted, and a call with a key may have
+    /// run before.
+    pub fn is_refusable_unseen(&self) -> bool {
+        self.attempt.attempt == 0 && self.claim.is_none()
+    }
+
     /// Get whether this is a later attempt of a call that avoids no target, as after a
     /// pause of its host.
     pub fn is_renewed(&self) -> bool {
--- a/bergamotswitch-core/tests/loop_backlog.rs
+++ b/bergamotswitch-core/tests/loop_backlog.rs
@@ -156,3 +156,14 @@
     let late = to_owner(OwnerMessage::PermitRequest(Box::new(late)));
     assert_eq!(late.after_wait(LATE), None);
 }
+
+// Guards against an accepted call, or one that may have run, that is refused as not run.
+#[test]
+fn refusable_unseen() {
+    let first = permit_request(1, 0, "crew");
+    assert!(first.is_refusable_unseen());
+    let mut later = first.clone();
+    later.attempt.attempt = 1;
+    assert!(!later.is_refusable_unseen());
+    assert!(!with_claim(first, 7, peer(), true).is_refusable_unseen());
+}
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -232,7 +232,7 @@
                 submission,
                 call,
                 reply,
-            } => {
+            } if submission.is_refusable_unseen() => {
                 self.overdue += 1;
                 let log = RequestLog::of(self.now(), &submission, &call);
                 let refusal = submission.overload_refusal(self.overdue);
