--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -112,7 +112,7 @@
     }
 
     /// Get how long an owner may keep the request in its queue without an answer. A copy
-    /// that is sent earlier tells it nothing, and costs it as much as a new request.
+    /// that is sent earlier has no effect but the owner's processor time.
     fn max_queue_time(&self) -> Duration {
         let limit = self.submission.options.first_token_limit;
         limit.unwrap_or_default() * MAX_WAIT_FACTOR
--- a/bergamotswitch-core/tests/loop_backlog.rs
+++ b/bergamotswitch-core/tests/loop_backlog.rs
@@ -110,7 +110,7 @@
     assert_eq!(inputs(taken(backlog)), [request(1, 0)]);
 }
 
-// Guards against requests of a process that is gone, whose permits nobody would return.
+// Guards against permits for the requests of a terminated process, which are never released.
 #[test]
 fn lost_link() {
     let down = LinkEvent::Down(peer());
