Count and log how the requests of each size end at an owner

An owner now counts, by tier and estimated output, requests refused when they came or after a wait, withdrawn, granted, and runs that finished or did not, with the sums of estimated and real output and of run times at the mean target, at their own and as measured: line 309 every 4 s while some are not served, /status, bergamot_owner_requests_total.

Ruled out: the prediction in a permit, which changes a message between hosts, and a line for each refused request, which costs a small host's log more than it has. No logic is changed.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -114,6 +114,8 @@
     AccountAboveShare = 304, Info, "account above its share refused";
     /// Callers that returned as promised were refused.
     PromisesBroken = 306, Warn, "promises to returning callers broken";
+    /// Requests of a shard were not served; counts by tier and size.
+    RequestSizes = 309, Info, "requests by size";
     /// A peer is reachable again.
     PeerReachable = 400, Info, "peer reachable";
     /// A peer has missed its heartbeats.
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -14,6 +14,7 @@
 use crate::membership::MembershipAction;
 use crate::permit::{OwnerReply, Permit};
 use crate::pool::PoolShard;
+use crate::pool_owner::size_ends::SizeView;
 use crate::pool_owner::{OwnerAction, OwnerEvent};
 use crate::request::AttemptId;
 use crate::target::{NamedLimit, TargetName, TargetVersion};
@@ -176,6 +177,11 @@
                 let incident = Incident::AccountAboveShare;
                 self.actions.push(NodeAction::LogIncident(incident, text));
             }
+            OwnerAction::LogSize(shard, view) => {
+                let text = format!("shard={shard} {}", size_text(&view));
+                let incident = Incident::RequestSizes;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+            }
         }
     }
 
@@ -323,3 +329,27 @@
     let texts: Vec<String> = items.iter().map(T::to_string).collect();
     texts.join(",")
 }
+
+/// Get the log text about the requests of one size.
+fn size_text(view: &SizeView) -> String {
+    let ends = &view.ends;
+    format!(
+        "tier={} output_from={} refused_at_once={} refused_later={} withdrawn={} granted={} \
+         finished={} unfinished={} expected_output={} output={} mean_ms={} expected_ms={} \
+         run_ms={} unfinished_ms={}",
+        view.tier.0,
+        view.size.least_output(),
+        ends.refused_at_once,
+        ends.refused_later,
+        ends.withdrawn,
+        ends.granted,
+        ends.finished,
+        ends.unfinished,
+        ends.expected_output,
+        ends.output,
+        ends.mean_ms,
+        ends.expected_ms,
+        ends.run_ms,
+        ends.unfinished_ms,
+    )
+}
--- a/bergamotswitch-core/src/pool_owner/admission/refusals.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/refusals.rs
@@ -6,6 +6,7 @@
 use crate::host::{HostIncarnation, HostName};
 use crate::permit::{OwnerReply, PermitRequest};
 use crate::pool_owner::OwnerAction;
+use crate::pool_owner::learning::size_ends::RequestEnd;
 use crate::pool_owner::order::wait_plan::spread_retry_after;
 use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
@@ -58,8 +59,15 @@
         retry_after: Duration,
         actions: &mut Vec<OwnerAction>,
     ) {
+        let is_new = self.queue.queued_for(self.now, attempt).is_zero();
         if let Some(queued) = self.queue.remove(attempt) {
-            self.release_unused(&queued.request);
+            let end = match is_new {
+                true => RequestEnd::RefusedAtOnce,
+                false => RequestEnd::RefusedLater,
+            };
+            let request = &queued.request;
+            self.sizes.record(self.now, request.tier, request.cost, end);
+            self.release_unused(request);
             self.queue
                 .record_outcome(self.now, queued.request.tier, false);
             let promised = self.promise_return(self.now, &queued, reason);
@@ -87,6 +95,8 @@
         self.stream_requests.take(host, &request.attempt);
         self.record_refused_arrival(now, host, request);
         self.queue.record_outcome(now, request.tier, false);
+        let end = RequestEnd::RefusedAtOnce;
+        self.sizes.record(now, request.tier, request.cost, end);
         let left = Duration::from_millis(u64::from(request.deadline_ms));
         let retry_after = spread_retry_after(left, request.attempt.request.sequence);
         let reason = RefusalReason::Overloaded;
--- a/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
@@ -256,7 +256,10 @@
         estimate: &RunEstimate,
     ) -> ReturnState {
         if !self.makes_promises() {
-            return ReturnState::default();
+            return ReturnState {
+                estimate: *estimate,
+                ..ReturnState::default()
+            };
         }
         let returning = &mut self.returning;
         let signature = returning.take_signature(host, &request.attempt);
--- a/bergamotswitch-core/src/pool_owner/learning/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/mod.rs
@@ -14,6 +14,7 @@
 pub(in crate::pool_owner) mod release;
 pub mod run_estimate;
 pub(in crate::pool_owner) mod run_time_estimator;
+pub mod size_ends;
 pub mod slot_limit;
 pub mod slow_moments;
 pub(in crate::pool_owner) mod speed_estimator;
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -40,6 +40,7 @@
         if not_executed {
             self.remove_prefix_hints(&permit);
         }
+        self.sizes.record_run(&permit, &release.outcome);
         self.settle_use(now, &permit, &release.outcome);
         self.record_connection(now, &permit, &release.outcome);
         match &release.outcome {
@@ -135,6 +136,7 @@
             // The answer may have been reported to the previous owner.
             limit_named: true,
             finish_at: now,
+            mean_run: Duration::ZERO,
             preempted_at: None,
             audit_at: now.plus(self.opts.audit_after),
         });
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -18,7 +18,7 @@
 pub use admission::quota::{QuotaRate, QuotaTolerance};
 pub use admission::returning_calls::PromiseState;
 pub use admission::{account_shares, key_table, return_promises, returning_calls, room_forecast};
-pub use learning::{back_off, host_connections, slot_limit, slow_moments, target_load};
+pub use learning::{back_off, host_connections, size_ends, slot_limit, slow_moments, target_load};
 pub use options::OwnerOptions;
 pub use order::{queue, wait_plan};
 pub use owner::ShardOwner;
@@ -28,6 +28,7 @@
 pub use view::{ConnectionView, PromiseCount, RefusalCount, ShardView, TargetView, TierView};
 
 use admission::account_shares::AccountShareView;
+use learning::size_ends::SizeView;
 
 use crate::client_account::AccountName;
 use crate::cold_targets::ColdTarget;
@@ -95,4 +96,6 @@
     ),
     /// Log that requests of a client account above its share are refused.
     LogShare(PoolShard, AccountShareView),
+    /// Log how the requests of one tier and size ended.
+    LogSize(PoolShard, SizeView),
 }
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -380,6 +380,17 @@
         }
     }
 
+    /// Get for how long a request has been queued here; zero if it is not queued.
+    pub(in crate::pool_owner) fn queued_for(&self, now: Moment, attempt: &AttemptId) -> Duration {
+        let Some(stored) = self.requests.get(attempt) else {
+            return Duration::ZERO;
+        };
+        let waited = i64::from(stored.queued.request.waited_ms) * 1000;
+        let pushed_at = stored.entry.rank.arrived + waited;
+        let micros = now.as_micros() as i64 - pushed_at;
+        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
+    }
+
     /// Get the estimated time for which a queued request uses a slot.
     pub(in crate::pool_owner) fn slot_time(&self, attempt: &AttemptId) -> Duration {
         let stored = self.requests.get(attempt);
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -28,6 +28,7 @@
 use super::learning::host_connections::HostConnections;
 use super::learning::pool_paces::PoolPaces;
 use super::learning::run_estimate::{RunEstimate, RunSums};
+use super::learning::size_ends::{RequestEnd, SizeTable};
 use super::options::OwnerOptions;
 use super::order::queue::{Placement, QueuedRequest, RequestQueue};
 use super::order::wait_plan::WaitPlan;
@@ -108,6 +109,8 @@
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
+    /// How the requests of each size ended.
+    pub(super) sizes: SizeTable,
 }
 
 impl ShardOwner {
@@ -150,6 +153,7 @@
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
+            sizes: SizeTable::default(),
             opts,
         }
     }
@@ -253,6 +257,7 @@
         }
         self.preempt(now, &mut actions);
         self.audit(now, &mut actions);
+        self.log_sizes(now, &mut actions);
         actions
     }
 
@@ -381,7 +386,10 @@
             OwnerMessage::Withdraw { attempt, .. } => {
                 self.stream_requests.withdraw(&attempt);
                 if let Some(queued) = self.queue.remove(&attempt) {
-                    self.release_unused(&queued.request);
+                    let request = &queued.request;
+                    let end = RequestEnd::Withdrawn;
+                    self.sizes.record(now, request.tier, request.cost, end);
+                    self.release_unused(request);
                 }
             }
             OwnerMessage::Release { release, .. } => self.on_release(now, &release, actions),
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::pool_owner::OwnerAction;
 use crate::pool_owner::admission::key_table::KeyVerdict;
 use crate::pool_owner::learning::run_time_estimator::as_millis;
+use crate::pool_owner::learning::size_ends::RequestEnd;
 use crate::pool_owner::order::queue::QueuedRequest;
 use crate::pool_owner::owner::ShardOwner;
 use crate::refusal::RefusalReason;
@@ -162,6 +163,7 @@
             full_time,
             limit_named: false,
             finish_at: now.plus(Duration::from_micros(route.finish_micros)),
+            mean_run: queued.earlier.estimate.run,
             preempted_at: None,
             audit_at: now.plus(self.opts.audit_after),
         };
@@ -169,6 +171,8 @@
             load.add_expected_end(permit.expected_end());
         }
         self.counts.granted += 1;
+        self.sizes
+            .record(now, permit.tier, permit.cost, RequestEnd::Granted);
         self.record_started_work(now, permit.tier);
         let reply = self.granted_reply(&permit);
         actions.push(OwnerAction::Reply(queued.host, reply));
--- a/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/permit_table.rs
@@ -55,6 +55,8 @@
     pub limit_named: bool,
     /// When the request is predicted to end.
     pub finish_at: Moment,
+    /// The predicted run time at the mean target.
+    pub mean_run: Duration,
     /// When the holder was last asked to stop the stream.
     pub preempted_at: Option<Moment>,
     /// When the holder is next asked whether it still holds the permit.
--- a/bergamotswitch-core/src/pool_owner/view.rs
+++ b/bergamotswitch-core/src/pool_owner/view.rs
@@ -10,6 +10,7 @@
 use crate::target::{RequestRate, TargetName};
 
 use super::admission::account_shares::AccountShareView;
+use super::learning::size_ends::SizeView;
 use super::owner::ShardOwner;
 
 /// The pace from which a target is shown as slow, in hundredths of the usual time.
@@ -121,6 +122,8 @@
     /// The client accounts that are furthest above their shares; empty without fair
     /// admission.
     pub account_shares: Vec<AccountShareView>,
+    /// How the requests of each tier and size ended.
+    pub sizes: Vec<SizeView>,
     /// The use of connections; absent if targets are not chosen by them.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub connections: Option<ConnectionView>,
@@ -185,6 +188,7 @@
             prefixes: self.prefixes.len(),
             account_shares: shares
                 .map_or_else(Vec::new, |shares| shares.view(self.now, MAX_SHARES)),
+            sizes: self.sizes.views().collect(),
             connections: self.connection_view(),
         }
     }
--- a/bergamotswitch-net/src/metrics/labels.rs
+++ b/bergamotswitch-net/src/metrics/labels.rs
@@ -22,6 +22,14 @@
     pub(super) state: &'static str,
 }
 
+/// A `SizeLabels` is the label set of an owner's requests by size.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, EncodeLabelSet)]
+pub(super) struct SizeLabels {
+    pub(super) tier: u32,
+    pub(super) output_from: u32,
+    pub(super) end: &'static str,
+}
+
 /// A `WasteLabels` is the label set of wasted prompt tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct WasteLabels {
--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -20,7 +20,7 @@
 
 use labels::{
     ForwardLabels, IncidentLabels, InputLabels, MessageLabels, ReasonLabels, RefusalLabels,
-    ShardLabels, StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
+    ShardLabels, SizeLabels, StateLabels, TierLabels, ValueLabels, WasteLabels, tier_labels,
 };
 
 use crate::link::counters::{KindCounts, MessageKind};
@@ -82,6 +82,7 @@
     link_messages: Family<MessageLabels, Counter>,
     owner_refusals: Family<ReasonLabels, Counter>,
     return_promises: Family<StateLabels, Counter>,
+    request_sizes: Family<SizeLabels, Counter>,
     preemptions: Counter,
     reclaimed_permits: Counter,
     shard_queue: Family<ShardLabels, Gauge>,
@@ -135,6 +136,7 @@
             link_messages: Family::default(),
             owner_refusals: Family::default(),
             return_promises: Family::default(),
+            request_sizes: Family::default(),
             preemptions: Counter::default(),
             reclaimed_permits: Counter::default(),
             shard_queue: Family::default(),
--- a/bergamotswitch-net/src/metrics/owner_totals.rs
+++ b/bergamotswitch-net/src/metrics/owner_totals.rs
@@ -4,9 +4,10 @@
 
 use bergamotswitch_core::pool::PoolShard;
 use bergamotswitch_core::pool_owner::ShardView;
+use bergamotswitch_core::pool_owner::size_ends::SizeView;
 use bergamotswitch_core::refusal::RefusalReason;
 
-use super::labels::{ReasonLabels, ShardLabels, StateLabels};
+use super::labels::{ReasonLabels, ShardLabels, SizeLabels, StateLabels};
 use super::{NodeMetrics, gauge_value};
 
 /// The value of the label `domain` for a shard that spans all failure domains.
@@ -19,6 +20,7 @@
     reclaimed: u64,
     refusals: BTreeMap<RefusalReason, u64>,
     promises: BTreeMap<&'static str, u64>,
+    sizes: BTreeMap<SizeLabels, u64>,
 }
 
 /// An `OwnerTotals` accumulates the counts of shard owners, which restart from
@@ -53,9 +55,20 @@
         reclaimed: view.reclaimed,
         refusals: refusals.map(|found| (found.reason, found.count)).collect(),
         promises: promises.map(|found| (found.state, found.count)).collect(),
+        sizes: view.sizes.iter().flat_map(size_counts).collect(),
     }
 }
 
+fn size_counts(view: &SizeView) -> impl Iterator<Item = (SizeLabels, u64)> {
+    let labels = |end| SizeLabels {
+        tier: u32::from(view.tier.0),
+        output_from: view.size.least_output(),
+        end,
+    };
+    let counts = view.ends.counts().into_iter();
+    counts.map(move |(end, count)| (labels(end), count))
+}
+
 /// Get the increase between two counts. A lower count belongs to a new owner,
 /// which started from zero.
 fn increase(before: u64, after: u64) -> u64 {
@@ -85,6 +98,11 @@
             .get_or_create(&StateLabels { state });
         counter.inc_by(increase(counted, *count));
     }
+    for (labels, count) in &after.sizes {
+        let counted = before.sizes.get(labels).copied().unwrap_or_default();
+        let counter = metrics.request_sizes.get_or_create(labels);
+        counter.inc_by(increase(counted, *count));
+    }
 }
 
 fn max_share_ratio(views: &[ShardView]) -> f64 {
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -127,6 +127,11 @@
             "Promises to refused callers that this host made as owner, by what became of them",
             self.return_promises.clone(),
         );
+        registry.register(
+            "owner_requests",
+            "Asks and runs of a shard that this host owns, by tier, estimated output and end",
+            self.request_sizes.clone(),
+        );
         registry.register(
             "preemptions",
             "Streams that this host had stopped for a higher tier as owner",
