Let short requests pass a long one that waits for a faster target

Callers saw refusals while slots of slow targets stood empty. A request whose run would not end in time at the open targets waits for a faster one, and all requests that may be placed alike waited with it, while it reserved the very targets that are too slow for it.

Requests are now blocked together only if about as many targets are too slow for them (placements have the quarters that are), and a waiting request reserves only targets that would end its run in time.

long_request_ahead failed before (nothing granted). Ruled out: skipping single requests, which needs a walk through the queue on each event.

--- a/bergamotswitch-core/src/pool_owner/learning/run_estimate.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/run_estimate.rs
@@ -20,13 +20,15 @@
 }
 
 /// A `RunSums` is the sums over targets from which an estimate is made.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(in crate::pool_owner) struct RunSums {
     count: u32,
     first_ms: Option<f64>,
     run_ms: f64,
     slots: f64,
     slot_rate: f64,
+    /// The run times at the targets that have completed a run.
+    measured_ms: Vec<f64>,
 }
 
 impl RunSums {
@@ -38,6 +40,7 @@
         self.first_ms = Some(self.first_ms.map_or(first_ms, |least| least.min(first_ms)));
         self.run_ms += run_ms;
         if load.has_run() {
+            self.measured_ms.push(run_ms);
             let slots = f64::from(load.target().slots.unwrap_or_default());
             self.slots += slots;
             self.slot_rate += slots / run_ms.max(1.0);
@@ -45,7 +48,7 @@
     }
 
     /// Get the estimate.
-    pub(in crate::pool_owner) fn estimate(&self) -> RunEstimate {
+    pub(in crate::pool_owner) fn estimate(self) -> RunEstimate {
         RunEstimate {
             first_token: self.first_ms.map_or(Duration::ZERO, from_millis),
             run: from_millis(self.run_ms / f64::from(self.count.max(1))),
@@ -55,4 +58,12 @@
             },
         }
     }
+
+    /// Get how many quarters of the targets, rounded up, are predicted to take longer than
+    /// `longest_ms`.
+    pub(in crate::pool_owner) fn slow_quarters(&self, longest_ms: f64) -> u8 {
+        let runs = self.measured_ms.iter();
+        let slow = runs.filter(|run_ms| **run_ms > longest_ms).count();
+        (slow * 4).div_ceil(self.measured_ms.len().max(1)) as u8
+    }
 }
--- a/bergamotswitch-core/src/pool_owner/order/queue.rs
+++ b/bergamotswitch-core/src/pool_owner/order/queue.rs
@@ -41,6 +41,9 @@
     /// The only version of the targets' software that may serve the request, if its stream
     /// has begun.
     pub version: Option<TargetVersion>,
+    /// How many quarters of the targets are predicted to be too slow for the request.
+    /// One that waits for a faster target does not block those that fit the others.
+    pub slow_quarters: u8,
 }
 
 impl Placement {
@@ -77,9 +80,16 @@
             long,
             first_token_limit_ms: request.first_answer_ms,
             version: None,
+            slow_quarters: 0,
         }
     }
 
+    /// Set how many quarters of the targets are too slow for the request.
+    pub fn with_slow_quarters(mut self, quarters: u8) -> Self {
+        self.slow_quarters = quarters;
+        self
+    }
+
     /// Set the only version that may serve the request.
     pub fn with_version(mut self, version: Option<TargetVersion>) -> Self {
         self.version = version;
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -27,7 +27,7 @@
 use super::learning::event_rate::EventRate;
 use super::learning::host_connections::HostConnections;
 use super::learning::pool_paces::PoolPaces;
-use super::learning::run_estimate::{RunEstimate, RunSums};
+use super::learning::run_estimate::RunSums;
 use super::learning::size_ends::{RequestEnd, SizeTable};
 use super::options::OwnerOptions;
 use super::order::queue::{Placement, QueuedRequest, RequestQueue};
@@ -35,6 +35,7 @@
 use super::placement::permit_table::PermitTable;
 use super::placement::prefix_table::PrefixTable;
 use super::placement::routing::TargetSet;
+use super::placement::slot_dispatch::longest_run_ms;
 use super::{OwnerAction, OwnerEvent};
 
 /// The interval at which a non-empty queue is dispatched without an event:
@@ -509,7 +510,12 @@
         if let Some(claim) = &request.claim {
             self.keys.claim(now, claim);
         }
-        let estimate = self.run_estimate(request.cost);
+        let sums = self.run_sums(request.cost);
+        let placement = match self.has_slots() {
+            true => placement.with_slow_quarters(sums.slow_quarters(longest_run_ms(&request))),
+            false => placement,
+        };
+        let estimate = sums.estimate();
         let earlier = self.redeem_promise(now, &host, &request, &estimate);
         let run = estimate.run;
         let plan = WaitPlan::new(now, &request, estimate.first_token, run);
@@ -541,14 +547,14 @@
         self.slots_known = targets.all(|load| load.target().slots.is_some());
     }
 
-    /// Get the predicted times of a request, from the targets that work.
-    pub(super) fn run_estimate(&self, cost: TokenCost) -> RunEstimate {
+    /// Get the predicted times of a request at the targets that work.
+    fn run_sums(&self, cost: TokenCost) -> RunSums {
         let working = self.targets.values();
         let working = working.filter(|load| !load.back_off().is_active() && !load.is_draining());
         let mut sums = RunSums::default();
         for load in working {
             sums.add(load, cost);
         }
-        sums.estimate()
+        sums
     }
 }
--- a/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::clock::Moment;
+use crate::permit::PermitRequest;
 use crate::pool_owner::OwnerAction;
 use crate::pool_owner::learning::run_time_estimator::as_millis;
 use crate::pool_owner::order::queue::{Placement, QueuedRequest};
@@ -23,6 +24,12 @@
 const SAFETY_FACTOR_ALONE: f64 = 0.6;
 const SAFETY_FACTOR_CONTENDED: f64 = 1.5;
 
+/// Get the longest predicted run, in milliseconds, with which a new request is sent to a
+/// target while others wait.
+pub(in crate::pool_owner) fn longest_run_ms(request: &PermitRequest) -> f64 {
+    f64::from(request.deadline_ms) / SAFETY_FACTOR_CONTENDED
+}
+
 /// A `SlotChoice` is the next request in order with the target chosen for it.
 struct SlotChoice {
     attempt: AttemptId,
--- a/bergamotswitch-core/src/pool_owner/placement/slot_routing.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/slot_routing.rs
@@ -232,11 +232,11 @@
         let placement = query.placement;
         let leaves_wanted = self.leaves_wanted(query);
         let wanted = &self.wanted;
-        let kept = |load: &TargetLoad| match times.first_token_left {
-            // Targets that would be too late for the request stay available to
-            // others.
-            Some(_) => times.is_on_time(load, query.cost),
-            None => true,
+        // Targets that would be too late or too slow for the request stay available to
+        // others.
+        let kept = |load: &TargetLoad| {
+            let on_time = times.first_token_left.is_none() || times.is_on_time(load, query.cost);
+            on_time && times.is_feasible(load, query.cost)
         };
         let excludes_avoided = self.excludes_avoided(placement);
         self.open.retain(|open| {
--- a/bergamotswitch-core/tests/slot_routing.rs
+++ b/bergamotswitch-core/tests/slot_routing.rs
@@ -189,6 +189,37 @@
     assert_eq!(targets(&next), ["only"]);
 }
 
+// Guards against free slots of a slow target that stay empty behind a request that is
+// too long for it.
+#[test]
+fn long_request_ahead() {
+    let mut bench = SlotBench::new(&[slot_target("fast", 1), slot_target("slow", 1)]);
+    for number in 1_000..1_012 {
+        let granted = bench.request_permit(at(1), limited_permit_request(number, 10));
+        let [OwnerReply::Granted { permit, .. }] = granted.as_slice() else {
+            panic!("not granted: {granted:?}");
+        };
+        let is_slow = permit.target.as_str() == "slow";
+        let (first_ms, token_ms) = if is_slow { (100, 20) } else { (60, 4) };
+        bench.send(at(1), finished(permit, first_ms, token_ms));
+    }
+    bench.request_permit(at(10), limited_permit_request(1, 10));
+    let on_slow = bench.request_permit(at(10), limited_permit_request(2, 10));
+    let [OwnerReply::Granted { permit, .. }] = on_slow.as_slice() else {
+        panic!("not granted: {on_slow:?}");
+    };
+    assert_eq!(permit.target.as_str(), "slow");
+    // 400 tokens at 20 ms each are too close to the deadline of ten seconds.
+    bench.request_permit(at(11), limited_permit_request(3, 400));
+    bench.request_permit(at(12), limited_permit_request(4, 10));
+    let next = bench.send(at(20), released(permit, ReleaseOutcome::Unused));
+    let granted = next.iter().filter_map(|reply| match reply {
+        OwnerReply::Granted { permit, .. } => Some(permit.attempt.request.sequence),
+        _ => None,
+    });
+    assert_eq!(granted.collect::<Vec<u64>>(), [4], "{next:?}");
+}
+
 // Guards against refused callers that retry during the same overload: the retry
 // delay is about a third of the deadline, with jitter.
 #[test]
