Guarantee the long requests of a tier a part of its service

Callers saw that of the largest tenth of a kind less than half as many were served as of the kind (SHORT). A request's latest start was its deadline less its run at the mean target.

Each size of a tier (predicted run, relative to the tier's mean) is now guaranteed 75% of the tier's service ratio, by calls, recent ones counting most; runs that do not finish do not count as served. Sizes that get less are planned by the run that a quarter of the targets keep, and a promise to them needs the room of a mean request. Sizes are estimates, so the loop corrects what hints get wrong on the whole, not one by one.

--- a/bergamotswitch-core/src/pool_owner/admission/return_promises.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/return_promises.rs
@@ -59,6 +59,9 @@
     pub account: AccountName,
     /// How long the call is predicted to hold a slot.
     pub work: Duration,
+    /// The room that its place needs at least. Short calls fill each step, so long ones
+    /// that need room for their whole run seldom find any.
+    pub least_room: Duration,
     /// How long the call may wait for its place after it has returned.
     pub wait: Duration,
 }
@@ -150,9 +153,9 @@
         let all = FIRST_STEP..=*waits.end();
         let places = self.places(now, caller.tier, room, self.options.room);
         let step = places
-            .first_idle(all, caller.work)
-            .or_else(|| places.last(returns, caller.work))
-            .or_else(|| places.first(waits, caller.work))?;
+            .first_idle(all, caller.least_room)
+            .or_else(|| places.last(returns, caller.least_room))
+            .or_else(|| places.first(waits, caller.least_room))?;
         let place_at = self.moment_in(
             step_of(now) + step as u64,
             caller.tier,
@@ -194,7 +197,7 @@
     ) -> Option<Moment> {
         let places = self.places(now, caller.tier, forecast.room(caller.tier), 1.0);
         let first = step_of(earliest).saturating_sub(step_of(now)).max(1) as usize;
-        let step = (first..FORECAST_STEPS).find(|step| places.fits(*step, caller.work))?;
+        let step = (first..FORECAST_STEPS).find(|step| places.fits(*step, caller.least_room))?;
         Some(start_of(step_of(now) + step as u64).max(earliest))
     }
 
@@ -248,6 +251,7 @@
             tier: promise.tier,
             account: promise.account,
             work,
+            least_room: work,
             wait: Duration::ZERO,
         };
         let due_at = now.plus(due_in);
--- a/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/returning_calls.rs
@@ -142,6 +142,13 @@
     pub estimate: RunEstimate,
 }
 
+impl ReturnState {
+    /// Get whether the call was refused before.
+    pub(in crate::pool_owner) fn is_return(&self) -> bool {
+        self.returned || self.promise.is_some()
+    }
+}
+
 /// A `ReturningCalls` is the state of a shard owner about calls that return.
 #[derive(Debug)]
 pub(in crate::pool_owner) struct ReturningCalls {
@@ -335,21 +342,29 @@
         let signature = queued.earlier.signature?;
         let run_until = queued.plan.run_until;
         self.returning.refused.record(signature, run_until);
-        let is_again = queued.earlier.returned || queued.promise().is_some();
+        let is_again = queued.earlier.is_return();
         self.returning
             .count(PromiseState::RefusedTwice, u64::from(is_again));
         if !returns_by_forecast(reason) {
             return None;
         }
         let request = &queued.request;
-        let last_start = last_start(now, queued);
+        let estimate = &queued.earlier.estimate;
+        let is_below = self.size_floor.is_below(request.tier, estimate.run);
+        let planned_run = self.planned_run(request.tier, estimate);
+        let last_start = last_start(now, queued, planned_run);
         let left = run_until.since(now);
         let latest = now.plus(left * RETURN_PERCENT / 100).min(last_start);
+        let mean_work = self.returning.rates.mean_work(request.tier);
         let caller = ReturningCaller {
             signature,
             tier: request.tier,
             account: request.account.clone(),
-            work: queued.earlier.estimate.work,
+            work: estimate.work,
+            least_room: match is_below {
+                true => mean_work.min(estimate.work),
+                false => estimate.work,
+            },
             wait: last_start.since(latest),
         };
         let portion = self.attached_hosts.quota_portion(now);
@@ -450,9 +465,8 @@
 }
 
 /// Get the latest moment from which the run of a request can still end in time.
-fn last_start(now: Moment, queued: &QueuedRequest) -> Moment {
+fn last_start(now: Moment, queued: &QueuedRequest, run: Duration) -> Moment {
     let left = queued.plan.run_until.since(now);
-    let run = queued.earlier.estimate.run;
     now.plus(left.saturating_sub(run.mul_f64(RUN_SAFETY_FACTOR)))
 }
 
--- a/bergamotswitch-core/src/pool_owner/learning/release.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/release.rs
@@ -54,6 +54,8 @@
             }
             ReleaseOutcome::Refused => self.on_target_refused(now, &permit, actions),
             ReleaseOutcome::Stopped(usage) => {
+                self.size_floor
+                    .record_unfinished(permit.tier, permit.mean_run);
                 self.record_usage(now, &permit, usage);
                 self.clear_probe(&permit);
             }
--- a/bergamotswitch-core/src/pool_owner/learning/run_estimate.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/run_estimate.rs
@@ -13,12 +13,18 @@
     pub first_token: Duration,
     /// The run time, the mean over the targets.
     pub run: Duration,
+    /// The run time that a quarter of the targets keep. A request that is too long for
+    /// slower ones is served by these.
+    pub quick_run: Duration,
     /// How long the request holds a slot, on average over the slots that are in use: fast
     /// targets serve more requests, so the mean is the harmonic one. It is zero before the
     /// first run.
     pub work: Duration,
 }
 
+/// The part of the targets, as a divisor, whose run time is the quick one.
+const QUICK_DIVISOR: usize = 4;
+
 /// A `RunSums` is the sums over targets from which an estimate is made.
 #[derive(Clone, Debug, Default)]
 pub(in crate::pool_owner) struct RunSums {
@@ -48,10 +54,11 @@
     }
 
     /// Get the estimate.
-    pub(in crate::pool_owner) fn estimate(self) -> RunEstimate {
+    pub(in crate::pool_owner) fn estimate(mut self) -> RunEstimate {
         RunEstimate {
             first_token: self.first_ms.map_or(Duration::ZERO, from_millis),
             run: from_millis(self.run_ms / f64::from(self.count.max(1))),
+            quick_run: self.quick_run(),
             work: match self.slot_rate > 0.0 {
                 true => from_millis(self.slots / self.slot_rate),
                 false => Duration::ZERO,
@@ -66,4 +73,15 @@
         let slow = runs.filter(|run_ms| **run_ms > longest_ms).count();
         (slow * 4).div_ceil(self.measured_ms.len().max(1)) as u8
     }
+
+    fn quick_run(&mut self) -> Duration {
+        let index = self.measured_ms.len().saturating_sub(1) / QUICK_DIVISOR;
+        if self.measured_ms.is_empty() {
+            return Duration::ZERO;
+        }
+        let (_, run_ms, _) = self
+            .measured_ms
+            .select_nth_unstable_by(index, f64::total_cmp);
+        from_millis(*run_ms)
+    }
 }
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -13,6 +13,7 @@
 use crate::pool::PoolShard;
 use crate::refusal::RefusalReason;
 use crate::request::{AttemptId, TokenCost};
+use crate::rules::Tier;
 use crate::stream_table::{StreamId, StreamOrigin, StreamTable};
 use crate::target::TargetName;
 
@@ -27,10 +28,11 @@
 use super::learning::event_rate::EventRate;
 use super::learning::host_connections::HostConnections;
 use super::learning::pool_paces::PoolPaces;
-use super::learning::run_estimate::RunSums;
+use super::learning::run_estimate::{RunEstimate, RunSums};
 use super::learning::size_ends::{RequestEnd, SizeTable};
 use super::options::OwnerOptions;
 use super::order::queue::{Placement, QueuedRequest, RequestQueue};
+use super::order::size_floor::SizeFloor;
 use super::order::wait_plan::WaitPlan;
 use super::placement::permit_table::PermitTable;
 use super::placement::prefix_table::PrefixTable;
@@ -110,6 +112,7 @@
     pub(super) sequence: u64,
     pub(super) preempt_check_at: Moment,
     pub(super) counts: OwnerCounts,
+    pub(super) size_floor: SizeFloor,
     /// How the requests of each size ended.
     pub(super) sizes: SizeTable,
 }
@@ -154,6 +157,7 @@
             sequence: 0,
             preempt_check_at: now,
             counts: OwnerCounts::default(),
+            size_floor: SizeFloor::default(),
             sizes: SizeTable::default(),
             opts,
         }
@@ -517,7 +521,10 @@
         };
         let estimate = sums.estimate();
         let earlier = self.redeem_promise(now, &host, &request, &estimate);
-        let run = estimate.run;
+        if !earlier.is_return() {
+            self.size_floor.record_new(now, request.tier, estimate.run);
+        }
+        let run = self.planned_run(request.tier, &estimate);
         let plan = WaitPlan::new(now, &request, estimate.first_token, run);
         let plan = match earlier.promise {
             Some(_) => plan.until_last_start(run),
@@ -531,7 +538,7 @@
             origin,
             earlier,
         };
-        let slot_time = self.slot_time(queued.request.cost, run);
+        let slot_time = self.slot_time(queued.request.cost, estimate.run);
         self.queue.push_costing(now, queued, slot_time);
     }
 
@@ -547,6 +554,15 @@
         self.slots_known = targets.all(|load| load.target().slots.is_some());
     }
 
+    /// Get the run time by which the latest start of a request is planned: that of the mean
+    /// target, or of the targets that suit it if requests of its size get too little.
+    pub(super) fn planned_run(&self, tier: Tier, estimate: &RunEstimate) -> Duration {
+        match self.size_floor.is_below(tier, estimate.run) {
+            true => estimate.quick_run,
+            false => estimate.run,
+        }
+    }
+
     /// Get the predicted times of a request at the targets that work.
     fn run_sums(&self, cost: TokenCost) -> RunSums {
         let working = self.targets.values();
--- a/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
+++ b/bergamotswitch-core/src/pool_owner/placement/dispatch.rs
@@ -173,6 +173,8 @@
         self.counts.granted += 1;
         self.sizes
             .record(now, permit.tier, permit.cost, RequestEnd::Granted);
+        self.size_floor
+            .record_granted(now, permit.tier, permit.mean_run);
         self.record_started_work(now, permit.tier, queued.earlier.estimate.work);
         let reply = self.granted_reply(&permit);
         actions.push(OwnerAction::Reply(queued.host, reply));
--- a/bergamotswitch-core/tests/return_promises.rs
+++ b/bergamotswitch-core/tests/return_promises.rs
@@ -514,6 +514,7 @@
         signature: signature_of(number),
         tier: Tier(tier),
         account: named("account"),
+        least_room: Duration::from_millis(500),
         work: Duration::from_millis(500),
         wait: Duration::ZERO,
     }
--- a/bergamotswitch-core/tests/size_load/mod.rs
+++ b/bergamotswitch-core/tests/size_load/mod.rs
@@ -267,7 +267,7 @@
         };
         let Some(run) = run else {
             self.attempts.remove(&attempt);
-            let id = attempt_of(incarnation_of("entry", 1).incarnation, attempt);
+            let id = permit_request(attempt, 0, "account").attempt;
             let actions = self.bench.message(withdrawal(id));
             return self.apply(at_ms, actions);
         };
