--- a/bergamotswitch-core/src/pool_owner/order/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/order/mod.rs
@@ -4,6 +4,7 @@
 pub(in crate::pool_owner) mod fair_queue;
 pub(in crate::pool_owner) mod preemption;
 pub mod queue;
+pub(in crate::pool_owner) mod service_share;
 pub(in crate::pool_owner) mod size_floor;
 pub(in crate::pool_owner) mod tier_floor;
 pub mod wait_plan;
--- a/bergamotswitch-core/src/pool_owner/order/size_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/order/size_floor.rs
@@ -12,6 +12,8 @@
 use crate::clock::Moment;
 use crate::rules::Tier;
 
+use super::service_share::{DecayClock, ServiceShare};
+
 /// The half-life of the counts. It is longer than that of the tiers' floors, because long
 /// requests are rare.
 const HALF_LIFE: Duration = Duration::from_secs(5);
@@ -26,20 +28,12 @@
 /// below it, the second at the mean of the tier.
 const CLASSES: usize = 4;
 
-/// A `SizeShare` is the recent requests of a size class and how many of them were served,
-/// both decaying.
-#[derive(Clone, Copy, Debug, Default)]
-struct SizeShare {
-    requested: f64,
-    served: f64,
-}
-
 /// A `TierSizes` is the recent requests of a tier by size.
 #[derive(Clone, Copy, Debug, Default)]
 struct TierSizes {
     mean_seconds: f64,
     arrivals: f64,
-    classes: [SizeShare; CLASSES],
+    classes: [ServiceShare; CLASSES],
 }
 
 impl TierSizes {
@@ -52,7 +46,7 @@
     }
 
     fn served_fraction(&self) -> f64 {
-        let sum = |of: fn(&SizeShare) -> f64| self.classes.iter().map(of).sum::<f64>();
+        let sum = |of: fn(&ServiceShare) -> f64| self.classes.iter().map(of).sum::<f64>();
         sum(|share| share.served) / sum(|share| share.requested).max(1.0)
     }
 }
@@ -62,7 +56,7 @@
 #[derive(Debug, Default)]
 pub(in crate::pool_owner) struct SizeFloor {
     tiers: BTreeMap<Tier, TierSizes>,
-    decayed_at: Moment,
+    clock: DecayClock,
 }
 
 impl SizeFloor {
@@ -105,15 +99,10 @@
     }
 
     fn decay(&mut self, now: Moment) {
-        let span = now.since(self.decayed_at);
-        if span < HALF_LIFE / 16 {
-            return;
-        }
-        self.decayed_at = now;
-        let weight = 0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        for share in self.tiers.values_mut().flat_map(|sizes| &mut sizes.classes) {
-            share.requested *= weight;
-            share.served *= weight;
+        if let Some(fraction) = self.clock.due(now, HALF_LIFE) {
+            for share in self.tiers.values_mut().flat_map(|sizes| &mut sizes.classes) {
+                share.decay(fraction);
+            }
         }
     }
 }
--- a/bergamotswitch-core/src/pool_owner/order/tier_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/order/tier_floor.rs
@@ -12,6 +12,8 @@
 use crate::clock::Moment;
 use crate::rules::Tier;
 
+use super::service_share::{DecayClock, ServiceShare};
+
 /// The half-life of the counts. Bursts last some seconds; with a longer
 /// half-life, the previous burst would influence the next one.
 const HALF_LIFE: Duration = Duration::from_secs(3);
@@ -44,25 +46,11 @@
     ];
 }
 
-/// A `TierShare` is the recent requests of a tier and how many of them were
-/// served, both decaying.
-#[derive(Clone, Copy, Debug, Default)]
-struct TierShare {
-    requested: f64,
-    served: f64,
-}
-
-impl TierShare {
-    fn served_fraction(&self) -> f64 {
-        self.served / self.requested.max(1.0)
-    }
-}
-
 /// A `TierFloor` is the recent service ratios of the tiers.
 #[derive(Debug, Default)]
 pub(in crate::pool_owner) struct TierFloor {
-    tiers: BTreeMap<Tier, TierShare>,
-    decayed_at: Moment,
+    tiers: BTreeMap<Tier, ServiceShare>,
+    clock: DecayClock,
 }
 
 impl TierFloor {
@@ -92,15 +80,10 @@
     }
 
     fn decay(&mut self, now: Moment) {
-        let span = now.since(self.decayed_at);
-        if span < HALF_LIFE / 16 {
-            return;
-        }
-        self.decayed_at = now;
-        let weight = 0.5_f64.powf(span.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        for share in self.tiers.values_mut() {
-            share.requested *= weight;
-            share.served *= weight;
+        if let Some(fraction) = self.clock.due(now, HALF_LIFE) {
+            for share in self.tiers.values_mut() {
+                share.decay(fraction);
+            }
         }
     }
 }
