Classify requests by size without a mean, and skip runs of previous owners

Found by reading. A new owner whose first request of a tier is a returning call, or whose first arrivals come before any run was measured, has no mean run: a run of over 4 s then overflowed the class (a panic where overflow is checked, the lowest class elsewhere). A run taken over from a previous owner that stopped was taken off what this owner had served, although it had never been counted there. The class is now bounded before it is converted, and such runs are skipped.

--- a/bergamotswitch-core/src/pool_owner/order/size_floor.rs
+++ b/bergamotswitch-core/src/pool_owner/order/size_floor.rs
@@ -41,7 +41,8 @@
         let multiple = run.as_secs_f64() / self.mean_seconds.max(f64::MIN_POSITIVE);
         match multiple < 1.0 {
             true => 0,
-            false => (1 + multiple.log2() as usize).min(CLASSES - 1),
+            // Without a mean the multiple is infinite.
+            false => (1.0 + multiple.log2()).min((CLASSES - 1) as f64) as usize,
         }
     }
 
@@ -82,6 +83,10 @@
 
     /// Count a request that was served as not served: its run did not finish.
     pub(in crate::pool_owner) fn record_unfinished(&mut self, tier: Tier, run: Duration) {
+        // Permits of previous owners were not counted as served here.
+        if run.is_zero() {
+            return;
+        }
         let sizes = self.tiers.entry(tier).or_default();
         let class = sizes.class_of(run);
         let share = &mut sizes.classes[class];
