--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # file. It needs no network and no dependencies.
 set -e
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/standins/Cargo.toml --target-dir target/review
+cargo build --release --offline --manifest-path review/tests/standins/Cargo.toml --target-dir target/review
