Check whose answer it is before believing a rejection

Cause: a rejection ended a call as not run before its request id was compared. A late copy of another call's rejection, read where the answer to the next call on that connection is expected, so "proved" that this call had not run, and it was sent to a second target, while the first one ran it.

Bytes left over from the call before are ruled out: the copy comes after the next request was sent.

Fix: the core decides whose answer it is (target_answer) before anything of it is believed, on direct connections, tunnels and /v1. An answer that names another call, or two, or none on a connection that carried calls before, ends the call as one that may have run; its limits, rests and paces are ignored. A second attempt of a rejected call, whose id is the same, uses a connection on which it was not rejected.

--- a/bergamotswitch-core/src/lib.rs
+++ b/bergamotswitch-core/src/lib.rs
@@ -42,5 +42,6 @@
 pub mod settings;
 pub mod stream_table;
 pub mod target;
+pub mod target_answer;
 pub mod target_list;
 pub mod target_path;
--- /dev/null
+++ b/bergamotswitch-core/src/target_answer.rs
@@ -0,0 +1,87 @@
+//! Provides the decision to which request a target's answer belongs, and so whether it
+//! proves that the request did not run.
+
+/// An `AnswerId` is what an answer's request id says about the request it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerId {
+    /// The answer names the request.
+    Matching,
+    /// The answer names another request, or more than one.
+    Foreign,
+    /// The answer names no request.
+    Missing,
+}
+
+impl AnswerId {
+    /// Compare the ids that an answer names with that of the request.
+    pub fn compare<'a>(mut named: impl Iterator<Item = &'a [u8]>, request_id: &[u8]) -> Self {
+        match (named.next(), named.next()) {
+            (None, _) => AnswerId::Missing,
+            (Some(id), None) if id == request_id => AnswerId::Matching,
+            (Some(_), _) => AnswerId::Foreign,
+        }
+    }
+
+    /// Get whether the answer is the one to the request. Without an id it may be a late
+    /// copy of an earlier answer, unless its connection has carried no other request.
+    pub fn belongs(self, connection: ConnectionUse) -> bool {
+        match self {
+            AnswerId::Matching => true,
+            AnswerId::Missing => connection == ConnectionUse::First,
+            AnswerId::Foreign => false,
+        }
+    }
+}
+
+/// A `ConnectionUse` is whether a connection has carried requests before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// The request is the first one on its connection.
+    First,
+    /// Other requests were answered on the connection before.
+    Later,
+}
+
+/// The maximum number of rejected requests in a history.
+const MAX_REJECTED: usize = 16;
+
+/// A `ConnectionHistory` is the requests that a connection has carried. A late copy of a
+/// rejection names the same request as the answer to another attempt of it, so that
+/// attempt needs a connection on which the request was not rejected.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionHistory {
+    is_used: bool,
+    rejected: Vec<Box<str>>,
+}
+
+impl ConnectionHistory {
+    /// Record that a request was answered.
+    pub fn record_answer(&mut self) {
+        self.is_used = true;
+    }
+
+    /// Record that a request was rejected.
+    pub fn record_rejection(&mut self, request_id: &str) {
+        self.is_used = true;
+        self.rejected.push(request_id.into());
+    }
+
+    /// Get whether the connection has carried requests.
+    pub fn connection_use(&self) -> ConnectionUse {
+        match self.is_used {
+            true => ConnectionUse::Later,
+            false => ConnectionUse::First,
+        }
+    }
+
+    /// Get whether an answer that names this request can only be the one to its next
+    /// attempt.
+    pub fn allows(&self, request_id: &str) -> bool {
+        self.rejected.iter().all(|id| **id != *request_id)
+    }
+
+    /// Get whether no further rejection can be recorded.
+    pub fn is_full(&self) -> bool {
+        self.rejected.len() >= MAX_REJECTED
+    }
+}
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -11,10 +11,11 @@
 use bergamotswitch_core::permit::Usage;
 use bergamotswitch_core::request::AttemptId;
 use bergamotswitch_core::target::PoolTarget;
+use bergamotswitch_core::target_answer::AnswerId;
 use bergamotswitch_core::target_path::TargetPath;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
@@ -150,14 +151,15 @@
         builder.body(Full::new(call.body.clone())).ok()
     }
 
-    /// Try to connect, send the request and get the response's head, unless
-    /// `verdict` completes first.
+    /// Try to connect, send the request with this id and get the response's head,
+    /// unless `verdict` completes first.
     pub async fn send_first(
         &self,
         request: TargetRequest,
+        request_id: &str,
         verdict: impl Future<Output = SilenceVerdict>,
     ) -> Result<FirstResponse, SendError> {
-        let idle = self.idle_connection();
+        let idle = self.idle_connection(request_id);
         let mut is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
@@ -195,12 +197,12 @@
         }
     }
 
-    fn idle_connection(&self) -> Option<TargetConnection> {
+    fn idle_connection(&self, request_id: &str) -> Option<TargetConnection> {
         let address = self.target.address;
         match &self.route.path {
-            TargetPath::Direct => self.idle_connections.take(address, None),
+            TargetPath::Direct => self.idle_connections.take(address, None, request_id),
             TargetPath::Probe => None,
-            TargetPath::Tunnel(host) => self.idle_connections.take(address, Some(host)),
+            TargetPath::Tunnel(host) => self.idle_connections.take(address, Some(host), request_id),
         }
     }
 
@@ -247,10 +249,25 @@
 
     /// Get whether the response carries the id of another request.
     pub fn is_mismatched(&self, response: &Response<TargetBody>) -> bool {
-        match response.headers().get(REQUEST_ID) {
-            Some(id) => id.as_bytes() != self.request_id.as_bytes(),
-            None => false,
-        }
+        self.answer_id(response) == AnswerId::Foreign
+    }
+
+    /// Get whether the response proves that the target refused the call. Without an id it
+    /// may be a copy of an earlier one, unless the connection is new.
+    pub fn is_refused(
+        &self,
+        connection: &TargetConnection,
+        response: &Response<TargetBody>,
+    ) -> bool {
+        let belongs = self
+            .answer_id(response)
+            .belongs(connection.connection_use());
+        belongs && is_refusal(response.status())
+    }
+
+    fn answer_id(&self, response: &Response<TargetBody>) -> AnswerId {
+        let named = response.headers().get_all(REQUEST_ID).iter();
+        AnswerId::compare(named.map(HeaderValue::as_bytes), self.request_id.as_bytes())
     }
 
     pub fn push_head(&self, head: &Parts) {
@@ -297,7 +314,7 @@
 }
 
 /// Get whether the status means that the target refused the call.
-pub(super) fn is_refusal(status: StatusCode) -> bool {
+fn is_refusal(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -10,6 +10,7 @@
 
 use bergamotswitch_core::host::HostName;
 use bergamotswitch_core::incident::Incident;
+use bergamotswitch_core::target_answer::{ConnectionHistory, ConnectionUse};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -76,6 +77,7 @@
     tunnel: Option<Tunnel>,
     sender: SendRequest<Full<Bytes>>,
     unparsed: UnparsedBytes,
+    history: ConnectionHistory,
     _task: TaskGuard,
 }
 
@@ -116,6 +118,7 @@
             tunnel: None,
             sender,
             unparsed,
+            history: ConnectionHistory::default(),
             _task: task,
         })
     }
@@ -177,6 +180,16 @@
         }
     }
 
+    /// Get whether the connection has carried requests before.
+    pub(super) fn connection_use(&self) -> ConnectionUse {
+        self.history.connection_use()
+    }
+
+    /// Record that the target rejected a request.
+    pub fn record_rejection(&mut self, request_id: &str) {
+        self.history.record_rejection(request_id);
+    }
+
     fn is_idle(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
@@ -378,13 +391,23 @@
 
     /// Get the newest connection that may still be reused, if there is one, direct or
     /// through a tunnel of `host`. Expired connections are closed. The newest one is the
-    /// least likely to be closed by its target, and those that a burst left expire.
-    pub fn take(&self, address: SocketAddr, host: Option<&HostName>) -> Option<TargetConnection> {
+    /// least likely to be closed by its target, and those that a burst left expire. The
+    /// request was not rejected on it before.
+    pub fn take(
+        &self,
+        address: SocketAddr,
+        host: Option<&HostName>,
+        request_id: &str,
+    ) -> Option<TargetConnection> {
         let key = (address, host.cloned());
         let mut pool = self.lock();
         let list = pool.lists.get_mut(&key)?;
         list.retain(IdleConnection::is_usable);
-        let found = list.pop();
+        let usable = |idle: &IdleConnection| idle.connection.history.allows(request_id);
+        let found = list
+            .iter()
+            .rposition(usable)
+            .map(|place| list.remove(place));
         if list.is_empty() {
             pool.lists.remove(&key);
         }
@@ -406,13 +429,15 @@
     /// for less than the target's `idle_timeout`.
     pub fn keep(
         &self,
-        connection: TargetConnection,
+        mut connection: TargetConnection,
         options: &TargetClientOptions,
         idle_timeout: Option<Duration>,
     ) {
-        if options.idle_reuse.is_zero() || !connection.is_idle() {
+        let is_reusable = connection.is_idle() && !connection.history.is_full();
+        if options.idle_reuse.is_zero() || !is_reusable {
             return;
         }
+        connection.history.record_answer();
         let longest = match connection.tunnel {
             Some(_) => options.idle_reuse.min(IDLE_TUNNEL_REUSE),
             None => options.idle_reuse,
--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::attempt_report::AttemptReport;
-use super::call_context::{CallContext, CallEnd, SendError, is_refusal};
+use super::call_context::{CallContext, CallEnd, SendError};
 use super::connection::TargetConnection;
 use super::event_stream::{EventParser, ServerEvent};
 use super::silence_watch::{SilenceVerdict, SilenceWatch};
@@ -177,7 +177,11 @@
             return OpenOutcome::Ended(self.context.reject_malformed());
         };
         let verdict = self.watch().verdict();
-        match self.context.send_first(request, verdict).await {
+        match self
+            .context
+            .send_first(request, &self.context.request_id, verdict)
+            .await
+        {
             Ok(first) => self.check_head(first.connection, first.response).await,
             Err(SendError::NotConnected) => OpenOutcome::Ended(CallEnd::NotSent),
             Err(SendError::Dropped) => OpenOutcome::Failed(StreamError::Dropped),
@@ -193,10 +197,10 @@
         if self.context.is_mismatched(&response) {
             return OpenOutcome::Failed(StreamError::RequestMismatch);
         }
-        let status = response.status();
-        if is_refusal(status) {
+        if self.context.is_refused(&connection, &response) {
             return OpenOutcome::Ended(CallEnd::Refused);
         }
+        let status = response.status();
         if !status.is_success() {
             let usage = self.meter.usage();
             return OpenOutcome::Ended(self.context.forward_error(response, usage).await);
--- a/bergamotswitch-net/src/target_client/plain_call.rs
+++ b/bergamotswitch-net/src/target_client/plain_call.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 
 use super::attempt_report::AttemptReport;
-use super::call_context::{CallContext, CallEnd, FirstResponse, SendError, is_refusal};
+use super::call_context::{CallContext, CallEnd, FirstResponse, SendError};
 use super::target_body::TargetBody;
 use super::usage_meter::{UsageMeter, report_step};
 use crate::answer::AnswerPart;
@@ -25,7 +25,10 @@
     let mut meter = UsageMeter::start(context.options.progress_period);
     // A plain service has no status query, so an unresponsive one is waited for
     // until the kernel or the event loop ends the call.
-    match context.send_first(request, pending()).await {
+    match context
+        .send_first(request, &context.request_id, pending())
+        .await
+    {
         Ok(first) => read(context, &call.method, first, &mut meter, report).await,
         Err(SendError::NotConnected) => CallEnd::NotSent,
         Err(SendError::Dropped | SendError::Unresponsive(_)) => CallEnd::Broken(meter.usage()),
@@ -47,10 +50,10 @@
         context.log_incident(Incident::AnswerRejected, "request id mismatch");
         return CallEnd::Broken(meter.usage());
     }
-    let status = response.status();
-    if is_refusal(status) {
+    if context.is_refused(&connection, &response) {
         return CallEnd::Refused;
     }
+    let status = response.status();
     if !is_delimited(method, &response) {
         context.log_incident(
             Incident::AnswerRejected,
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -8,6 +8,7 @@
 use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::name::AccountName;
+use bergamotswitch_core::target_answer::AnswerId;
 use bergamotswitch_platform::answer::{self, TargetAnswer};
 use bergamotswitch_platform::outgoing::OutgoingHead;
 use http::response::Parts;
@@ -67,7 +68,11 @@
     };
     let mut meter = UsageMeter::start(context.options.progress_period);
     match context
-        .send_first(request, report_silence(context, routed, report))
+        .send_first(
+            request,
+            &routed.request_id,
+            report_silence(context, routed, report),
+        )
         .await
     {
         Ok(first) => read(context, routed, first, &mut meter, report).await,
@@ -136,39 +141,24 @@
     } = first;
     let (head, body) = response.into_parts();
     let found = TargetAnswer::read(head.status, &head.headers, &routed.request_id);
-    if let Some(limit) = found.limit
-        && (found.is_not_run || found.matches_request)
-    {
-        report.step(AttemptEvent::LimitNamed(limit));
-    }
-    if found.is_leaving && (found.is_not_run || found.matches_request) {
-        report.step(AttemptEvent::LeavingNamed);
-    }
-    if let Some(refusals) = found.brittle
-        && (found.is_not_run || found.matches_request)
-    {
-        report.step(AttemptEvent::BrittleNamed(refusals));
-    }
-    if let Some(pace) = found.pace
-        && (found.is_not_run || found.matches_request)
-    {
-        report.step(AttemptEvent::PaceNamed(pace));
-    }
-    if let Some(rest) = found.rest
-        && (found.is_not_run || found.matches_request)
-    {
-        report.step(AttemptEvent::RestAsked(rest));
+    if !found.id.belongs(connection.connection_use()) {
+        let cause = match found.is_rejection {
+            true => "rejection of another request",
+            false => "answer to another request",
+        };
+        context.log_incident(Incident::AnswerRejected, cause);
+        return CallEnd::Broken(meter.usage());
     }
-    if found.is_not_run {
-        drain(context, connection, body, found.idle_timeout).await;
+    report_notices(&found, report);
+    if found.is_rejection {
+        drain(context, routed, connection, body, found.idle_timeout).await;
         return CallEnd::Refused;
     }
-    // An answer that has another request's id, or lacks the target's signature,
-    // comes from another call or from an intermediary.
-    if !found.matches_request || !found.is_signed {
-        let cause = match found.matches_request {
-            true => "answer without the target's signature",
-            false => "answer to another request",
+    // An answer that lacks the target's signature comes from an intermediary.
+    if found.id != AnswerId::Matching || !found.is_signed {
+        let cause = match found.is_signed {
+            true => "answer without a request id",
+            false => "answer without the target's signature",
         };
         context.log_incident(Incident::AnswerRejected, cause);
         return CallEnd::Broken(meter.usage());
@@ -186,10 +176,25 @@
     }
 }
 
-/// Discard the rest of an answer, so that its connection can be reused.
+/// Report what the target says of itself in an answer.
+fn report_notices(found: &TargetAnswer, report: &AttemptReport) {
+    let notices = [
+        found.limit.map(AttemptEvent::LimitNamed),
+        found.is_leaving.then_some(AttemptEvent::LeavingNamed),
+        found.brittle.map(AttemptEvent::BrittleNamed),
+        found.pace.map(AttemptEvent::PaceNamed),
+        found.rest.map(AttemptEvent::RestAsked),
+    ];
+    for notice in notices.into_iter().flatten() {
+        report.step(notice);
+    }
+}
+
+/// Discard the rest of a rejection, so that its connection can be reused.
 async fn drain(
     context: &CallContext,
-    connection: TargetConnection,
+    routed: &RoutedCall,
+    mut connection: TargetConnection,
     body: TargetBody,
     idle_timeout: Option<Duration>,
 ) {
@@ -197,6 +202,7 @@
     const MAX_BYTES: usize = 4_096;
     let reading = Limited::new(body, MAX_BYTES).collect();
     if let Ok(Ok(_)) = timeout(WAIT, reading).await {
+        connection.record_rejection(&routed.request_id);
         context
             .idle_connections
             .keep(connection, &context.options, idle_timeout);
--- a/bergamotswitch-net/tests/idle_connections.rs
+++ b/bergamotswitch-net/tests/idle_connections.rs
@@ -128,7 +128,7 @@
         [true, false],
         "a lower limit binds at once"
     );
-    assert!(idle.take(one.address(), None).is_some());
+    assert!(idle.take(one.address(), None, "1").is_some());
     assert_eq!(idle.counts().reused, 1);
 }
 
