Ask targets which streams they hold when no host knows

Cause: a host took the only version that it sees for the only one that may have streams, however short it had watched; and the version that began a stream was known to hosts alone.

Fix: the only version counts once a host has watched the versions for as long as streams may be resumed, by its own table or by another host's report. An owner that meets a stream that nobody knows asks its targets what they hold (event 214, at most every 5 s): the target that began a stream still holds the part of the prompt that is its own. The version whose targets alone hold it began the stream; if none, several, or some targets of other versions have not answered, the caller is told at once that it did not run.

Tests: stream_versions, all_hosts_killed and version_left failed on and pass; in the core only_version_seen, watched_elsewhere, known_by_caches and silent_caches. one_version asked hosts that had started two seconds before to guess; the three tests above replace it: streams of one version go on, those of a version that left do not, and the only version counts once watched.

--- a/bergamotswitch-core/src/entry/dispatcher/replacement.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replacement.rs
@@ -143,7 +143,7 @@
             && self.may_replace(record, running)
             && !self.is_target_closed(now, target)
             && self.fits_stream(record, target)
-            && self.stream_refusal(record, target).is_none()
+            && self.stream_refusal(now, record, target).is_none()
     }
 
     /// Let a silent run go on after its replacement was refused.
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -132,7 +132,7 @@
                 self.with_stop_retry_after(now, waiting.state.refuse(RefusalReason::Stopping));
             return self.refuse(now, record, refusal, actions);
         }
-        if let Some(reason) = self.stream_refusal(&record, &permit.target) {
+        if let Some(reason) = self.stream_refusal(now, &record, &permit.target) {
             return_permit(owner, record.shard.clone(), &permit, actions);
             let refusal = waiting.state.refuse(reason);
             let refusal = refusal.with_retry_after(self.options.retry_after);
--- a/bergamotswitch-core/src/entry/dispatcher/streams.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/streams.rs
@@ -46,12 +46,13 @@
     /// target to grant.
     pub(super) fn stream_refusal(
         &self,
+        now: Moment,
         record: &RequestRecord,
         target: &TargetName,
     ) -> Option<RefusalReason> {
         if let Some(StreamOrigin::Unknown(_)) = &record.stream {
             let table = self.streams.get(&record.submission.pool);
-            let is_certain = table.is_some_and(|table| table.sole_version().is_some());
+            let is_certain = table.is_some_and(|table| table.sole_version(now).is_some());
             return (!is_certain).then_some(RefusalReason::StreamUnknown);
         }
         let is_repeated = record.avoid.contains(target);
--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -102,6 +102,8 @@
     StreamVersionMissing = 212, Warn, "stream refused for want of its version";
     /// This host ended a stream that had begun and whose caller was still there.
     StreamCut = 213, Warn, "begun stream ended by this host";
+    /// An owner asks its targets which streams they hold, since no host knows one.
+    CachesRead = 214, Info, "targets asked which streams they hold";
     /// The host has started to act as owner of a shard.
     OwnershipTaken = 300, Warn, "acting as owner of shard";
     /// The host no longer acts as owner of a shard.
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -161,6 +161,12 @@
                 self.count_degraded(&reply);
                 self.send_reply(now, host, reply);
             }
+            OwnerAction::ReadCaches(shard, targets) => {
+                let text = format!("shard={shard} targets={}", targets.len());
+                let incident = Incident::CachesRead;
+                self.actions.push(NodeAction::LogIncident(incident, text));
+                self.actions.push(NodeAction::ReadCaches(targets));
+            }
             OwnerAction::LogIncident(incident, shard, target, report) => {
                 let target = target.map_or(String::new(), |target| format!(" target={target}"));
                 let report = report.map_or(String::new(), |report| {
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -250,6 +250,11 @@
                 });
                 self.queue_owner(actions);
             }
+            NodeEvent::CacheRead(name, parts) => {
+                let event = |_: &PoolShard| OwnerEvent::CacheRead(name.clone(), parts.clone());
+                let actions = self.shards.notify_all(now, event);
+                self.queue_owner(actions);
+            }
             NodeEvent::HostLoad(permille) => {
                 self.load_permille = permille;
                 self.notify_membership(now, MembershipEvent::Load(permille));
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -80,6 +80,8 @@
     Load(TargetName, LoadReport),
     /// A target added (`true`) or removed (`false`) a prefix in its cache.
     Prefix(TargetName, PrefixHash, bool),
+    /// A target told which parts of prompts it holds; `None` if it cannot tell.
+    CacheRead(TargetName, Option<Vec<PrefixHash>>),
     /// This host's load, in thousandths of its capacity.
     HostLoad(u16),
     /// A planned stop has been requested.
@@ -115,6 +117,8 @@
     Published(ValueName),
     /// Poll the load and subscribe to the cache events of exactly these targets.
     WatchTargets(Vec<PoolTarget>),
+    /// Ask these targets which parts of prompts they hold.
+    ReadCaches(Vec<PoolTarget>),
     /// Start an attempt: send the request to a target.
     Start {
         /// The attempt.
--- a/bergamotswitch-core/src/pool_owner/admission/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod account_shares;
 pub(in crate::pool_owner) mod attached_hosts;
+pub(in crate::pool_owner) mod cached_streams;
 pub(in crate::pool_owner) mod cost_sample;
 pub(in crate::pool_owner) mod fair_admission;
 pub mod key_table;
--- a/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::cached_streams::CachedStreams;
 use crate::clock::Moment;
 use crate::host::{HostName, Incarnation};
 use crate::permit::{OwnerReply, PermitRequest};
@@ -14,13 +15,18 @@
 use crate::pool_owner::placement::routing::{allowed, in_domains};
 use crate::refusal::RefusalReason;
 use crate::request::AttemptId;
+use crate::request::PrefixHash;
 use crate::stream_table::{KnownVersion, StreamId, StreamOrigin, VersionStreams};
-use crate::target::TargetName;
+use crate::target::{PoolTarget, TargetName};
 
 /// How long a new owner waits for the reports of the hosts before it refuses to resume a
 /// stream that it does not know.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a new owner waits for the reports of the hosts before it asks the targets about
+/// a stream that it does not know.
+const CACHE_READ_DELAY: Duration = Duration::from_millis(300);
+
 /// How long a stream waits while no target has its version: a target that crashed may
 /// restart and register.
 const VERSION_TIMEOUT: Duration = Duration::from_secs(2);
@@ -43,6 +49,7 @@
     /// What each host knows of the stream of its next permit request.
     announced: BTreeMap<HostName, (AttemptId, StreamOrigin)>,
     held: BTreeMap<AttemptId, HeldRequest>,
+    cached: CachedStreams,
 }
 
 impl StreamRequests {
@@ -75,6 +82,11 @@
     }
 }
 
+/// Get the part of the prompt that is the stream's own, which its host names last.
+fn own_part(request: &PermitRequest) -> Option<PrefixHash> {
+    request.prefixes.last().copied()
+}
+
 impl ShardOwner {
     /// Record what a host knows of the stream of its next permit request, and reply with
     /// the version if only this owner knows it.
@@ -85,7 +97,7 @@
         origin: StreamOrigin,
         actions: &mut Vec<OwnerAction>,
     ) {
-        let resolved = self.resolve_origin(origin.clone());
+        let resolved = self.resolve_origin(origin.clone(), None);
         if resolved != origin {
             self.reply_version(&host, attempt, &resolved, actions);
         }
@@ -94,17 +106,59 @@
             .insert(host, (attempt, resolved));
     }
 
-    /// Complete the origin of a stream whose version this owner knows.
-    fn resolve_origin(&self, origin: StreamOrigin) -> StreamOrigin {
-        match origin {
-            StreamOrigin::Unknown(id) => match self.streams.version_of(id) {
-                KnownVersion::Version(version) => StreamOrigin::Begun(id, version),
-                _ => StreamOrigin::Unknown(id),
+    /// Complete the origin of a stream whose version this owner knows, or whose own part of
+    /// the prompt the targets of one version hold.
+    fn resolve_origin(&self, origin: StreamOrigin, own_part: Option<PrefixHash>) -> StreamOrigin {
+        let StreamOrigin::Unknown(id) = origin else {
+            return origin;
+        };
+        let cached = || own_part.and_then(|part| self.stream_requests.cached.version_of(part));
+        match self.streams.version_of(self.now, id) {
+            KnownVersion::Version(version) => StreamOrigin::Begun(id, version),
+            KnownVersion::Ambiguous => StreamOrigin::Unknown(id),
+            KnownVersion::Unknown => match cached() {
+                Some(version) => StreamOrigin::Begun(id, version.clone()),
+                None => StreamOrigin::Unknown(id),
             },
-            known => known,
         }
     }
 
+    /// Record the parts of prompts that a target holds; `None` if it cannot tell.
+    pub(in crate::pool_owner) fn on_cache_read(
+        &mut self,
+        target: &TargetName,
+        parts: Option<&[PrefixHash]>,
+    ) {
+        self.stream_requests.cached.record(target, parts);
+    }
+
+    /// Ask the targets which parts of prompts they hold, if they were not asked lately.
+    fn read_caches(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
+        let is_early = now < self.acting_since.plus(CACHE_READ_DELAY);
+        if is_early || self.targets.is_empty() || !self.stream_requests.cached.wants_read(now) {
+            return;
+        }
+        let targets: Vec<PoolTarget> = self
+            .targets
+            .values()
+            .map(|load| load.target().clone())
+            .collect();
+        let versions = targets
+            .iter()
+            .map(|target| (target.name.clone(), target.version.clone()));
+        self.stream_requests.cached.begin_read(now, versions);
+        actions.push(OwnerAction::ReadCaches(self.shard.clone(), targets));
+    }
+
+    /// Get whether the version of a stream may become known soon: hosts may still report it,
+    /// or targets that they hold its own part of the prompt.
+    fn may_resolve(&self, now: Moment, id: Option<StreamId>, own_part: Option<PrefixHash>) -> bool {
+        let is_reported = id.is_some() && now < self.reports_until();
+        let is_asked = now < self.acting_since.plus(CACHE_READ_DELAY)
+            || self.stream_requests.cached.is_reading(now);
+        is_reported || (own_part.is_some() && is_asked)
+    }
+
     fn reply_version(
         &self,
         host: &HostName,
@@ -119,7 +173,7 @@
         }
     }
 
-    /// Hold a permit request to resume an unknown stream while hosts may still report it,
+    /// Hold a permit request to resume an unknown stream while its version may become known,
     /// and refuse it otherwise.
     pub(in crate::pool_owner) fn hold_or_refuse(
         &mut self,
@@ -131,7 +185,11 @@
     ) {
         let is_ambiguous =
             id.is_some_and(|id| self.streams.recorded_version(id) == KnownVersion::Ambiguous);
-        if is_ambiguous || id.is_none() || now >= self.reports_until() {
+        let own_part = own_part(&request);
+        if !is_ambiguous && own_part.is_some() {
+            self.read_caches(now, actions);
+        }
+        if is_ambiguous || !self.may_resolve(now, id, own_part) {
             let reason = RefusalReason::StreamUnknown;
             return self.refuse(host, request.attempt, reason, UNKNOWN_STREAM_RETRY, actions);
         }
@@ -159,17 +217,20 @@
         }
         let held = std::mem::take(&mut self.stream_requests.held);
         for (attempt, held) in held {
-            let origin = self.resolve_origin(held.origin.clone());
+            let own_part = own_part(&held.request);
+            let origin = self.resolve_origin(held.origin.clone(), own_part);
             let is_known = origin != held.origin;
-            if !is_known && now < self.reports_until() {
+            if !is_known && own_part.is_some() {
+                self.read_caches(now, actions);
+            }
+            if !is_known && self.may_resolve(now, held.origin.id(), own_part) {
                 self.stream_requests.held.insert(attempt, held);
                 continue;
             }
             let Some(request) = held.request.after_wait(now.since(held.since)) else {
                 continue;
             };
-            self.reply_version(&held.host, attempt, &origin, actions);
-            self.place_stream(now, held.host, request, origin, actions);
+            self.place_stream(now, held.host, request, held.origin, actions);
         }
     }
 
@@ -182,10 +243,14 @@
         origin: StreamOrigin,
         actions: &mut Vec<OwnerAction>,
     ) {
-        match self.resolve_origin(origin) {
-            StreamOrigin::Unknown(id) => self.hold_or_refuse(now, host, request, id, actions),
-            origin => self.enqueue(now, host, request, Some(origin), actions),
+        let resolved = self.resolve_origin(origin.clone(), own_part(&request));
+        if let StreamOrigin::Unknown(id) = resolved {
+            return self.hold_or_refuse(now, host, request, id, actions);
+        }
+        if resolved != origin {
+            self.reply_version(&host, request.attempt, &resolved, actions);
         }
+        self.enqueue(now, host, request, Some(resolved), actions);
     }
 
     /// Record the version at which a stream begins or continues.
@@ -218,7 +283,7 @@
     /// streams, so that nothing has to be recorded elsewhere.
     pub fn take_unshared_streams(&mut self, now: Moment) -> Option<Vec<VersionStreams>> {
         let unshared = std::mem::take(&mut self.unshared_streams);
-        match self.streams.sole_version() {
+        match self.streams.only_version() {
             Some(_) => None,
             None => Some(self.streams.report_of(now, &unshared)),
         }
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -59,6 +59,9 @@
     /// A target reported that it holds (`true`) or evicted (`false`) a prefix;
     /// such reports are delayed and incomplete.
     Prefix(TargetName, PrefixHash, bool),
+    /// A target told which parts of prompts it holds, which are named as in a permit
+    /// request; `None` if it cannot tell.
+    CacheRead(TargetName, Option<Vec<PrefixHash>>),
     /// This incarnation of an entry host has terminated.
     HostTerminated(HostName, Incarnation),
     /// The previous owner stops and handed over to this one.
@@ -86,6 +89,8 @@
 pub enum OwnerAction {
     /// Send a reply to an entry host (which may be this host).
     Reply(HostName, OwnerReply),
+    /// Ask these targets of the shard which parts of prompts they hold.
+    ReadCaches(PoolShard, Vec<PoolTarget>),
     /// Log an incident of the shard and, if given, of one of its targets, with the
     /// report that caused it.
     LogIncident(
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -231,6 +231,7 @@
                     self.prefixes.remove(&name, prefix);
                 }
             }
+            OwnerEvent::CacheRead(name, parts) => self.on_cache_read(&name, parts.as_deref()),
             OwnerEvent::Hosts(hosts) => {
                 let overlap = self.opts.owner_overlap;
                 self.attached_hosts
--- a/bergamotswitch-core/src/request.rs
+++ b/bergamotswitch-core/src/request.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::host::Incarnation;
 
@@ -106,6 +107,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PrefixHash(pub u64);
 
+impl PrefixHash {
+    /// Get the hash that stands for a part of a prompt whose text is not known.
+    pub fn of_part(part: PartId) -> Self {
+        PrefixHash(xxh3_64(&part.0.to_le_bytes()))
+    }
+}
+
 /// A `PartId` is the id of a part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u128);
--- a/bergamotswitch-core/src/stream_table.rs
+++ b/bergamotswitch-core/src/stream_table.rs
@@ -103,6 +103,14 @@
     pub streams: Vec<StreamEntry>,
 }
 
+impl VersionStreams {
+    /// Get whether the report says that its sender has reported all versions that may have
+    /// streams.
+    fn is_complete(&self) -> bool {
+        self.version.is_none() && self.streams.is_empty() && self.seconds_left > 0
+    }
+}
+
 /// A `StreamRecord` is what is known of one stream.
 #[derive(Clone, Debug)]
 struct StreamRecord {
@@ -131,6 +139,9 @@
     published: BTreeSet<TargetVersion>,
     /// The versions that are no longer published, with the end of their retention.
     former: BTreeMap<TargetVersion, Moment>,
+    /// The time from which on the versions include all that may have streams; `None` until
+    /// versions are known.
+    complete_from: Option<Moment>,
 }
 
 impl StreamTable {
@@ -142,6 +153,7 @@
         self.former
             .extend(removed.map(|version| (version.clone(), until)));
         self.published = published;
+        self.complete_from.get_or_insert(until);
     }
 
     /// Record that a stream got a permit for a target of this version (`is_begun` is
@@ -221,10 +233,10 @@
 
     /// Get the version of a stream: the recorded one, or the only one that may have
     /// streams.
-    pub fn version_of(&self, id: Option<StreamId>) -> KnownVersion {
+    pub fn version_of(&self, now: Moment, id: Option<StreamId>) -> KnownVersion {
         let recorded = id.map(|id| self.recorded_version(id));
         match recorded.unwrap_or(KnownVersion::Unknown) {
-            KnownVersion::Unknown => match self.sole_version() {
+            KnownVersion::Unknown => match self.sole_version(now) {
                 Some(version) => KnownVersion::Version(version.clone()),
                 None => KnownVersion::Unknown,
             },
@@ -232,8 +244,15 @@
         }
     }
 
-    /// Get the version that alone may have streams.
-    pub fn sole_version(&self) -> Option<&TargetVersion> {
+    /// Get the version that alone may have streams. A host that has just started does not
+    /// know which versions there were before.
+    pub fn sole_version(&self, now: Moment) -> Option<&TargetVersion> {
+        let is_complete = self.complete_from.is_some_and(|from| now >= from);
+        self.only_version().filter(|_| is_complete)
+    }
+
+    /// Get the version, if no other one is known.
+    pub fn only_version(&self) -> Option<&TargetVersion> {
         let mut versions = self.versions();
         let first = versions.next()?;
         versions.all(|version| version == first).then_some(first)
@@ -260,7 +279,13 @@
                 seconds_left: whole_seconds(until.since(now)),
                 streams: Vec::new(),
             });
-        let versions: Vec<VersionStreams> = versions.collect();
+        let is_complete = self.complete_from.is_some_and(|from| now >= from);
+        let completeness = is_complete.then(|| VersionStreams {
+            version: None,
+            seconds_left: whole_seconds(RESUME_RETENTION),
+            streams: Vec::new(),
+        });
+        let versions: Vec<VersionStreams> = versions.chain(completeness).collect();
         if !versions.is_empty() {
             parts.insert(0, versions);
         }
@@ -297,6 +322,9 @@
     /// Add what another host has reported.
     pub fn merge(&mut self, now: Moment, reports: &[VersionStreams]) {
         for report in reports {
+            if report.is_complete() {
+                self.complete_from = Some(now);
+            }
             if let Some(version) = &report.version
                 && report.seconds_left > 0
                 && !self.published.contains(version)
--- a/bergamotswitch-core/tests/fleet_simulation/mod.rs
+++ b/bergamotswitch-core/tests/fleet_simulation/mod.rs
@@ -314,6 +314,7 @@
                 }
                 NodeAction::CountRetry(_) => self.count("retries"),
                 NodeAction::WatchTargets(_)
+                | NodeAction::ReadCaches(_)
                 | NodeAction::Gossip(_)
                 | NodeAction::CountRefusal(..)
                 | NodeAction::CountWait(..)
--- a/bergamotswitch-core/tests/owner_bench/mod.rs
+++ b/bergamotswitch-core/tests/owner_bench/mod.rs
@@ -309,7 +309,10 @@
 pub fn replies(actions: &[OwnerAction]) -> Vec<OwnerReply> {
     let replies = actions.iter().filter_map(|action| match action {
         OwnerAction::Reply(_, reply) => Some(reply.clone()),
-        OwnerAction::LogIncident(..) | OwnerAction::LogShare(..) | OwnerAction::LogSize(..) => None,
+        OwnerAction::LogIncident(..)
+        | OwnerAction::LogShare(..)
+        | OwnerAction::LogSize(..)
+        | OwnerAction::ReadCaches(..) => None,
     });
     replies.collect()
 }
--- a/bergamotswitch-core/tests/slot_routing.rs
+++ b/bergamotswitch-core/tests/slot_routing.rs
@@ -88,7 +88,10 @@
 fn replies(actions: Vec<OwnerAction>) -> Vec<OwnerReply> {
     let replies = actions.into_iter().filter_map(|action| match action {
         OwnerAction::Reply(_, reply) => Some(reply),
-        OwnerAction::LogIncident(..) | OwnerAction::LogShare(..) | OwnerAction::LogSize(..) => None,
+        OwnerAction::LogIncident(..)
+        | OwnerAction::LogShare(..)
+        | OwnerAction::LogSize(..)
+        | OwnerAction::ReadCaches(..) => None,
     });
     replies.collect()
 }
--- a/bergamotswitch-core/tests/stream_versions.rs
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 use bergamotswitch_core::stream_table::{
     StreamEntry, StreamId, StreamOrigin, StreamTable, VersionStreams,
 };
-use bergamotswitch_core::target::TargetVersion;
+use bergamotswitch_core::target::{TargetName, TargetVersion};
 use owner_bench::*;
 
 const SLOTS: u32 = 2;
@@ -271,3 +271,136 @@
         "new {new:?}, resumed {resumed:?}"
     );
 }
+
+/// Get an owner of an hour ago that has watched its targets since.
+fn settled_bench(targets: &[PoolTarget]) -> OwnerBench {
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), targets);
+    bench.tick_after(3_600_000);
+    bench
+}
+
+/// Get an owner that has just started and has waited for the reports of other hosts.
+fn started_bench(targets: &[PoolTarget]) -> OwnerBench {
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), targets);
+    bench.tick_after(2_000);
+    bench
+}
+
+const OWN_PART: u64 = 7;
+
+/// Resume a stream whose own part of the prompt is known.
+fn resume_with_part(bench: &mut OwnerBench, request: u64) -> Vec<OwnerAction> {
+    let origin = StreamOrigin::Unknown(Some(stream(request)));
+    let request = with_prefixes(permit_request(request, 1, "a"), &[OWN_PART]);
+    request_stream(bench, &request, origin)
+}
+
+fn asked(actions: &[OwnerAction]) -> Vec<TargetName> {
+    let asked = actions.iter().filter_map(|action| match action {
+        OwnerAction::ReadCaches(_, targets) => Some(targets.iter().map(|t| t.name.clone())),
+        _ => None,
+    });
+    asked.flatten().collect()
+}
+
+fn answer(bench: &mut OwnerBench, target: &str, parts: Option<&[u64]>) -> Vec<OwnerAction> {
+    let parts = parts.map(|parts| parts.iter().copied().map(PrefixHash).collect());
+    bench.event(OwnerEvent::CacheRead(named(target), parts))
+}
+
+/// Guards against an owner that has just started and takes the only version that it sees for
+/// the one that began a stream.
+#[test]
+fn only_version_seen() {
+    let targets = [versioned("a", "v2"), versioned("b", "v2")];
+    let mut bench = started_bench(&targets);
+    let actions = resume(&mut bench, 1, 1);
+    assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+    let actions = resume_with_part(&mut bench, 2);
+    assert_eq!(replies(&actions), []);
+    assert_eq!(asked(&actions), [named("a"), named("b")]);
+    assert_eq!(replies(&answer(&mut bench, "a", Some(&[1]))), []);
+    let actions = answer(&mut bench, "b", Some(&[]));
+    assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+    let mut settled = settled_bench(&targets);
+    let actions = resume(&mut settled, 1, 1);
+    assert_eq!(permits(&actions).len(), 1);
+}
+
+/// Guards against a new owner that refuses streams although another host has watched the
+/// versions for long.
+#[test]
+fn watched_elsewhere() {
+    let mut watching = StreamTable::default();
+    let targets = [versioned("a", "v1")];
+    let started = Moment::from_micros(0);
+    watching.publish(started, targets.iter().map(|target| &target.version));
+    let mut bench = started_bench(&targets);
+    for (seconds, permitted) in [(1, 0), (3_600, 1)] {
+        let now = started.plus(Duration::from_secs(seconds));
+        for streams in watching.report(now) {
+            let shard = shard();
+            bench.message(OwnerMessage::StreamVersions { shard, streams });
+        }
+        let actions = resume(&mut bench, seconds, seconds);
+        assert_eq!(permits(&actions).len(), permitted, "{seconds}");
+    }
+}
+
+/// Guards against streams that do not go on, or go on at another version, when only their
+/// targets know them.
+#[test]
+fn known_by_caches() {
+    let targets = [
+        versioned("a", "v1"),
+        versioned("b", "v2"),
+        versioned("c", "v2"),
+    ];
+    let held: &[u64] = &[1, OWN_PART];
+    let none: &[u64] = &[];
+    let cases = [
+        ([Some(none), Some(held), Some(held)], Some("v2")),
+        ([Some(held), Some(none), Some(none)], Some("v1")),
+        ([Some(none), Some(held), None], Some("v2")),
+        ([None, Some(held), Some(none)], None),
+        ([Some(held), Some(held), Some(none)], None),
+        ([Some(none), Some(none), Some(none)], None),
+    ];
+    for (answers, known) in cases {
+        let mut bench = started_bench(&targets);
+        let mut actions = resume_with_part(&mut bench, 1);
+        for (target, parts) in targets.iter().zip(answers) {
+            actions.extend(answer(&mut bench, target.name.as_str(), parts));
+        }
+        let granted: Vec<PoolTarget> = permits(&actions)
+            .iter()
+            .filter_map(|permit| targets.iter().find(|t| t.name == permit.target).cloned())
+            .collect();
+        let versions: Vec<TargetVersion> = granted.into_iter().map(|t| t.version).collect();
+        let expected: Vec<TargetVersion> = known.map(version).into_iter().collect();
+        assert_eq!(versions, expected, "{answers:?}");
+        if known.is_none() {
+            assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+        } else {
+            let told = replies(&actions);
+            let is_told = |reply: &OwnerReply| matches!(reply, OwnerReply::StreamVersion { .. });
+            assert!(told.iter().any(is_told), "{told:?}");
+        }
+        // A second stream does not make the targets answer again at once.
+        let mut second = resume_with_part(&mut bench, 2);
+        assert_eq!(asked(&second), []);
+        second.extend(bench.tick_after(1_000));
+        assert_eq!(permits(&second).len(), usize::from(known.is_some()));
+    }
+}
+
+/// Guards against a stream that waits for targets that do not answer.
+#[test]
+fn silent_caches() {
+    let mut bench = started_bench(&[versioned("a", "v1"), versioned("b", "v2")]);
+    let actions = resume_with_part(&mut bench, 1);
+    assert_eq!(asked(&actions).len(), 2);
+    answer(&mut bench, "a", Some(&[OWN_PART]));
+    let actions = bench.tick_after(1_000);
+    assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+}
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -9,7 +9,7 @@
 use bergamotswitch_core::pool::{PoolKind, PoolName};
 use bergamotswitch_core::publication::Publication;
 use bergamotswitch_core::refusal::{Refusal, RefusalReason};
-use bergamotswitch_core::request::TokenCost;
+use bergamotswitch_core::request::{PrefixHash, TokenCost};
 use bergamotswitch_core::route::{CallSemantics, KeyedAccount, Route};
 use bergamotswitch_core::rules::{Tier, Verdict};
 use bergamotswitch_core::stream_table::{StreamId, StreamStart};
@@ -222,7 +222,7 @@
             resubmission: false,
             fingerprint,
             cost: cost(call.tokens),
-            prefixes: Vec::new(),
+            prefixes: stream_part(call),
             parts: call.parts.clone(),
             deadline_in: self.time_left,
             streaming: semantics.is_stream(),
@@ -285,6 +285,15 @@
     fingerprint(&parts.method, &resource, body)
 }
 
+/// Get the part of the prompt by which a resumed stream is found in the targets' caches.
+fn stream_part(call: &CallerCall) -> Vec<PrefixHash> {
+    let part = match call.start {
+        CallStart::Resumed(_) => call.own_part,
+        CallStart::New => None,
+    };
+    part.map(PrefixHash::of_part).into_iter().collect()
+}
+
 fn stream_start(account: &AccountName, call: &CallerCall) -> StreamStart {
     match &call.start {
         CallStart::New => StreamStart::New(StreamId::new(account, &call.request_id)),
--- a/bergamotswitch-net/src/input.rs
+++ b/bergamotswitch-net/src/input.rs
@@ -108,6 +108,8 @@
     Load(TargetName, LoadReport),
     /// A target's cache event: the prefix was cached (`true`) or evicted (`false`).
     Prefix(TargetName, PrefixHash, bool),
+    /// The parts of prompts that a target holds; `None` if it cannot tell.
+    CacheRead(TargetName, Option<Vec<PrefixHash>>),
     /// A refusal before the request reached the event loop, reported for the metrics.
     EarlyRefusal(RefusalReason, Option<Tier>),
     /// A signal to stop the host.
@@ -144,6 +146,7 @@
             | NodeInput::AnswerTooLong(_)
             | NodeInput::Load(..)
             | NodeInput::Prefix(..)
+            | NodeInput::CacheRead(..)
             | NodeInput::EarlyRefusal(..) => InputRole::Progress,
             NodeInput::Outcome(..)
             | NodeInput::Address(..)
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -342,6 +342,9 @@
             NodeInput::Prefix(name, prefix, held) => {
                 self.handle(NodeEvent::Prefix(name, prefix, held));
             }
+            NodeInput::CacheRead(name, parts) => {
+                self.handle(NodeEvent::CacheRead(name, parts));
+            }
             NodeInput::EarlyRefusal(reason, tier) => self.metrics.count_refusal(reason, tier),
             NodeInput::Stop => self.on_stop(),
         }
@@ -412,6 +415,7 @@
                 };
                 self.start(attempt, &target, kind, route);
             }
+            NodeAction::ReadCaches(targets) => self.targets.read_caches(targets),
             NodeAction::Abort { attempt, cancel } => {
                 if let Some(request) = self.requests.get_mut(attempt.request) {
                     request.log.record_abort();
--- a/bergamotswitch-net/src/node/loop_stats.rs
+++ b/bergamotswitch-net/src/node/loop_stats.rs
@@ -70,7 +70,8 @@
             NodeInput::Attempt(..)
             | NodeInput::AnswerTooLong(_)
             | NodeInput::Load(..)
-            | NodeInput::Prefix(..) => InputKind::Attempt,
+            | NodeInput::Prefix(..)
+            | NodeInput::CacheRead(..) => InputKind::Attempt,
             NodeInput::CallerDisconnected(_)
             | NodeInput::Outcome(..)
             | NodeInput::Address(..)
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -5,6 +5,7 @@
 //! answer is complete and belongs to the request.
 
 mod attempt_report;
+mod cache_read;
 mod call_context;
 pub mod connection;
 mod engine_call;
@@ -226,6 +227,12 @@
         }
     }
 
+    /// Ask targets which parts of prompts they hold. Their answers go to the event loop.
+    pub fn read_caches(&self, targets: Vec<PoolTarget>) {
+        let reading = cache_read::run(targets, Arc::clone(&self.options), self.events.clone());
+        tokio::spawn(reading);
+    }
+
     /// Record the start times of the published targets and close the idle
     /// connections to targets that have restarted. No reset arrives if the old
     /// process ended behind a network partition, and a call over such a
--- a/bergamotswitch-net/src/target_client/stream_status.rs
+++ b/bergamotswitch-net/src/target_client/stream_status.rs
@@ -105,6 +105,15 @@
     connection: &mut TargetConnection,
     request: TargetRequest,
     options: &TargetClientOptions,
+) -> Result<Bytes, QueryError> {
+    exchange(MAX_REPORT_BYTES, connection, request, options).await
+}
+
+async fn exchange(
+    max_bytes: usize,
+    connection: &mut TargetConnection,
+    request: TargetRequest,
+    options: &TargetClientOptions,
 ) -> Result<Bytes, QueryError> {
     let exchange = async {
         let response = connection
@@ -119,7 +128,7 @@
             status if !status.is_success() => return Err(QueryError::NoAnswer),
             _ => {}
         }
-        let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+        let body = Limited::new(response.into_body(), max_bytes);
         let collected = body.collect().await.map_err(|_| QueryError::NoAnswer)?;
         Ok(collected.to_bytes())
     };
@@ -135,15 +144,26 @@
     address: SocketAddr,
     path: &str,
     options: &TargetClientOptions,
+) -> Result<Bytes, QueryError> {
+    query_up_to(MAX_REPORT_BYTES, method, address, path, options).await
+}
+
+/// Try to send a query as [`query`] does, whose answer has this size in bytes at most.
+pub(super) async fn query_up_to(
+    max_bytes: usize,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    options: &TargetClientOptions,
 ) -> Result<Bytes, QueryError> {
     let request = empty_request(method, address, path).ok_or(QueryError::Malformed)?;
-    let exchange = async {
+    let querying = async {
         let mut connection = TargetConnection::dial(address, options.connect_timeout, options)
             .await
             .map_err(|_| QueryError::NoAnswer)?;
-        query_over(&mut connection, request, options).await
+        exchange(max_bytes, &mut connection, request, options).await
     };
-    timeout(options.probe_timeout, exchange)
+    timeout(options.probe_timeout, querying)
         .await
         .unwrap_or(Err(QueryError::NoAnswer))
 }
--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -34,6 +34,9 @@
 /// The path of health checks.
 const HEALTH_PATH: &str = "/healthz";
 
+/// The path of the list of the parts of prompts that the target holds.
+const HELD_PARTS_PATH: &str = "/kv-list";
+
 /// A `ResponseMode` is the way in which a target answers one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -366,6 +369,9 @@
     if request.uri().path() == HEALTH_PATH {
         return Ok(health_response(&shared));
     }
+    if request.uri().path() == HELD_PARTS_PATH {
+        return Ok(held_parts_response(&shared));
+    }
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let mut call = RecordedCall {
@@ -462,6 +468,21 @@
     response
 }
 
+/// Get the parts of the prompts of all calls that ran since the start of the target.
+fn held_parts_response(shared: &TargetShared) -> Response<ResponseBody> {
+    let started_ms = lock(&shared.instance).started_ms;
+    let calls = lock(&shared.calls);
+    let ran = calls.iter().filter(|call| call.ran);
+    let entries = ran.flat_map(|call| call.field("prompt-prefix").split(','));
+    let held: Vec<Value> = entries
+        .filter_map(|entry| entry.split_once(':'))
+        .map(|(id, tokens)| json!(["", id, tokens.parse::<u64>().unwrap_or_default(), "m"]))
+        .collect();
+    let list = json!({"epoch": started_ms, "nextToken": held.len(), "held": held});
+    let body = Full::new(Bytes::from(list.to_string()));
+    Response::new(body.map_err(|never: Infallible| match never {}).boxed())
+}
+
 fn plain_response(
     status: StatusCode,
     call: &RecordedCall,
--- a/bergamotswitch/tests/stream_versions.rs
+++ b/bergamotswitch/tests/stream_versions.rs
@@ -10,7 +10,7 @@
 use bergamotswitch_standin::gateway_target::{GatewayTargetStandin, ResponseMode, event_text};
 use http::StatusCode;
 use http_body_util::BodyExt;
-use users::{Answer, Call, KEY, Site, SiteOptions};
+use users::{Answer, Call, Site, SiteOptions};
 
 /// The number of events after which a stream breaks off or is left by its caller.
 const EVENTS_BEFORE_BREAK: u32 = 3;
@@ -62,7 +62,8 @@
 
 /// Begin a stream and leave it after some events.
 async fn begin_and_leave(address: SocketAddr, id: &str) {
-    let response = Call::stream("/draft/1", id).open(address).await;
+    let call = Call::stream("/draft/1", id).with("prompt-prefix", &prompt_of(id));
+    let response = call.open(address).await;
     let response = response.expect("answer");
     assert_eq!(response.status(), StatusCode::OK, "{id}: {response:?}");
     let mut body = response.into_body();
@@ -74,8 +75,19 @@
     }
 }
 
+/// Get the parts of a stream's prompt: a shared one and its own.
+fn prompt_of(stream: &str) -> String {
+    let own: String = stream.bytes().map(|byte| format!("{byte:02x}")).collect();
+    let own = &own[own.len().saturating_sub(32)..];
+    match own {
+        "" => "5c1e:60,0:400".to_owned(),
+        own => format!("5c1e:60,{own}:400"),
+    }
+}
+
 fn resumption(id: &str, origin: &str) -> Call {
     Call::stream("/draft/1", id)
+        .with("prompt-prefix", &prompt_of(origin))
         .with("last-event-id", &EVENTS_BEFORE_BREAK.to_string())
         .with("resumes", origin)
 }
@@ -219,15 +231,82 @@
     assert_rest(&take_up(site.hosts[1].callers, "again", "known").await);
 }
 
-/// Guards against refusals of streams that are taken up while one version serves.
+/// Begin streams, kill all hosts at once and start them again.
+async fn begin_and_kill_all(site: &mut Site, streams: usize) {
+    for number in 0..streams {
+        let host = site.hosts[number % site.hosts.len()].callers;
+        begin_and_leave(host, &format!("lost-{number}")).await;
+    }
+    for host in &site.hosts {
+        host.child.signal("KILL");
+    }
+    for host in &mut site.hosts {
+        host.wait_end().await;
+        host.child.restart();
+    }
+    site.wait_all_ready().await;
+    tokio::time::sleep(SETTLED).await;
+}
+
+/// Guards against streams that go on at another version, or not at all, after the loss of all
+/// hosts.
 #[tokio::test]
-async fn one_version() {
-    let mut site = Site::start(2).await;
-    site.publish(&[KEY], &[]);
-    for (number, origin) in ["never-sent", ""].into_iter().enumerate() {
-        let host = site.hosts[number].callers;
-        assert_rest(&take_up(host, &format!("one-{number}"), origin).await);
+async fn all_hosts_killed() {
+    for versions in [vec!["v1", "v2", "v1", "v2"], vec!["v1", "v1"]] {
+        let mut site = Site::start_with(SiteOptions {
+            hosts: 3,
+            engine_versions: versions,
+            ..SiteOptions::default()
+        })
+        .await;
+        tokio::time::sleep(SETTLED).await;
+        begin_and_kill_all(&mut site, 12).await;
+        for number in 0..12 {
+            let ids = [0, 1].map(|step| format!("again-{number}-{step}"));
+            let origin = format!("lost-{number}");
+            let call = resumption(&ids[0], &origin).with("prompt-prefix", &prompt_of(&origin));
+            let response = call.open(site.hosts[number % 3].callers).await;
+            let mut body = response.expect("answer").into_body();
+            body.frame().await.expect("piece").expect("piece");
+            drop(body);
+            assert_rest(&take_up(site.hosts[(number + 1) % 3].callers, &ids[1], &origin).await);
+            let ids = [origin.as_str(), ids[0].as_str(), ids[1].as_str()];
+            assert_eq!(versions_of(&site.engines, &ids).len(), 1, "{ids:?}");
+        }
+    }
+}
+
+/// Guards against streams that go on at the only version that hosts see which have all just
+/// started, after the version that began them has left.
+#[tokio::test]
+async fn version_left() {
+    let mut site = mixed_site(3).await;
+    begin_and_kill_all(&mut site, 12).await;
+    for engine in site
+        .engines
+        .iter()
+        .filter(|engine| engine.version() == "v1")
+    {
+        site.store.remove(&format!("servers/{}", engine.name()));
+    }
+    tokio::time::sleep(PROMPT).await;
+    let (mut resumed, mut refused) = (0, 0);
+    for number in 0..12 {
+        let origin = format!("lost-{number}");
+        let again = format!("again-{number}");
+        let answer = take_up(site.hosts[number % 3].callers, &again, &origin).await;
+        match versions_of(&site.engines, &[&origin]).contains("v1") {
+            true => {
+                refused += 1;
+                assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+                assert!(!answer.field("retry-after").is_empty(), "{answer:?}");
+                assert_eq!(run_count(&site.engines, &again), 0);
+            }
+            false => {
+                resumed += 1;
+                assert_rest(&answer);
+            }
+        }
     }
-    let call = resumption("one-none", "x").without("resumes");
-    assert_rest(&call.send(site.address()).await.expect("answer"));
+    assert!(resumed > 0 && refused > 0, "{resumed} {refused}");
 }
