Confirm routes only by a store whose newest routes were read

Cause: three together. An unreadable version counted as one failed call, and the next watch, which brought nothing new, confirmed the routes before it; one unreadable item made the whole configuration unreadable; names were held to the product's own rules.

Evidence: one 508 for op/config and no 505 a host in the record of the case, and the version's new route unknown 12 s later; a configuration that is no JSON object does the same without any name (unreadable_routes). That rules out keys kept beyond their version, and a late read.

Fix: after routes that could not be read, were removed or are missing from a full read, no answer of the store confirms those in force, until readable ones come (event 511); keys cease to be trusted in time, also after a restart, as revision 0 confirms nothing. Each item is read by itself: a bad route keeps its prefix and has no pool, a bad service is taken out of all routes, a bad account is left out (508 with the place). Names of routes, services and accounts may be any text; another name stands for them inside, targets get the account's own.

--- a/bergamotswitch-core/src/incident.rs
+++ b/bergamotswitch-core/src/incident.rs
@@ -150,6 +150,8 @@
     ServiceCallFailed = 509, Info, "call to the configuration service failed";
     /// The configuration service was restored from a copy, so that its revisions went back.
     ServiceRestored = 510, Warn, "configuration service restored from a copy";
+    /// The newest routes could not be parsed, so the earlier ones are not confirmed any more.
+    RoutesUnreadable = 511, Error, "latest routes unreadable, earlier ones not confirmed";
     /// A connection from or to a peer was refused.
     PeerRefused = 600, Error, "peer refused";
     /// A connection was closed because the other side did not respond.
--- a/bergamotswitch-core/src/revision/replica.rs
+++ b/bergamotswitch-core/src/revision/replica.rs
@@ -129,7 +129,8 @@
             RevisionEvent::Read(value) => self.handle_read(now, value, &mut actions),
             RevisionEvent::Unchanged(name) => self.handle_unchanged(now, &name, true),
             RevisionEvent::UnchangedAt(name, revision) => {
-                let is_newest = revision >= self.seen(&name);
+                // Revision 0 stands for none, which confirms nothing.
+                let is_newest = revision > Revision::default() && revision >= self.seen(&name);
                 self.handle_unchanged(now, &name, is_newest);
             }
             RevisionEvent::ReadFailed(name) => self.handle_failure(now, name, &mut actions),
--- a/bergamotswitch-core/src/route/account.rs
+++ b/bergamotswitch-core/src/route/account.rs
@@ -46,6 +46,10 @@
 pub struct KeyedAccount {
     /// The name of the account.
     pub name: AccountName,
+    /// The name that the operators gave it, if that is not a valid name here. Hosts of
+    /// earlier releases do not publish it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stated_name: Option<String>,
     /// The hashes of its API keys. The keys themselves are not stored or forwarded.
     pub key_hashes: Vec<KeyHash>,
     /// The tier of its calls; the route's tier applies if absent.
@@ -53,3 +57,10 @@
     /// The quota of the account.
     pub quota: AccountQuota,
 }
+
+impl KeyedAccount {
+    /// Get the name by which targets know the account.
+    pub fn outer_name(&self) -> &str {
+        self.stated_name.as_deref().unwrap_or(self.name.as_str())
+    }
+}
--- a/bergamotswitch-core/tests/quota_fleet/values.rs
+++ b/bergamotswitch-core/tests/quota_fleet/values.rs
@@ -19,6 +19,7 @@
 
 fn account(text: &str) -> KeyedAccount {
     KeyedAccount {
+        stated_name: None,
         name: name(text),
         key_hashes: Vec::new(),
         tier: None,
--- a/bergamotswitch-core/tests/route_lookup.rs
+++ b/bergamotswitch-core/tests/route_lookup.rs
@@ -28,6 +28,7 @@
 
 fn table() -> RouteTable {
     let account = KeyedAccount {
+        stated_name: None,
         name: "company".to_owned().try_into().expect("name"),
         key_hashes: vec![KeyHash::of("first"), KeyHash::of("second")],
         tier: None,
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -266,7 +266,7 @@
             routed: Some(RoutedCall {
                 request_id: call.request_id,
                 fields: Arc::new(outgoing::passed_fields(&parts.headers)),
-                account: self.account.map(|account| account.name.clone()),
+                account: self.account.map(|account| account.outer_name().to_owned()),
                 deadline: received_at + self.time_left,
                 is_stream: semantics.is_stream(),
                 start_timeout: may_rerun.then_some(start_timeout),
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -10,7 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -65,10 +65,21 @@
     routes: Arc<RoutesReader>,
 }
 
-/// A `RoutesReader` is the revision of the routes that the store has.
+/// A `RoutesReader` is what was read of the routes that the store has.
 #[derive(Debug, Default)]
 struct RoutesReader {
+    /// The revision of the routes that were read last.
     revision: AtomicU64,
+    /// Whether the store has no routes, or later ones that could not be read. Then no answer
+    /// of the store confirms those that were read.
+    is_outdated: AtomicBool,
+}
+
+/// A `RoutesChange` is what an update says of the routes.
+enum RoutesChange {
+    Set(StoreItem),
+    Removed,
+    Unchanged,
 }
 
 impl StoreSource {
@@ -224,28 +235,23 @@
     /// for a while only new routes confirm anything.
     fn event(&self, name: &ValueName, update: StoreUpdate, era: &StoreEra) -> PlatformEvent {
         let is_snapshot = matches!(update, StoreUpdate::Snapshot { .. });
-        let newest = match update {
-            StoreUpdate::Snapshot { items, .. } => {
-                items.into_iter().find(|item| item.key == config::KEY)
-            }
-            StoreUpdate::Changes { changes, .. } => changes.into_iter().rev().find_map(routes_item),
-        };
         let known = self.revision.load(Ordering::Relaxed);
-        let Some(item) = newest else {
-            return unchanged(name, known, era);
+        let item = match routes_change(update) {
+            RoutesChange::Set(item) => item,
+            RoutesChange::Removed => {
+                self.is_outdated.store(true, Ordering::Relaxed);
+                return self.unchanged(name, known, era);
+            }
+            RoutesChange::Unchanged => return self.unchanged(name, known, era),
         };
-        let config = config::read(&item.value).ok();
-        let revision = config
-            .as_ref()
-            .map(|config| FIRST_ROUTES_REVISION + config.version);
-        let body = config.and_then(|config| serde_json::to_string(&config).ok());
-        let (Some(revision), Some(body)) = (revision, body) else {
-            event_log::write(Incident::EntryUnreadable, &[("key", &item.key)]);
+        let Some((revision, body)) = read_routes(&item) else {
+            self.is_outdated.store(true, Ordering::Relaxed);
             return PlatformEvent::Failed(name.clone());
         };
+        self.is_outdated.store(false, Ordering::Relaxed);
         self.revision.store(revision, Ordering::Relaxed);
         if known > 0 && (revision < known || (is_snapshot && revision == known)) {
-            return unchanged(name, revision, era);
+            return self.unchanged(name, revision, era);
         }
         PlatformEvent::Read(PublishedValue {
             name: name.clone(),
@@ -253,20 +259,61 @@
             body,
         })
     }
+
+    /// Get the event for a store that has these routes as before.
+    fn unchanged(&self, name: &ValueName, revision: u64, era: &StoreEra) -> PlatformEvent {
+        let is_outdated = self.is_outdated.load(Ordering::Relaxed);
+        let confirmed = match era.is_incomplete() || is_outdated {
+            true => Revision::default(),
+            false => Revision(revision),
+        };
+        PlatformEvent::UnchangedAt(name.clone(), confirmed)
+    }
 }
 
-/// Get the event for a store that has these routes as before.
-fn unchanged(name: &ValueName, revision: u64, era: &StoreEra) -> PlatformEvent {
-    let confirmed = match era.is_incomplete() {
-        true => 0,
-        false => revision,
-    };
-    PlatformEvent::UnchangedAt(name.clone(), Revision(confirmed))
+/// Get what an update says of the routes.
+fn routes_change(update: StoreUpdate) -> RoutesChange {
+    match update {
+        StoreUpdate::Snapshot { items, .. } => {
+            let mut items = items.into_iter();
+            let found = items.find(|item| item.key == config::KEY);
+            found.map_or(RoutesChange::Removed, RoutesChange::Set)
+        }
+        StoreUpdate::Changes { changes, .. } => {
+            let mut changes = changes.into_iter().rev();
+            let found = changes.find_map(|change| match change {
+                StoreChange::Set(item) if item.key == config::KEY => Some(RoutesChange::Set(item)),
+                StoreChange::Removed { key, .. } if key == config::KEY => {
+                    Some(RoutesChange::Removed)
+                }
+                _ => None,
+            });
+            found.unwrap_or(RoutesChange::Unchanged)
+        }
+    }
 }
 
-fn routes_item(change: StoreChange) -> Option<StoreItem> {
-    match change {
-        StoreChange::Set(item) if item.key == config::KEY => Some(item),
-        _ => None,
+/// Get the revision and the text of routes as they are published, or `None` if they cannot be
+/// read. What cannot be read is logged.
+fn read_routes(item: &StoreItem) -> Option<(u64, String)> {
+    let found = config::read(&item.value);
+    let found = match found {
+        Ok(found) => found,
+        Err(error) => {
+            let details: [(&str, &dyn std::fmt::Display); 2] =
+                [("key", &item.key), ("cause", &error)];
+            event_log::write(Incident::RoutesUnreadable, &details);
+            return None;
+        }
+    };
+    for part in &found.unreadable {
+        let details: [(&str, &dyn std::fmt::Display); 3] = [
+            ("key", &item.key),
+            ("place", &part.place),
+            ("cause", &part.cause),
+        ];
+        event_log::write(Incident::EntryUnreadable, &details);
     }
+    let body = serde_json::to_string(&found.config).ok()?;
+    Some((FIRST_ROUTES_REVISION + found.config.version, body))
 }
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -7,7 +7,6 @@
 
 use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::name::AccountName;
 use bergamotswitch_core::target_answer::AnswerId;
 use bergamotswitch_platform::answer::{self, TargetAnswer};
 use bergamotswitch_platform::outgoing::OutgoingHead;
@@ -37,8 +36,8 @@
     pub request_id: String,
     /// The caller's header fields that are passed on.
     pub fields: Arc<HeaderMap>,
-    /// The client account of the caller.
-    pub account: Option<AccountName>,
+    /// The client account of the caller, as targets know it.
+    pub account: Option<String>,
     /// The time at which the call ends.
     pub deadline: Instant,
     /// Whether the answer is an event stream.
@@ -114,7 +113,7 @@
     let last_event = context.answer.last_event_id();
     let head = OutgoingHead {
         target: &context.target.name,
-        account: routed.account.as_ref(),
+        account: routed.account.as_deref(),
         deadline_in: routed.deadline.saturating_duration_since(Instant::now()),
         last_event: last_event.as_deref(),
     };
--- a/bergamotswitch/tests/gateway_updates.rs
+++ b/bergamotswitch/tests/gateway_updates.rs
@@ -11,7 +11,8 @@
 use bergamotswitch_standin::kv_store::StoreMode;
 use http::StatusCode;
 use relay::Relay;
-use users::{Call, KEY, REVOKE_MS, Site, until};
+use serde_json::json;
+use users::{Call, HOST, KEY, REVOKE_MS, Site, until};
 
 async fn status(site: &Site, path: &str, id: &str, key: &str) -> StatusCode {
     let call = Call::new("GET", path, id).with("authorization", &format!("Bearer {key}"));
@@ -87,6 +88,79 @@
     .await;
 }
 
+/// Wait until a host trusts no key, and check that it did not take longer than a key may work.
+async fn wait_distrust(address: SocketAddr, since: Instant) {
+    let bound = Duration::from_millis(REVOKE_MS);
+    loop {
+        let sent_at = Instant::now();
+        let call = Call::new("POST", "/receipt/1", "r-1");
+        let status = call.send(address).await.expect("answer").status;
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            return;
+        }
+        let late = sent_at.duration_since(since);
+        assert!(late <= bound, "{status} {late:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+// Guards against keys that are trusted for good although the newest routes could not be read:
+// by a watch, by a read of all items, or by a host that starts later.
+#[tokio::test]
+async fn unreadable_routes() {
+    for value in [json!({"version": "next"}), json!([]), json!("no object")] {
+        let mut site = Site::start(3).await;
+        let written_at = Instant::now();
+        site.store.put("op/config", &value);
+        site.hosts[2].child.kill();
+        site.hosts[2].child.restart();
+        wait_distrust(site.hosts[0].callers, written_at).await;
+        wait_distrust(site.hosts[1].callers, written_at).await;
+        site.store.compact();
+        tokio::time::sleep(Duration::from_millis(REVOKE_MS)).await;
+        for host in &site.hosts {
+            let call = Call::new("POST", "/receipt/1", "r-2").send(host.callers);
+            // A host that started meanwhile knows no routes, or has them from its peers.
+            let status = call.await.map(|answer| answer.status);
+            assert_eq!(status.ok(), Some(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        site.publish(&[KEY], &[]);
+        until("keys are accepted again", async || {
+            status(&site, "/status/1", "r-3", KEY).await == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+// Guards against a revoked key that works on since a route of the same version has a name with
+// other characters.
+#[tokio::test]
+async fn unusual_names() {
+    let site = Site::start(2).await;
+    let routes = [("drafts/2026", "/status/"), ("säule", "/receipt/")].map(|(name, prefix)| {
+        json!({"name": name, "host": HOST, "pathPrefix": prefix, "kind": "safe",
+               "timeoutMs": 2000, "targetLatencyMs": 500, "service": "desk", "maxAttempts": 2})
+    });
+    let config = json!({
+        "version": 900, "routes": routes,
+        "services": [{"name": "desk", "maxConnections": 100}],
+        "tenants": [{"name": "company/säule", "apiKeys": ["another-key"]}],
+    });
+    site.store.put("op/config", &config);
+    until("the old key is refused", async || {
+        status(&site, "/status/1", "r-1", KEY).await == StatusCode::UNAUTHORIZED
+    })
+    .await;
+    let found = status(&site, "/status/1", "r-2", "another-key").await;
+    assert_eq!(found, StatusCode::OK);
+    let calls = site.desks.iter().flat_map(|desk| desk.calls());
+    let tenants: Vec<Vec<u8>> = calls
+        .filter(|call| call.ran && call.field("request-id") == "r-2")
+        .map(|call| call.headers["tenant"].as_bytes().to_vec())
+        .collect();
+    assert_eq!(tenants, ["company/säule".as_bytes()]);
+}
+
 // Guards against hosts that keep old routes for good, because they repeat a watch
 // from a revision that the store has compacted away.
 #[tokio::test]
