--- a/bergamotswitch-net/src/metrics/mod.rs
+++ b/bergamotswitch-net/src/metrics/mod.rs
@@ -101,6 +101,7 @@
     reused_connections: Counter,
     closed_connections: Counter,
     idle_connections: Gauge,
+    unreadable_routes: Gauge,
     loop_inputs: Family<InputLabels, Counter>,
     loop_busy: Family<InputLabels, Counter<f64, AtomicU64>>,
     loop_delay: Gauge<f64, AtomicU64>,
@@ -155,6 +156,7 @@
             reused_connections: Counter::default(),
             closed_connections: Counter::default(),
             idle_connections: Gauge::default(),
+            unreadable_routes: Gauge::default(),
             loop_inputs: Family::default(),
             loop_busy: Family::default(),
             loop_delay: Gauge::default(),
@@ -377,6 +379,11 @@
         self.open_tunnels.set(count as i64);
     }
 
+    /// Set whether the store has no routes, or later ones that could not be read.
+    pub fn set_unreadable_routes(&self, is_unreadable: bool) {
+        self.unreadable_routes.set(i64::from(is_unreadable));
+    }
+
     /// Set the use of connections to targets.
     pub fn set_target_connections(&self, counts: &ConnectionCounts) {
         set_total(&self.opened_connections, counts.opened);
--- a/bergamotswitch-net/src/metrics/registration.rs
+++ b/bergamotswitch-net/src/metrics/registration.rs
@@ -207,6 +207,11 @@
             "Idle connections to targets",
             self.idle_connections.clone(),
         );
+        registry.register(
+            "routes_unreadable",
+            "Whether the newest routes could not be read, so that none are confirmed",
+            self.unreadable_routes.clone(),
+        );
         registry.register(
             "loop_inputs",
             "Inputs that the event loop processed, by kind",
--- a/bergamotswitch-net/src/node/adapters.rs
+++ b/bergamotswitch-net/src/node/adapters.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Get whether the newest routes could not be read.
+    pub(super) fn has_unreadable_routes(&self) -> bool {
+        match self {
+            ValueSource::Services(_) => false,
+            ValueSource::Store(source) => source.has_unreadable_routes(),
+        }
+    }
+
     /// Get the total number of calls.
     pub(super) fn calls(&self) -> u64 {
         match self {
--- a/bergamotswitch-net/src/node/event_loop/reports.rs
+++ b/bergamotswitch-net/src/node/event_loop/reports.rs
@@ -101,6 +101,8 @@
         if let Some(fields) = status.as_object_mut() {
             let reads = self.platform.calls();
             fields.insert("service_calls".to_owned(), reads.into());
+            let is_unreadable = self.platform.has_unreadable_routes();
+            fields.insert("routes_unreadable".to_owned(), is_unreadable.into());
             let counts = self.targets.connection_counts();
             fields.insert("target_connections".to_owned(), json!(counts));
         }
@@ -138,6 +140,8 @@
         gauges::refresh(&self.metrics, &view);
         self.owner_totals.refresh(&self.metrics, &view.shards);
         self.metrics.set_service_reads(self.platform.calls());
+        self.metrics
+            .set_unreadable_routes(self.platform.has_unreadable_routes());
         self.metrics
             .set_target_connections(&self.targets.connection_counts());
         self.metrics.set_open_tunnels(self.links.open_tunnels());
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -103,6 +103,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Get whether the store has no routes, or later ones that could not be read.
+    pub fn has_unreadable_routes(&self) -> bool {
+        self.routes.is_outdated.load(Ordering::Relaxed)
+    }
+
     /// Start a call for a value: a full read at first, then watches for
     /// changes.
     pub fn read(&mut self, name: &ValueName) {
--- a/bergamotswitch/src/command/status.rs
+++ b/bergamotswitch/src/command/status.rs
@@ -90,6 +90,12 @@
     for finding in findings {
         writeln!(f, "  refused: {}", text(finding))?;
     }
+    if view["routes_unreadable"] == true {
+        writeln!(
+            f,
+            "  the newest routes could not be read; API keys cease to be trusted\n"
+        )?;
+    }
     if revisions["alone"] == true {
         writeln!(
             f,
--- a/bergamotswitch/tests/gateway_updates.rs
+++ b/bergamotswitch/tests/gateway_updates.rs
@@ -118,6 +118,15 @@
         wait_distrust(site.hosts[1].callers, written_at).await;
         site.store.compact();
         tokio::time::sleep(Duration::from_millis(REVOKE_MS)).await;
+        until("a host that reads the store shows it", async || {
+            let mut pages = Vec::new();
+            for host in &site.hosts {
+                pages.extend(Call::get("/metrics").send(host.metrics).await.ok());
+            }
+            let mut texts = pages.iter().map(|page| page.text());
+            texts.any(|text| text.contains("bergamot_routes_unreadable 1"))
+        })
+        .await;
         for host in &site.hosts {
             let call = Call::new("POST", "/receipt/1", "r-2").send(host.callers);
             // A host that started meanwhile knows no routes, or has them from its peers.
