--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -66,7 +66,7 @@
     pub fingerprint: u128,
     /// The estimated cost.
     pub cost: TokenCost,
-    /// The hashes of the prompt's prefixes.
+    /// The hashes of the prompt's prefixes, as in a permit request.
     pub prefixes: Vec<PrefixHash>,
     /// The parts of the prompt that other requests may share, in order.
     pub parts: Vec<PartId>,
--- a/bergamotswitch-core/src/permit.rs
+++ b/bergamotswitch-core/src/permit.rs
@@ -52,7 +52,8 @@
     pub share: u32,
     /// The estimated cost.
     pub cost: TokenCost,
-    /// The hashes of the prompt's prefixes, shortest first.
+    /// The hashes of the prompt's prefixes, shortest first. Those of a resumed stream of a
+    /// gateway are the hash of its own part of the prompt alone.
     pub prefixes: Vec<PrefixHash>,
     /// The time left until the deadline, in milliseconds.
     pub deadline_ms: u32,
--- a/bergamotswitch-core/src/pool_owner/admission/cached_streams.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/cached_streams.rs
@@ -23,6 +23,7 @@
     read_at: Option<Moment>,
     /// The targets that have not answered, with their versions.
     unanswered: BTreeMap<TargetName, TargetVersion>,
+    /// Those of them that cannot tell what they hold.
     failed: BTreeSet<TargetName>,
     holders: HashMap<PrefixHash, BTreeSet<TargetVersion>>,
 }
--- a/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
@@ -14,8 +14,7 @@
 use crate::pool_owner::owner::ShardOwner;
 use crate::pool_owner::placement::routing::{allowed, in_domains};
 use crate::refusal::RefusalReason;
-use crate::request::AttemptId;
-use crate::request::PrefixHash;
+use crate::request::{AttemptId, PrefixHash};
 use crate::stream_table::{KnownVersion, StreamId, StreamOrigin, VersionStreams};
 use crate::target::{PoolTarget, TargetName};
 
