Reject answers with a transfer coding other than chunks

Callers could get a cut body as a whole answer, or bytes that were not the target's body. A target that answered with `Transfer-Encoding: gzip` and closed the connection at any point after the head was passed on as a 200, or as an error, with what had come so far. With `gzip, chunked` the callers got the coded bytes without the field that names the coding.

Cause: a plain call took any `Transfer-Encoding` as proof that the end of the body is marked. hyper reads a body whose last coding is not `chunked` until the connection ends, and removes no coding but chunks. Routed calls and error answers of engines did not look at the field at all.

Change: `AnswerFraming` in the core decides from the header fields how the end of an answer is marked. `send_first`, which all kinds of calls use, rejects an answer whose coding is not decoded; the call may have run. No host sends `TE`, so no target may use such a coding.

--- a/bergamotswitch-core/src/target_answer.rs
+++ b/bergamotswitch-core/src/target_answer.rs
@@ -1,5 +1,5 @@
-//! Provides the decision to which request a target's answer belongs, and so whether it
-//! proves that the request did not run.
+//! Provides the decisions about a target's answer: to which request it belongs, and so
+//! whether it proves that the request did not run, and whether its end is recognizable.
 
 /// An `AnswerId` is what an answer's request id says about the request it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,3 +85,45 @@
         self.rejected.len() >= MAX_REJECTED
     }
 }
+
+/// An `AnswerFraming` is how the end of an answer's body is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFraming {
+    /// The answer has no body and ends with its head.
+    Bodiless,
+    /// By a length or by the last chunk, so that a truncated body is recognized.
+    Delimited,
+    /// By the end of the connection, so that a truncated body may look complete.
+    ConnectionEnd,
+    /// By nothing known: the bytes have a transfer coding that is not decoded.
+    Unsupported,
+}
+
+impl AnswerFraming {
+    /// Get the framing of an answer from its `Transfer-Encoding` fields. They override a
+    /// length.
+    pub fn of<'a>(
+        may_have_body: bool,
+        has_length: bool,
+        mut codings: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
+        if !may_have_body {
+            return AnswerFraming::Bodiless;
+        }
+        match (codings.next(), codings.next()) {
+            (None, _) if has_length => AnswerFraming::Delimited,
+            (None, _) => AnswerFraming::ConnectionEnd,
+            (Some(coding), None) if is_chunked(coding) => AnswerFraming::Delimited,
+            (Some(_), _) => AnswerFraming::Unsupported,
+        }
+    }
+
+    /// Get whether a truncated answer is distinguishable from a complete one.
+    pub fn has_marked_end(self) -> bool {
+        matches!(self, AnswerFraming::Bodiless | AnswerFraming::Delimited)
+    }
+}
+
+fn is_chunked(coding: &[u8]) -> bool {
+    coding.trim_ascii().eq_ignore_ascii_case(b"chunked")
+}
--- a/bergamotswitch-net/src/lib.rs
+++ b/bergamotswitch-net/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+mod answer_framing;
 pub mod boot_clock;
 pub mod caller;
 pub mod event_log;
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -11,11 +11,11 @@
 use bergamotswitch_core::permit::Usage;
 use bergamotswitch_core::request::AttemptId;
 use bergamotswitch_core::target::PoolTarget;
-use bergamotswitch_core::target_answer::AnswerId;
+use bergamotswitch_core::target_answer::{AnswerFraming, AnswerId};
 use bergamotswitch_core::target_path::TargetPath;
 use bytes::Bytes;
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::time::timeout;
 
@@ -28,6 +28,7 @@
 use super::stream_status::StreamId;
 use super::target_body::TargetBody;
 use crate::answer::{AnswerPart, AnswerWriter};
+use crate::answer_framing::framing_of;
 use crate::event_log;
 use crate::input::OutgoingCall;
 use crate::tunnel::{TunnelHealth, TunnelPool};
@@ -119,6 +120,7 @@
 pub(super) struct FirstResponse {
     pub connection: TargetConnection,
     pub response: Response<TargetBody>,
+    pub framing: AnswerFraming,
 }
 
 /// A `SendError` is the reason why no response head was received.
@@ -130,6 +132,8 @@
     Dropped,
     /// The connection is unresponsive and was dropped.
     Unresponsive(SilenceVerdict),
+    /// The response cannot be read as an answer.
+    Unreadable,
 }
 
 impl CallContext {
@@ -170,6 +174,7 @@
         }
         self.trace.set_tunnel(connection.tunnel_health());
         self.trace.mark_sent();
+        let method = request.method().clone();
         let mut request = request;
         let mut verdict = pin!(verdict);
         loop {
@@ -179,12 +184,7 @@
                 verdict = &mut verdict => return Err(SendError::Unresponsive(verdict)),
             };
             let failure = match sent {
-                Ok(response) => {
-                    return Ok(FirstResponse {
-                        connection,
-                        response,
-                    });
-                }
+                Ok(response) => return self.check_first(&method, connection, response),
                 Err(failure) => failure,
             };
             // An idle connection that the target has just closed took no byte
@@ -197,6 +197,24 @@
         }
     }
 
+    fn check_first(
+        &self,
+        method: &Method,
+        connection: TargetConnection,
+        response: Response<TargetBody>,
+    ) -> Result<FirstResponse, SendError> {
+        let framing = framing_of(method, &response);
+        if framing == AnswerFraming::Unsupported {
+            self.log_incident(Incident::AnswerRejected, "unsupported transfer coding");
+            return Err(SendError::Unreadable);
+        }
+        Ok(FirstResponse {
+            connection,
+            response,
+            framing,
+        })
+    }
+
     fn idle_connection(&self, request_id: &str) -> Option<TargetConnection> {
         let address = self.target.address;
         match &self.route.path {
--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -186,6 +186,7 @@
             Err(SendError::NotConnected) => OpenOutcome::Ended(CallEnd::NotSent),
             Err(SendError::Dropped) => OpenOutcome::Failed(StreamError::Dropped),
             Err(SendError::Unresponsive(verdict)) => OpenOutcome::Failed(verdict.into()),
+            Err(SendError::Unreadable) => OpenOutcome::Failed(StreamError::Malformed),
         }
     }
 
--- a/bergamotswitch-net/src/target_client/plain_call.rs
+++ b/bergamotswitch-net/src/target_client/plain_call.rs
@@ -3,12 +3,10 @@
 use std::future::pending;
 
 use bergamotswitch_core::incident::Incident;
-use http::{Method, Response, StatusCode, header};
 use http_body_util::BodyExt;
 
 use super::attempt_report::AttemptReport;
 use super::call_context::{CallContext, CallEnd, FirstResponse, SendError};
-use super::target_body::TargetBody;
 use super::usage_meter::{UsageMeter, report_step};
 use crate::answer::AnswerPart;
 use crate::input::OutgoingCall;
@@ -29,15 +27,16 @@
         .send_first(request, &context.request_id, pending())
         .await
     {
-        Ok(first) => read(context, &call.method, first, &mut meter, report).await,
+        Ok(first) => read(context, first, &mut meter, report).await,
         Err(SendError::NotConnected) => CallEnd::NotSent,
-        Err(SendError::Dropped | SendError::Unresponsive(_)) => CallEnd::Broken(meter.usage()),
+        Err(SendError::Dropped | SendError::Unresponsive(_) | SendError::Unreadable) => {
+            CallEnd::Broken(meter.usage())
+        }
     }
 }
 
 async fn read(
     context: &CallContext,
-    method: &Method,
     first: FirstResponse,
     meter: &mut UsageMeter,
     report: &AttemptReport,
@@ -45,6 +44,7 @@
     let FirstResponse {
         connection,
         response,
+        framing,
     } = first;
     if context.is_mismatched(&response) {
         context.log_incident(Incident::AnswerRejected, "request id mismatch");
@@ -54,7 +54,7 @@
         return CallEnd::Refused;
     }
     let status = response.status();
-    if !is_delimited(method, &response) {
+    if !framing.has_marked_end() {
         context.log_incident(
             Incident::AnswerRejected,
             "answer without content-length or transfer-encoding",
@@ -84,18 +84,3 @@
         .keep(connection, &context.options, None);
     CallEnd::Finished(meter.usage())
 }
-
-/// Get whether the end of the answer is distinguishable from a lost connection.
-/// A truncated body that is delimited only by the connection's end looks
-/// complete.
-fn is_delimited(method: &Method, response: &Response<TargetBody>) -> bool {
-    let bodiless = method == Method::HEAD
-        || matches!(
-            response.status(),
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-    let headers = response.headers();
-    bodiless
-        || headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -83,7 +83,7 @@
             );
             CallEnd::Broken(meter.usage())
         }
-        Err(SendError::Unresponsive(_)) => CallEnd::Broken(meter.usage()),
+        Err(SendError::Unresponsive(_) | SendError::Unreadable) => CallEnd::Broken(meter.usage()),
     }
 }
 
@@ -137,6 +137,7 @@
     let FirstResponse {
         connection,
         response,
+        ..
     } = first;
     let (head, body) = response.into_parts();
     let found = TargetAnswer::read(head.status, &head.headers, &routed.request_id);
