Reject 101 as the answer to a call

Callers could get a target's 101 as the final answer to their call, as a success of a plain service and as the passed-on failure of a routed call or an engine. No caller's upgrade is ever passed on, so nothing a target sends after a 101 is an answer, and the status says nothing about the run.

Cause: hyper skips all other informational responses, but hands out a 101 as a response with an empty body; no path looked for one.

Change: `send_first` rejects an informational status; the call may have run.

Evidence: the rows with status 101 in cut_answers.

--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -203,6 +203,10 @@
         connection: TargetConnection,
         response: Response<TargetBody>,
     ) -> Result<FirstResponse, SendError> {
+        if response.status().is_informational() {
+            self.log_incident(Incident::AnswerRejected, "answer without a final status");
+            return Err(SendError::Unreadable);
+        }
         let framing = framing_of(method, &response);
         if framing == AnswerFraming::Unsupported {
             self.log_incident(Incident::AnswerRejected, "unsupported transfer coding");
--- a/bergamotswitch-net/tests/cut_answers.rs
+++ b/bergamotswitch-net/tests/cut_answers.rs
@@ -26,7 +26,7 @@
 const BODY: &str = "body";
 const CALL_ID: &str = "a";
 
-const STATUSES: [u16; 10] = [200, 204, 304, 400, 408, 421, 429, 500, 503, 504];
+const STATUSES: [u16; 11] = [200, 204, 304, 400, 408, 421, 429, 500, 503, 504, 101];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallKind {
