Reject error answers of engines whose end is not marked

Callers could get a cut error answer of an engine, with an empty or short body, as the engine's whole answer.

Cause: an answer with neither a length nor chunks ends with its connection. A plain call rejected such an answer, an engine's error answer was forwarded without that check.

Change: `forward_error`, which both use, checks the framing itself. The call may have run and is treated as one whose connection broke.

--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -305,8 +305,28 @@
         });
     }
 
+    /// Get whether a truncated answer would be recognized.
+    pub fn has_marked_end(&self, framing: AnswerFraming) -> bool {
+        let is_marked = framing.has_marked_end();
+        if !is_marked {
+            self.log_incident(
+                Incident::AnswerRejected,
+                "answer without content-length or transfer-encoding",
+            );
+        }
+        is_marked
+    }
+
     /// Read an error answer and forward it, but only if it is complete.
-    pub async fn forward_error(&self, response: Response<TargetBody>, usage: Usage) -> CallEnd {
+    pub async fn forward_error(
+        &self,
+        response: Response<TargetBody>,
+        framing: AnswerFraming,
+        usage: Usage,
+    ) -> CallEnd {
+        if !self.has_marked_end(framing) {
+            return CallEnd::Broken(usage);
+        }
         let (head, body) = response.into_parts();
         let reading = Limited::new(body, MAX_EVENT_BYTES).collect();
         match timeout(ERROR_BODY_WAIT, reading).await {
--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use super::attempt_report::AttemptReport;
-use super::call_context::{CallContext, CallEnd, SendError};
+use super::call_context::{CallContext, CallEnd, FirstResponse, SendError};
 use super::connection::TargetConnection;
 use super::event_stream::{EventParser, ServerEvent};
 use super::silence_watch::{SilenceVerdict, SilenceWatch};
@@ -182,7 +182,7 @@
             .send_first(request, &self.context.request_id, verdict)
             .await
         {
-            Ok(first) => self.check_head(first.connection, first.response).await,
+            Ok(first) => self.check_head(first).await,
             Err(SendError::NotConnected) => OpenOutcome::Ended(CallEnd::NotSent),
             Err(SendError::Dropped) => OpenOutcome::Failed(StreamError::Dropped),
             Err(SendError::Unresponsive(verdict)) => OpenOutcome::Failed(verdict.into()),
@@ -190,11 +190,12 @@
         }
     }
 
-    async fn check_head(
-        &mut self,
-        connection: TargetConnection,
-        response: Response<TargetBody>,
-    ) -> OpenOutcome {
+    async fn check_head(&mut self, first: FirstResponse) -> OpenOutcome {
+        let FirstResponse {
+            connection,
+            response,
+            framing,
+        } = first;
         if self.context.is_mismatched(&response) {
             return OpenOutcome::Failed(StreamError::RequestMismatch);
         }
@@ -204,7 +205,8 @@
         let status = response.status();
         if !status.is_success() {
             let usage = self.meter.usage();
-            return OpenOutcome::Ended(self.context.forward_error(response, usage).await);
+            let forwarding = self.context.forward_error(response, framing, usage);
+            return OpenOutcome::Ended(forwarding.await);
         }
         if !is_event_stream(&response) {
             return OpenOutcome::Failed(StreamError::Malformed);
--- a/bergamotswitch-net/src/target_client/plain_call.rs
+++ b/bergamotswitch-net/src/target_client/plain_call.rs
@@ -54,15 +54,13 @@
         return CallEnd::Refused;
     }
     let status = response.status();
-    if !framing.has_marked_end() {
-        context.log_incident(
-            Incident::AnswerRejected,
-            "answer without content-length or transfer-encoding",
-        );
-        return CallEnd::Broken(meter.usage());
-    }
     if status.is_client_error() || status.is_server_error() {
-        return context.forward_error(response, meter.usage()).await;
+        return context
+            .forward_error(response, framing, meter.usage())
+            .await;
+    }
+    if !context.has_marked_end(framing) {
+        return CallEnd::Broken(meter.usage());
     }
     let (head, mut body) = response.into_parts();
     context.push_head(&head);
--- a/bergamotswitch-net/tests/cut_answers.rs
+++ b/bergamotswitch-net/tests/cut_answers.rs
@@ -329,8 +329,20 @@
     check_direct(CallKind::Plain).await;
 }
 
+// Guards against a cut error answer of an engine that looks whole, or reads as "not run".
+#[tokio::test]
+async fn engine_errors() {
+    check_direct(CallKind::Engine).await;
+}
+
 // Guards against a reset that a tunnel passes on as the end of a plain service's answer.
 #[tokio::test]
 async fn tunnelled_plain() {
     check_tunnelled(CallKind::Plain).await;
 }
+
+// Guards against a reset that a tunnel passes on as the end of an engine's error answer.
+#[tokio::test]
+async fn tunnelled_errors() {
+    check_tunnelled(CallKind::Engine).await;
+}
