Forbid automatic retries of a target's error to a call that must run once

Callers of `/v1` whose call must not run twice could run it twice without asking for it: a target that ran the call and then answered 408, 409, 429, 500 or 503 had its answer passed on unchanged, and common client libraries repeat a request by these statuses alone. A 429 or 503 reaches the caller this way where it cannot count as a refusal: without an id on a connection that has carried other calls.

Cause: `X-Should-Retry: false` was set only on the host's own refusals.

Change: an error of a target, from a plain service or an engine, carries the field too if the request must not run twice. The status stays the target's. Idempotent calls get no field: their retry is safe. Where another host holds the request, the field is forwarded as before.

Ruled out: a target without `refusal_means_not_run` whose 429 or 503 reads as "not run". The core already takes that refusal for a call that may have run.

--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -81,7 +81,7 @@
 
 impl Submission {
     /// Get whether a second run is safe.
-    pub(crate) fn may_rerun(&self) -> bool {
+    pub fn may_rerun(&self) -> bool {
         self.verdict.idempotent && !self.verdict.dispatch_once
     }
 
--- a/bergamotswitch-net/src/caller/buffered_answer.rs
+++ b/bergamotswitch-net/src/caller/buffered_answer.rs
@@ -8,7 +8,7 @@
 use super::assembly::{AssemblyError, CompletionAssembly};
 use super::engine_body::CompletionForm;
 use super::event_stream::EVENT_STREAM_TYPE;
-use super::refusal_page::{JSON_TYPE, RefusalPage};
+use super::refusal_page::{JSON_TYPE, RefusalPage, forbid_retry};
 use crate::answer::AnswerPart;
 
 /// A `BufferedAnswer` is the complete answer of a target.
@@ -71,7 +71,11 @@
     }
 
     /// Write the answer as the target sent it.
-    pub(super) fn write_plain(self, res: &mut Response) {
+    pub(super) fn write_plain(self, may_rerun: bool, res: &mut Response) {
+        let is_error = self.status.is_client_error() || self.status.is_server_error();
+        if is_error && !may_rerun {
+            forbid_retry(res);
+        }
         res.body(self.body());
         res.status_code(self.status);
         if let Ok(content_type) = HeaderValue::try_from(self.content_type) {
@@ -88,10 +92,11 @@
     pub(super) fn write_completion(
         self,
         form: CompletionForm,
+        may_rerun: bool,
         res: &mut Response,
     ) -> Result<(), RefusalPage> {
         if !self.is_stream() {
-            self.write_plain(res);
+            self.write_plain(may_rerun, res);
             return Ok(());
         }
         let completion =
--- a/bergamotswitch-net/src/caller/early_answer.rs
+++ b/bergamotswitch-net/src/caller/early_answer.rs
@@ -30,9 +30,7 @@
 /// before the caller knew the incarnation, the caller's retry at another host
 /// would look like a new request and run a second time.
 pub(super) fn needs_early_head(submission: &Submission) -> bool {
-    let verdict = &submission.verdict;
-    let once = verdict.dispatch_once || !verdict.idempotent;
-    once && submission.key.is_some() && submission.holder.is_none()
+    !submission.may_rerun() && submission.key.is_some() && submission.holder.is_none()
 }
 
 /// Get the events of a request whose caller receives this host's incarnation
--- a/bergamotswitch-net/src/caller/engine_handler.rs
+++ b/bergamotswitch-net/src/caller/engine_handler.rs
@@ -44,12 +44,16 @@
             call,
             original,
         } = checked;
+        let may_rerun = submission.may_rerun();
         match submit(&self.context, submission, call).await {
             SubmittedCall::Refused(page) => page.write(res),
             SubmittedCall::Remote(holder) => {
                 forward_and_write(&self.context, &original, &holder, res).await;
             }
-            SubmittedCall::Local(follower) => self.follow(*follower, original, format, res).await,
+            SubmittedCall::Local(follower) => {
+                let answer = self.follow(*follower, original, format, may_rerun, res);
+                answer.await;
+            }
         }
     }
 
@@ -58,6 +62,7 @@
         mut follower: AnswerFollower,
         original: OriginalCall,
         format: AnswerFormat,
+        may_rerun: bool,
         res: &mut Response,
     ) {
         let id = header_value(follower.id());
@@ -72,7 +77,7 @@
             return;
         }
         let written = BufferedAnswer::from_parts(parts)
-            .and_then(|answer| answer.write_completion(self.form, res));
+            .and_then(|answer| answer.write_completion(self.form, may_rerun, res));
         if let Err(page) = written {
             page.write(res);
         }
--- a/bergamotswitch-net/src/caller/refusal_page.rs
+++ b/bergamotswitch-net/src/caller/refusal_page.rs
@@ -108,19 +108,25 @@
             let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
-        // Common client libraries retry a failed request by its status alone.
-        // For a request that may have run, the retry could be a second run;
-        // this field prevents it.
-        if self.refusal.claim() == RunClaim::Unknown {
-            headers.insert(SHOULD_RETRY_FIELD, HeaderValue::from_static("false"));
-        }
         if self.status == StatusCode::UNAUTHORIZED {
             headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
         }
+        if self.refusal.claim() == RunClaim::Unknown {
+            forbid_retry(res);
+        }
         res.body(Bytes::from(self.json_text()));
     }
 }
 
+/// Tell the caller's client library not to send the request again.
+///
+/// Common libraries retry a failed request by its status alone. If the request
+/// may have run, the retry could be a second run.
+pub(super) fn forbid_retry(res: &mut Response) {
+    let headers = res.headers_mut();
+    headers.insert(SHOULD_RETRY_FIELD, HeaderValue::from_static("false"));
+}
+
 fn status_of(reason: RefusalReason) -> StatusCode {
     match reason {
         RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
--- a/bergamotswitch-net/src/caller/service_handler.rs
+++ b/bergamotswitch-net/src/caller/service_handler.rs
@@ -149,6 +149,7 @@
             call,
             original,
         } = checked;
+        let may_rerun = submission.may_rerun();
         let follower = match submit(&self.context, submission, call).await {
             SubmittedCall::Local(follower) => follower,
             SubmittedCall::Refused(page) => return page.write(res),
@@ -164,7 +165,7 @@
                 .await;
         }
         match BufferedAnswer::from_parts(parts) {
-            Ok(answer) => answer.write_plain(res),
+            Ok(answer) => answer.write_plain(may_rerun, res),
             Err(page) => page.write(res),
         }
     }
--- a/bergamotswitch-net/tests/caller_requests/answers.rs
+++ b/bergamotswitch-net/tests/caller_requests/answers.rs
@@ -284,6 +284,39 @@
     call.abort();
 }
 
+// Guards against a client library that repeats a call that must run once, by the status of
+// the error with which its run ended.
+#[tokio::test]
+async fn target_errors() {
+    let mut host = FakeHost::ready("sanjuan-1", &[]);
+    let once = [("bergamot-dispatch-once", "true")];
+    let no_rerun = [("bergamot-idempotent", "false")];
+    let report = [("bergamot-work", "report")];
+    let service = "/v1/services/red-app/crews";
+    let cases = [
+        (get(service, &[]), true),
+        (get(service, &once), false),
+        (get(service, &no_rerun), false),
+        (chat(false, &[]), true),
+        (chat(false, &report), false),
+    ];
+    for (request, may_rerun) in cases {
+        for status in [400, 408, 409, 429, 500, 503] {
+            let call = spawn_call(host.server.address(), request.clone());
+            let writer = host.accept_next().await;
+            writer.push(head(status, "text/plain"));
+            writer.push(AnswerPart::Data(Bytes::from_static(b"failed")));
+            writer.push(AnswerPart::End);
+            let answer = call.await.expect("an answer");
+            let found = (answer.status, answer.text.as_str());
+            assert_eq!(found, (status, "failed"));
+            let retry = answer.headers.get("x-should-retry");
+            let expected = (!may_rerun).then_some("false");
+            assert_eq!(retry.and_then(|value| value.to_str().ok()), expected);
+        }
+    }
+}
+
 #[tokio::test]
 async fn graceful_stop() {
     // Guards against a graceful stop that truncates answers in progress, at
