Check the framing of answers forwarded from a holder

A caller could get a cut answer as a whole one where another host holds its request and that host's answer ends with the connection. Hosts send a length or chunks, so only something else at a holder's address, such as a proxy in between, answers so.

Cause: the answer's body was passed on as it came, whatever marks its end.

Change: such an answer counts as `lost`, "ran": "unknown".

Evidence: holder_answer_cut failed before for an answer with another transfer coding, and covers one with neither length nor chunks; it passes now. Ruled out by the same test: an answer with a length or chunks that is cut by a close or a reset, right after the head or inside the body. The caller's connection breaks with it.

--- a/bergamotswitch-net/src/caller/forward.rs
+++ b/bergamotswitch-net/src/caller/forward.rs
@@ -24,6 +24,7 @@
     INCARNATION_FIELD, REQUEST_ID_FIELD, RESUBMISSION_FIELD, SHOULD_RETRY_FIELD, WORK_FIELD,
 };
 use super::refusal_page::{RefusalPage, header_value};
+use crate::answer_framing::framing_of;
 
 /// The header fields of a request that are forwarded to its holder.
 const FORWARDED_REQUEST_FIELDS: [HeaderName; 9] = [
@@ -134,6 +135,7 @@
     HolderUnknown,
     NotConnected,
     ConnectionLost,
+    EndUnmarked,
 }
 
 impl ForwardFailure {
@@ -144,6 +146,7 @@
             ForwardFailure::HolderUnknown => "the host list does not have its holder",
             ForwardFailure::NotConnected => "its holder cannot be reached",
             ForwardFailure::ConnectionLost => "the connection to its holder broke",
+            ForwardFailure::EndUnmarked => "the end of its holder's answer is not marked",
         }
     }
 }
@@ -169,10 +172,15 @@
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    sender
-        .send_request(forwarded_request(original, holder, address))
+    let request = forwarded_request(original, holder, address);
+    let answer = sender
+        .send_request(request)
         .await
-        .map_err(|_| ForwardFailure::ConnectionLost)
+        .map_err(|_| ForwardFailure::ConnectionLost)?;
+    match framing_of(&original.method, &answer).has_marked_end() {
+        true => Ok(answer),
+        false => Err(ForwardFailure::EndUnmarked),
+    }
 }
 
 fn holder_address(context: &CallerContext, holder: &HostIncarnation) -> Option<SocketAddr> {
--- a/bergamotswitch-net/tests/caller_requests/forwarding.rs
+++ b/bergamotswitch-net/tests/caller_requests/forwarding.rs
@@ -1,14 +1,23 @@
 //! Tests of requests that another host holds.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bergamotswitch_core::entry::SubmitOutcome;
 use bergamotswitch_core::host::HostIncarnation;
 use bergamotswitch_net::answer::AnswerPart;
 use bergamotswitch_net::input::{NodeInput, SubmissionReply};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::fake_loop::{
-    FakeHost, chat, chunk, data, next_chunk, send, spawn_call, stream_head, within_timeout,
+    FakeHost, chat, chunk, data, get, next_chunk, send, spawn_call, stream_head, within_timeout,
 };
 
 async fn reply_forward(host: &mut FakeHost, holder: &HostIncarnation) {
@@ -156,6 +165,64 @@
     assert!(!text.contains("[DONE]"));
 }
 
+// Guards against a cut answer of a holder that the caller gets as a whole one.
+#[tokio::test]
+async fn holder_answer_cut() {
+    let framings = [
+        "content-length: 4\r\n\r\n",
+        "transfer-encoding: chunked\r\n\r\n4\r\n",
+        "transfer-encoding: gzip\r\n\r\n",
+        "\r\n",
+    ];
+    for framing in framings {
+        for body in ["", "bo"] {
+            for status in [200, 503] {
+                for is_reset in [false, true] {
+                    let head = format!("HTTP/1.1 {status} Status\r\n{framing}{body}");
+                    let address = start_cut_holder(head.clone(), is_reset).await;
+                    let mut host = FakeHost::ready("sanjuan-1", &[("mza-norte-1", address)]);
+                    let request = get("/v1/services/red-app/crews", &[]);
+                    let call = tokio::spawn(try_read(host.server.address(), request));
+                    reply_forward(&mut host, &incarnation_of("mza-norte-1")).await;
+                    let answer = call.await.expect("a caller");
+                    let is_refused = |text: &String| text.contains("\"ran\":\"unknown\"");
+                    assert!(answer.iter().all(is_refused), "{head}: {answer:?}");
+                }
+            }
+        }
+    }
+}
+
+/// Start a holder that stops after these bytes.
+async fn start_cut_holder(bytes: String, is_reset: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            stream.read_buf(&mut request).await.expect("a request");
+        }
+        stream.write_all(bytes.as_bytes()).await.expect("written");
+        if is_reset {
+            let socket = SockRef::from(&stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("a reset");
+        }
+    });
+    address
+}
+
+/// Get the text of an answer, or `None` if it is cut.
+async fn try_read(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<String> {
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let handshake = http1::handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.expect("a handshake");
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await.ok()?;
+    let body = within_timeout(response.into_body().collect()).await.ok()?;
+    Some(String::from_utf8_lossy(&body.to_bytes()).into_owned())
+}
+
 #[tokio::test]
 async fn forwarded_caller_disconnects() {
     // The holder detects that the caller has disconnected, although the caller
