Take only a 200 for the event stream of an engine

An engine's event stream with another success, such as 201 or 206, ended as a finished call. The callers' side takes only a 200 for a stream: it buffered the events and wrote their data, joined without the framing of events, as the body of that success.

Cause: the client of engines checked the content type and any success, the handler of callers the content type and 200.

Change: the client checks for 200 as well, also when it resumes a stream.

Evidence: other_success failed before with 201 (`Finished`); it passes now, with the other tests of calls to targets. That the body was joined is read from the code.

--- a/bergamotswitch-net/src/target_client/engine_call.rs
+++ b/bergamotswitch-net/src/target_client/engine_call.rs
@@ -7,7 +7,7 @@
 use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
 use bytes::Bytes;
-use http::{Response, header};
+use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
@@ -311,10 +311,11 @@
     }
 }
 
-/// Get whether the response is an event stream.
+/// Get whether the response is an event stream. No other success than 200 is one.
 pub(super) fn is_event_stream(response: &Response<TargetBody>) -> bool {
     let named = response.headers().get(header::CONTENT_TYPE);
-    named
+    let has_events = named
         .and_then(|value| value.to_str().ok())
-        .is_some_and(|text| text.starts_with("text/event-stream"))
+        .is_some_and(|text| text.starts_with("text/event-stream"));
+    has_events && response.status() == StatusCode::OK
 }
--- a/bergamotswitch-net/tests/target_calls.rs
+++ b/bergamotswitch-net/tests/target_calls.rs
@@ -15,6 +15,7 @@
 use bergamotswitch_standin::switches::TargetSwitches;
 use bytes::Bytes;
 use target_support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -136,6 +137,34 @@
     }
 }
 
+// Guards against the events of an engine that a caller gets as the body of another success.
+#[tokio::test]
+async fn other_success() {
+    for (status, is_stream) in [(200, true), (201, false), (206, false)] {
+        let listener = TcpListener::bind(EPHEMERAL_ADDRESS).await.expect("a port");
+        let target = target_at(listener.local_addr().expect("an address"), false);
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            while !request.ends_with(b"}") {
+                stream.read_buf(&mut request).await.expect("a request");
+            }
+            let event = "id: 1\ndata: [DONE]\n\n";
+            let answer = format!(
+                "HTTP/1.1 {status} Status\r\ncontent-type: text/event-stream\r\n\
+                 content-length: {}\r\n\r\n{event}",
+                event.len()
+            );
+            stream.write_all(answer.as_bytes()).await.expect("written");
+        });
+        let mut harness = CallHarness::new(TargetClientOptions::default());
+        harness.start(&target, PoolKind::Engine, &engine_call("draft", 5));
+        let events = harness.events().await;
+        let is_finished = matches!(events.last(), Some(AttemptEvent::Finished(_)));
+        assert_eq!(is_finished, is_stream, "{status}: {events:?}");
+    }
+}
+
 #[tokio::test]
 async fn idle_connection_reuse() {
     // The engine accepts no new connection after the first call, so only an
