Name the content coding of an answer to callers of /v1

A caller of `/v1` got the coded bytes of a target's answer as a plain body: of the target's header fields only the content type was passed on.

Cause: a body under `Content-Encoding` is read with that field. Hosts ask for no coding, but a target may use one all the same. At a gateway such an answer was rejected already, as the signature does not cover the coded body.

Change: the field is passed on with the answer of a plain service and with an engine's own error, also by a host that forwards the answer. The bytes stay the target's.

Evidence: coded_body (at the client of targets) and plain_service (at the callers' side) failed before, as the field was missing; both pass now. The forwarded field has no test of its own.

--- a/bergamotswitch-net/src/caller/buffered_answer.rs
+++ b/bergamotswitch-net/src/caller/buffered_answer.rs
@@ -2,7 +2,7 @@
 
 use bergamotswitch_core::refusal::{Refusal, RefusalReason};
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use salvo::Response;
 
 use super::assembly::{AssemblyError, CompletionAssembly};
@@ -16,6 +16,7 @@
 pub(super) struct BufferedAnswer {
     status: StatusCode,
     content_type: String,
+    fields: HeaderMap,
     chunks: Vec<Bytes>,
 }
 
@@ -30,6 +31,7 @@
         let mut answer = BufferedAnswer {
             status: StatusCode::OK,
             content_type: EVENT_STREAM_TYPE.to_owned(),
+            fields: HeaderMap::new(),
             chunks: Vec::new(),
         };
         for part in parts {
@@ -37,10 +39,11 @@
                 AnswerPart::Head {
                     status,
                     content_type,
-                    ..
+                    fields,
                 } => {
                     answer.status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
                     answer.content_type = content_type;
+                    answer.fields = fields;
                 }
                 AnswerPart::Data(data) => answer.chunks.push(data),
                 AnswerPart::End => return Ok(answer),
@@ -78,6 +81,7 @@
         }
         res.body(self.body());
         res.status_code(self.status);
+        res.headers_mut().extend(self.fields);
         if let Ok(content_type) = HeaderValue::try_from(self.content_type) {
             res.headers_mut().insert(header::CONTENT_TYPE, content_type);
         }
--- a/bergamotswitch-net/src/caller/forward.rs
+++ b/bergamotswitch-net/src/caller/forward.rs
@@ -40,8 +40,9 @@
 ];
 
 /// The header fields of an answer that are forwarded to the caller.
-const FORWARDED_ANSWER_FIELDS: [HeaderName; 7] = [
+const FORWARDED_ANSWER_FIELDS: [HeaderName; 8] = [
     header::CONTENT_TYPE,
+    header::CONTENT_ENCODING,
     header::CACHE_CONTROL,
     header::RETRY_AFTER,
     header::WWW_AUTHENTICATE,
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -298,10 +298,14 @@
             .get(header::CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default();
+        let mut fields = HeaderMap::new();
+        for coding in head.headers.get_all(header::CONTENT_ENCODING) {
+            fields.append(header::CONTENT_ENCODING, coding.clone());
+        }
         self.answer.push(AnswerPart::Head {
             status: head.status.as_u16(),
             content_type: content_type.to_owned(),
-            fields: HeaderMap::new(),
+            fields,
         });
     }
 
--- a/bergamotswitch-net/tests/caller_requests/answers.rs
+++ b/bergamotswitch-net/tests/caller_requests/answers.rs
@@ -9,7 +9,7 @@
 use bergamotswitch_net::answer::AnswerPart;
 use bergamotswitch_net::input::{NodeInput, SubmissionReply};
 use bytes::Bytes;
-use http::Request;
+use http::{HeaderMap, HeaderValue, Request};
 use serde_json::json;
 
 use crate::fake_loop::{
@@ -275,6 +275,21 @@
     assert_eq!((answer.status, answer.text.as_str()), (201, "crew sent"));
     assert_eq!(answer.field("content-type"), "text/plain");
 
+    // The coding of a body is passed on with it.
+    let call = spawn_call(host.server.address(), get("/v1/services/red-app", &[]));
+    let writer = host.accept_next().await;
+    let mut fields = HeaderMap::new();
+    fields.insert("content-encoding", HeaderValue::from_static("gzip"));
+    writer.push(AnswerPart::Head {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        fields,
+    });
+    writer.push(AnswerPart::Data(Bytes::from_static(b"coded")));
+    writer.push(AnswerPart::End);
+    let answer = call.await.expect("an answer");
+    assert_eq!(answer.field("content-encoding"), "gzip");
+
     // A call without a path goes to the root of the service.
     let call = spawn_call(
         host.server.address(),
--- a/bergamotswitch-net/tests/target_calls.rs
+++ b/bergamotswitch-net/tests/target_calls.rs
@@ -137,6 +137,35 @@
     }
 }
 
+// Guards against a body whose content coding is not named to the caller.
+#[tokio::test]
+async fn coded_body() {
+    for (kind, status) in [(PoolKind::Plain, 200), (PoolKind::Engine, 400)] {
+        let listener = TcpListener::bind(EPHEMERAL_ADDRESS).await.expect("a port");
+        let target = target_at(listener.local_addr().expect("an address"), false);
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = Vec::new();
+            while !request.ends_with(b"}") {
+                stream.read_buf(&mut request).await.expect("a request");
+            }
+            let answer = format!(
+                "HTTP/1.1 {status} Status\r\ncontent-encoding: gzip\r\n\
+                 content-length: 4\r\n\r\nbody"
+            );
+            stream.write_all(answer.as_bytes()).await.expect("written");
+        });
+        let mut harness = CallHarness::new(TargetClientOptions::default());
+        let (_, answer) = harness.start(&target, kind, &engine_call("draft", 5));
+        harness.events().await;
+        let parts = parts_of(answer).await;
+        let Some(AnswerPart::Head { fields, .. }) = parts.first() else {
+            panic!("{kind:?}: {parts:?}");
+        };
+        assert_eq!(fields["content-encoding"], "gzip");
+    }
+}
+
 // Guards against the events of an engine that a caller gets as the body of another success.
 #[tokio::test]
 async fn other_success() {
