Withhold failures whose status denies a run that the target does not deny

Cause: a target's failure was passed on as it came. To the host, only an answer with the rejection field (or 421) states that the call did not run; to callers the status alone does. Nothing compared the two.

Change: the core decides in one place what may be made of an answer (AnswerHead::answer_use). A signed failure that is no rejection, with a status that callers take for "not run", is withheld: the call is repeated where that is allowed, else its caller gets 502 without the target's signature, which promises nothing. The status cannot be changed under the signature. All other failures are passed on unchanged.

Ruled out: a rejection that loses its field on the way, and the host's own refusals, whose claim follows from the state of the request.

--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -12,6 +12,13 @@
 use crate::refusal::{RefusalReason, RetryReason, WasteCause};
 use crate::request::AttemptId;
 
+/// A `FailureAnswer` is what becomes of an error response as the answer to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailureAnswer {
+    Kept,
+    Withheld,
+}
+
 impl EntryDispatcher {
     /// Handle an event of an attempt. Events of an attempt that is not the
     /// current one are ignored.
@@ -48,6 +55,7 @@
                 | AttemptEvent::Finished(_)
                 | AttemptEvent::Refused
                 | AttemptEvent::Failed
+                | AttemptEvent::FailureWithheld
         );
         if is_answer {
             self.record_path_answer(&running);
@@ -101,7 +109,10 @@
             AttemptEvent::Finished(usage) => self.finished(now, record, running, usage, actions),
             AttemptEvent::NotSent(reason) => self.not_sent(now, record, running, reason, actions),
             AttemptEvent::Refused => self.target_refused(now, record, running, actions),
-            AttemptEvent::Failed => self.failed(now, record, running, actions),
+            AttemptEvent::Failed => self.failed(now, record, running, FailureAnswer::Kept, actions),
+            AttemptEvent::FailureWithheld => {
+                self.failed(now, record, running, FailureAnswer::Withheld, actions);
+            }
             AttemptEvent::Broken(usage) => {
                 let outcome = self.broken_outcome(&running, usage);
                 self.broken(now, record, running, outcome, actions);
@@ -213,13 +224,14 @@
         }
     }
 
-    /// Handle an error response of the target. It is passed on as the answer
-    /// unless the request is retried.
+    /// Handle an error response of the target. Unless the request is retried, the response
+    /// is passed on as the answer, or withheld.
     fn failed(
         &mut self,
         now: Moment,
         mut record: RequestRecord,
         running: RunningAttempt,
+        answer: FailureAnswer,
         actions: &mut Vec<EntryAction>,
     ) {
         record.runs = record.runs.saturating_add(1);
@@ -231,8 +243,16 @@
             let state = running.state.rerun();
             return self.retry(now, record, state, RetryReason::TargetError, actions);
         }
-        let first_token = running.first_token_at;
-        self.conclude(now, record, first_token, Conclusion::TargetError, actions);
+        match answer {
+            FailureAnswer::Kept => {
+                let first_token = running.first_token_at;
+                self.conclude(now, record, first_token, Conclusion::TargetError, actions);
+            }
+            FailureAnswer::Withheld => {
+                let refusal = self.give_up(running, RefusalReason::TargetFailed);
+                self.refuse(now, record, refusal, actions);
+            }
+        }
     }
 
     fn broken(
--- a/bergamotswitch-core/src/entry/mod.rs
+++ b/bergamotswitch-core/src/entry/mod.rs
@@ -164,6 +164,9 @@
     /// The target answered with an error (other 4xx and 5xx), which is passed
     /// on unless the request is retried.
     Failed,
+    /// The target answered with an error that is not passed on, since its status would tell
+    /// the caller that the request did not run.
+    FailureWithheld,
     /// A new connection was established; reported on paths other than the direct one.
     Connected,
     /// The first output token arrived.
--- a/bergamotswitch-core/src/target_answer.rs
+++ b/bergamotswitch-core/src/target_answer.rs
@@ -1,5 +1,5 @@
-//! Provides the decisions about a target's answer: to which request it belongs, and so
-//! whether it proves that the request did not run, and whether its end is recognizable.
+//! Provides the decisions about a target's answer: to which request it belongs, whether its
+//! end is recognizable, and what a caller may be told of it.
 
 /// An `AnswerId` is what an answer's request id says about the request it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +42,55 @@
     Later,
 }
 
+/// An `AnswerHead` is what the head of an answer states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Which request it names.
+    pub id: AnswerId,
+    /// Whether it has the target's signature.
+    pub is_signed: bool,
+    /// Whether it states that the target did not run the request.
+    pub is_rejection: bool,
+    /// Whether its status tells a caller that the request did not run.
+    pub denies_run: bool,
+}
+
+/// An `AnswerUse` is what a host may make of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerUse {
+    /// It belongs to another request, so nothing in it is believed.
+    Foreign,
+    /// It proves that the request did not run.
+    Rejection,
+    /// It is not known to come from the target. The request may have run.
+    Unproven,
+    /// The target failed and the request may have run, but the status would tell a caller
+    /// that it did not.
+    Withheld,
+    /// It may be passed on to the caller.
+    Passed,
+}
+
+impl AnswerHead {
+    /// Get what may be made of the answer, given the use of its connection.
+    pub fn answer_use(self, connection: ConnectionUse) -> AnswerUse {
+        if !self.id.belongs(connection) {
+            return AnswerUse::Foreign;
+        }
+        if self.is_rejection {
+            return AnswerUse::Rejection;
+        }
+        // An answer that lacks the target's signature comes from an intermediary.
+        if self.id != AnswerId::Matching || !self.is_signed {
+            return AnswerUse::Unproven;
+        }
+        match self.denies_run {
+            true => AnswerUse::Withheld,
+            false => AnswerUse::Passed,
+        }
+    }
+}
+
 /// The maximum number of rejected requests in a history.
 const MAX_REJECTED: usize = 16;
 
--- a/bergamotswitch-core/tests/answer_owner.rs
+++ b/bergamotswitch-core/tests/answer_owner.rs
@@ -1,6 +1,8 @@
-//! Tests of the decision to which request an answer belongs.
+//! Tests of the decisions to which request an answer belongs and what is made of it.
 
-use bergamotswitch_core::target_answer::{AnswerId, ConnectionHistory, ConnectionUse};
+use bergamotswitch_core::target_answer::{
+    AnswerHead, AnswerId, AnswerUse, ConnectionHistory, ConnectionUse,
+};
 
 fn compare(named: &[&str]) -> AnswerId {
     AnswerId::compare(named.iter().map(|id| id.as_bytes()), b"b")
@@ -42,3 +44,59 @@
     }
     assert!(!history.allows("0") && rejected < 100);
 }
+
+const RUN: AnswerHead = AnswerHead {
+    id: AnswerId::Matching,
+    is_signed: true,
+    is_rejection: false,
+    denies_run: false,
+};
+
+#[test]
+fn answer_uses() {
+    let rejection = AnswerHead {
+        is_signed: false,
+        is_rejection: true,
+        denies_run: true,
+        ..RUN
+    };
+    let foreign = AnswerId::Foreign;
+    let unsigned = AnswerHead {
+        is_signed: false,
+        ..RUN
+    };
+    let unnamed = AnswerHead {
+        id: AnswerId::Missing,
+        ..RUN
+    };
+    for connection in [ConnectionUse::First, ConnectionUse::Later] {
+        let answer_use = |head: AnswerHead| head.answer_use(connection);
+        assert_eq!(answer_use(RUN), AnswerUse::Passed);
+        assert_eq!(answer_use(rejection), AnswerUse::Rejection);
+        assert_eq!(answer_use(unsigned), AnswerUse::Unproven);
+        for head in [RUN, rejection] {
+            let head = AnswerHead {
+                id: foreign,
+                ..head
+            };
+            assert_eq!(answer_use(head), AnswerUse::Foreign);
+        }
+    }
+    assert_eq!(
+        unnamed.answer_use(ConnectionUse::First),
+        AnswerUse::Unproven
+    );
+    assert_eq!(unnamed.answer_use(ConnectionUse::Later), AnswerUse::Foreign);
+}
+
+// Guards against a failure after a run that tells the caller that the request did not run.
+#[test]
+fn denied_run() {
+    let head = AnswerHead {
+        denies_run: true,
+        ..RUN
+    };
+    for connection in [ConnectionUse::First, ConnectionUse::Later] {
+        assert_eq!(head.answer_use(connection), AnswerUse::Withheld);
+    }
+}
--- a/bergamotswitch-core/tests/entry_retries.rs
+++ b/bergamotswitch-core/tests/entry_retries.rs
@@ -85,6 +85,25 @@
     assert_eq!(conclusions(&actions), vec![Conclusion::TargetError]);
 }
 
+// Guards against a failure after a run that is passed on although its status denies the run.
+#[test]
+fn withheld_failure() {
+    let withheld = AttemptEvent::FailureWithheld;
+    let actions = fail_once(submission(), "t0", &[withheld]);
+    assert!(retried(&actions, RetryReason::TargetError));
+    let unknown = (RefusalReason::TargetFailed, RunClaim::Unknown);
+    let actions = fail_once(keyed_submission("k"), "t0", &[withheld]);
+    assert_eq!(refused(&actions), Some(unknown));
+    let options = EntryOptions::default().with_attempts_per_request(2);
+    let mut dispatcher = TestDispatcher::new(options);
+    let attempt = dispatcher.begin(submission(), "t0");
+    let actions = dispatcher.attempt(attempt, withheld);
+    let second = permit_requests(&actions)[0].attempt;
+    dispatcher.start(second, "t1");
+    let actions = dispatcher.attempt(second, withheld);
+    assert_eq!(refused(&actions), Some(unknown));
+}
+
 // Guards against the claim "not run" after a first attempt that may have run:
 // the proof that a later attempt did not run does not cover it.
 #[test]
--- a/bergamotswitch-core/tests/entry_simulation/engines.rs
+++ b/bergamotswitch-core/tests/entry_simulation/engines.rs
@@ -104,6 +104,7 @@
             }
             AttemptEvent::Refused
             | AttemptEvent::Failed
+            | AttemptEvent::FailureWithheld
             | AttemptEvent::Broken(_)
             | AttemptEvent::TunnelBroken(_) => {
                 self.record_run(id, ran);
--- a/bergamotswitch-net/src/node/request_log.rs
+++ b/bergamotswitch-net/src/node/request_log.rs
@@ -122,6 +122,7 @@
             AttemptEvent::NotSent(_)
             | AttemptEvent::Refused
             | AttemptEvent::Failed
+            | AttemptEvent::FailureWithheld
             | AttemptEvent::Finished(_)
             | AttemptEvent::Broken(_)
             | AttemptEvent::TunnelBroken(_) => self.latest_run = LatestRun::Ended,
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -48,6 +48,8 @@
     Refused,
     /// The target's complete answer is an error, which was forwarded.
     Failed,
+    /// The target failed, and its answer may not be passed on; the request may have run.
+    Withheld,
     /// The answer is complete.
     Finished(Usage),
     /// The answer is incomplete; the request may have run.
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -272,6 +272,7 @@
         CallEnd::NotSent => AttemptEvent::NotSent(NotSentReason::ConnectFailed),
         CallEnd::Refused => AttemptEvent::Refused,
         CallEnd::Failed => AttemptEvent::Failed,
+        CallEnd::Withheld => AttemptEvent::FailureWithheld,
         CallEnd::Finished(usage) => AttemptEvent::Finished(usage),
         CallEnd::Broken(usage) if context.trace.is_tunnel_broken() => {
             AttemptEvent::TunnelBroken(usage)
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -7,7 +7,7 @@
 
 use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::target_answer::AnswerId;
+use bergamotswitch_core::target_answer::{AnswerHead, AnswerUse};
 use bergamotswitch_platform::answer::{self, TargetAnswer};
 use bergamotswitch_platform::outgoing::OutgoingHead;
 use http::response::Parts;
@@ -141,27 +141,22 @@
     } = first;
     let (head, body) = response.into_parts();
     let found = TargetAnswer::read(head.status, &head.headers, &routed.request_id);
-    if !found.id.belongs(connection.connection_use()) {
-        let cause = match found.is_rejection {
-            true => "rejection of another request",
-            false => "answer to another request",
-        };
+    let answer_use = found.head.answer_use(connection.connection_use());
+    if answer_use != AnswerUse::Foreign {
+        report_notices(&found, report);
+    }
+    if let Some(cause) = unused_because(answer_use, &found.head) {
         context.log_incident(Incident::AnswerRejected, cause);
-        return CallEnd::Broken(meter.usage());
     }
-    report_notices(&found, report);
-    if found.is_rejection {
+    let end = match answer_use {
+        AnswerUse::Passed => None,
+        AnswerUse::Foreign | AnswerUse::Unproven => return CallEnd::Broken(meter.usage()),
+        AnswerUse::Rejection => Some(CallEnd::Refused),
+        AnswerUse::Withheld => Some(CallEnd::Withheld),
+    };
+    if let Some(end) = end {
         drain(context, routed, connection, body, found.idle_timeout).await;
-        return CallEnd::Refused;
-    }
-    // An answer that lacks the target's signature comes from an intermediary.
-    if found.id != AnswerId::Matching || !found.is_signed {
-        let cause = match found.is_signed {
-            true => "answer without a request id",
-            false => "answer without the target's signature",
-        };
-        context.log_incident(Incident::AnswerRejected, cause);
-        return CallEnd::Broken(meter.usage());
+        return end;
     }
     let reading = AnswerReading {
         context,
@@ -176,6 +171,18 @@
     }
 }
 
+/// Get why an answer is neither passed on nor believed; `None` if it is.
+fn unused_because(answer_use: AnswerUse, head: &AnswerHead) -> Option<&'static str> {
+    match answer_use {
+        AnswerUse::Rejection | AnswerUse::Passed => None,
+        AnswerUse::Foreign if head.is_rejection => Some("rejection of another request"),
+        AnswerUse::Foreign => Some("answer to another request"),
+        AnswerUse::Unproven if head.is_signed => Some("answer without a request id"),
+        AnswerUse::Unproven => Some("answer without the target's signature"),
+        AnswerUse::Withheld => Some("failure with the status of a rejection"),
+    }
+}
+
 /// Report what the target says of itself in an answer.
 fn report_notices(found: &TargetAnswer, report: &AttemptReport) {
     let notices = [
@@ -190,7 +197,8 @@
     }
 }
 
-/// Discard the rest of a rejection, so that its connection can be reused.
+/// Discard the rest of an answer that is not passed on, so that its connection can be
+/// reused.
 async fn drain(
     context: &CallContext,
     routed: &RoutedCall,
--- a/bergamotswitch-net/tests/target_support/mod.rs
+++ b/bergamotswitch-net/tests/target_support/mod.rs
@@ -119,6 +119,7 @@
         AttemptEvent::NotSent(_)
         | AttemptEvent::Refused
         | AttemptEvent::Failed
+        | AttemptEvent::FailureWithheld
         | AttemptEvent::Finished(_)
         | AttemptEvent::Broken(_)
         | AttemptEvent::TunnelBroken(_) => true,
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -7,6 +7,7 @@
 #[path = "../host_child/mod.rs"]
 pub mod host_child;
 pub mod ports;
+pub mod raw_target;
 
 use std::io;
 use std::net::SocketAddr;
