Pass on only events that go on after the last one

Callers saw pieces twice, and ids that went back: a second run within one answer, or a target that answered a caller's own resumption, began the stream anew or repeated the last event, and its events were appended to those that the caller had.

Cause: a target's answer to Last-Event-Id was taken for a continuation without a look at the ids of its events.

EventOrder in the core decides which event may follow: ids are numbers that increase, not necessarily by one, and a resumed run has to show by an id that it goes on before an event without one is passed on. The order starts after the last event passed on, or after the one that the caller names on a route that may be resumed. An event out of order ends the run as broken; where another run is left, it resumes the stream.

Ruled out: pieces of a silent run that goes on while another replaces it.

--- a/bergamotswitch-core/src/lib.rs
+++ b/bergamotswitch-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod entry;
 pub mod error;
 pub mod evacuation;
+pub mod event_order;
 pub mod explain;
 pub mod failure_domain;
 pub mod host;
--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -5,6 +5,7 @@
 use std::mem::size_of;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bergamotswitch_core::event_order::{EventId, EventPlace};
 use bergamotswitch_core::host::HostIncarnation;
 use bergamotswitch_core::refusal::Refusal;
 use bergamotswitch_core::request::RequestId;
@@ -62,7 +63,7 @@
     /// The number of times that the answer was cleared.
     generation: u64,
     /// The id of the last event of a stream that another target may resume.
-    last_event_id: Option<String>,
+    last_event_id: Option<EventId>,
 }
 
 impl AnswerLog {
@@ -146,11 +147,11 @@
         self.length.send_replace(len);
     }
 
-    /// Append an event of a stream that another target may resume after this
-    /// event.
-    pub fn push_event(&self, bytes: Bytes, id: Option<String>) {
-        if id.is_some() {
-            lock(&self.log).last_event_id = id;
+    /// Append an event of a stream. Another target may resume the stream after
+    /// this event if it has an id.
+    pub fn push_event(&self, bytes: Bytes, place: EventPlace) {
+        if let EventPlace::Numbered(id) = place {
+            lock(&self.log).last_event_id = Some(id);
         }
         self.push(AnswerPart::Data(bytes));
     }
@@ -163,8 +164,8 @@
     }
 
     /// Get the id of the last appended event.
-    pub fn last_event_id(&self) -> Option<String> {
-        lock(&self.log).last_event_id.clone()
+    pub fn last_event_id(&self) -> Option<EventId> {
+        lock(&self.log).last_event_id
     }
 
     /// Clear the answer after an attempt failed before any caller saw a part of
--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -269,6 +269,9 @@
                 account: self.account.map(|account| account.outer_name().to_owned()),
                 deadline: received_at + self.time_left,
                 is_stream: semantics.is_stream(),
+                last_event: call
+                    .last_event
+                    .filter(|_| semantics == CallSemantics::ResumableStream),
                 start_timeout: may_rerun.then_some(start_timeout),
                 gap_timeout: may_rerun.then_some(STREAM_GAP_TIMEOUT),
             }),
--- a/bergamotswitch-net/src/target_client/event_blocks.rs
+++ b/bergamotswitch-net/src/target_client/event_blocks.rs
@@ -1,6 +1,7 @@
 //! Provides the splitting of a server-sent event stream into unmodified events
-//! with their ids.
+//! with their places in the stream.
 
+use bergamotswitch_core::event_order::EventPlace;
 use bytes::{Bytes, BytesMut};
 
 /// An `EventBlock` is one complete event.
@@ -8,8 +9,8 @@
 pub struct EventBlock {
     /// The bytes of the event, including the blank line that ends it.
     pub bytes: Bytes,
-    /// The id of the event, if it has one.
-    pub id: Option<String>,
+    /// The place that the event states.
+    pub place: EventPlace,
 }
 
 /// An `EventSplitter` splits a stream into complete events. A partial event is
@@ -64,8 +65,8 @@
         let end = self.scan.end(&self.buffer)?;
         self.scan = BlockScan::default();
         let bytes = self.buffer.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(EventBlock { bytes, id })
+        let place = event_place(&bytes);
+        Some(EventBlock { bytes, place })
     }
 }
 
@@ -88,9 +89,15 @@
     }
 }
 
-fn event_id(block: &[u8]) -> Option<String> {
+fn event_place(block: &[u8]) -> EventPlace {
     let mut lines = block.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = std::str::from_utf8(value).ok()?;
-    Some(text.trim().to_owned())
+    let value = lines.clone().find_map(|line| line.strip_prefix(b"id:"));
+    let text = value.and_then(|value| std::str::from_utf8(value).ok());
+    if let Some(Ok(id)) = text.map(|text| text.trim().parse()) {
+        return EventPlace::Numbered(id);
+    }
+    match lines.any(|line| line.starts_with(b"data")) {
+        true => EventPlace::Unnumbered,
+        false => EventPlace::Empty,
+    }
 }
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bergamotswitch_core::entry::AttemptEvent;
+use bergamotswitch_core::event_order::{EventId, EventOrder, EventPlace};
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::target_answer::{AnswerHead, AnswerUse};
 use bergamotswitch_platform::answer::{self, TargetAnswer};
@@ -42,6 +43,8 @@
     pub deadline: Instant,
     /// Whether the answer is an event stream.
     pub is_stream: bool,
+    /// The last event that the caller has of a stream that it resumes.
+    pub last_event: Option<EventId>,
     /// How long a target may take to start the answer until it is reported as
     /// silent, repeatedly; `None` for never.
     pub start_timeout: Option<Duration>,
@@ -110,12 +113,11 @@
     routed: &RoutedCall,
 ) -> Option<TargetRequest> {
     let mut headers = (*routed.fields).clone();
-    let last_event = context.answer.last_event_id();
     let head = OutgoingHead {
         target: &context.target.name,
         account: routed.account.as_deref(),
         deadline_in: routed.deadline.saturating_duration_since(Instant::now()),
-        last_event: last_event.as_deref(),
+        last_event: context.answer.last_event_id(),
     };
     head.write(&mut headers);
     let mut request = Request::builder()
@@ -265,7 +267,11 @@
         report: &AttemptReport,
     ) -> CallEnd {
         let mut splitter = EventSplitter::default();
-        let mut head_pushed = self.context.answer.last_event_id().is_some();
+        let passed = self.context.answer.last_event_id();
+        let resumed_after = passed.or(self.routed.last_event);
+        let mut order = EventOrder::after(resumed_after);
+        let mut head_pushed = passed.is_some();
+        let has_events = self.has_events();
         loop {
             let frame = match self.next_frame(&mut body, meter, report).await {
                 Ok(Some(frame)) => frame,
@@ -277,12 +283,21 @@
             };
             splitter.add(&bytes);
             for block in splitter.by_ref() {
+                let place = match has_events {
+                    true => block.place,
+                    false => EventPlace::Unnumbered,
+                };
+                if !order.accept(place) {
+                    self.context
+                        .log_incident(Incident::AnswerRejected, "event out of order");
+                    return CallEnd::Broken(meter.usage());
+                }
                 if !head_pushed {
                     self.push_head();
                     head_pushed = true;
                 }
                 report_step(meter.add_event(), report);
-                self.context.answer.push_event(block.bytes, block.id);
+                self.context.answer.push_event(block.bytes, place);
             }
             if splitter.rest_len() > MAX_BODY_BYTES {
                 self.context
@@ -293,7 +308,7 @@
         // A body without a declared length ends with its connection, also if
         // the target stops within an event. Forwarding the partial event would
         // make the answer look complete and prevent its resumption.
-        if splitter.is_in_event() && self.has_events() {
+        if splitter.is_in_event() && has_events {
             self.context
                 .log_incident(Incident::AnswerRejected, "stream ended inside an event");
             return CallEnd::Broken(meter.usage());
--- a/bergamotswitch-net/tests/event_blocks.rs
+++ b/bergamotswitch-net/tests/event_blocks.rs
@@ -1,9 +1,14 @@
 //! Tests of the splitting of event streams into complete events.
 
+use bergamotswitch_core::event_order::EventPlace;
 use bergamotswitch_net::target_client::event_blocks::{EventBlock, EventSplitter};
 
 const STREAM: &[u8] = b"\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda";
 
+fn numbered(id: &str) -> EventPlace {
+    EventPlace::Numbered(id.parse().expect("an id"))
+}
+
 /// Split the stream, fed in chunks of `chunk_len` bytes, and get its events and the
 /// remainder.
 fn split(chunk_len: usize) -> (Vec<EventBlock>, Vec<u8>) {
@@ -26,8 +31,11 @@
         b"data: c\n\n",
     ];
     assert_eq!(texts, expected);
-    let ids: Vec<Option<&str>> = found.iter().map(|block| block.id.as_deref()).collect();
-    assert_eq!(ids, [Some("1"), Some("2"), None]);
+    let places: Vec<EventPlace> = found.iter().map(|block| block.place).collect();
+    assert_eq!(
+        places,
+        [numbered("1"), numbered("2"), EventPlace::Unnumbered]
+    );
     assert_eq!(rest, b"id: 4\nda");
 }
 
@@ -51,7 +59,7 @@
     assert_eq!(splitter.take_rest().len(), 8);
     splitter.add(b"\n\nid: 2\n\n");
     let block = splitter.next().expect("an event");
-    assert_eq!(block.id.as_deref(), Some("2"));
+    assert_eq!(block.place, numbered("2"));
 }
 
 #[test]
@@ -70,3 +78,23 @@
         assert_eq!(splitter.is_in_event(), is_in_event, "{bytes:?}");
     }
 }
+
+// Guards against a stream that is resumed after an event whose id states no place, or that is
+// not resumed because of a comment.
+#[test]
+fn event_places() {
+    for (event, place) in [
+        ("weight-versions: 4\nid: 5\ndata: a\n\n", numbered("5")),
+        ("id:6\r\n\r\n", numbered("6")),
+        ("id:\ndata: a\n\n", EventPlace::Unnumbered),
+        ("id: a\ndata: a\n\n", EventPlace::Unnumbered),
+        ("data\n\n", EventPlace::Unnumbered),
+        (": id: 7\n\n", EventPlace::Empty),
+        ("retry: 10\n\n", EventPlace::Empty),
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.add(event.as_bytes());
+        let block = splitter.next().expect("an event");
+        assert_eq!(block.place, place, "{event:?}");
+    }
+}
--- a/bergamotswitch-net/tests/late_answers.rs
+++ b/bergamotswitch-net/tests/late_answers.rs
@@ -81,6 +81,7 @@
             account: None,
             deadline: Instant::now() + Duration::from_secs(10),
             is_stream: false,
+            last_event: None,
             start_timeout: None,
             gap_timeout: None,
         }),
