Resume no stream whose last events have no id

Callers saw pieces twice after a break: where the last events before it had no id, or one that is no number, the next run went on after the last event that had one, and repeated those behind it.

Cause: an event without an id left the id of an earlier one as the place from which to resume. It now takes that place away: the next run begins the stream anew, and a caller that has read a part of the first one gets a cut stream, as where no event has an id. Comments and other blocks without data change nothing.

--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -150,8 +150,11 @@
     /// Append an event of a stream. Another target may resume the stream after
     /// this event if it has an id.
     pub fn push_event(&self, bytes: Bytes, place: EventPlace) {
-        if let EventPlace::Numbered(id) = place {
-            lock(&self.log).last_event_id = Some(id);
+        match place {
+            EventPlace::Numbered(id) => lock(&self.log).last_event_id = Some(id),
+            // Resumed after an earlier event, the stream would repeat this one.
+            EventPlace::Unnumbered => lock(&self.log).last_event_id = None,
+            EventPlace::Empty => {}
         }
         self.push(AnswerPart::Data(bytes));
     }
@@ -163,7 +166,8 @@
         log.parts.iter().filter(data).count()
     }
 
-    /// Get the id of the last appended event.
+    /// Get the id of the last appended event, or `None` if no other target may
+    /// resume the stream.
     pub fn last_event_id(&self) -> Option<EventId> {
         lock(&self.log).last_event_id
     }
--- a/bergamotswitch/tests/broken_streams.rs
+++ b/bergamotswitch/tests/broken_streams.rs
@@ -55,6 +55,15 @@
     Never,
 }
 
+/// Which events of a run have an id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EventIds {
+    All,
+    None,
+    NotFirst,
+    OnlyFirst,
+}
+
 /// The event with which a run begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FirstEvent {
@@ -72,6 +81,7 @@
     framing: Framing,
     stop: StopPoint,
     resets: bool,
+    ids: EventIds,
     first: FirstEvent,
     content_type: &'static str,
     /// The pause after two events.
@@ -82,6 +92,7 @@
     framing: Framing::Chunked,
     stop: StopPoint::Never,
     resets: false,
+    ids: EventIds::All,
     first: FirstEvent::Next,
     content_type: "text/event-stream",
     pause: Duration::ZERO,
@@ -103,6 +114,12 @@
                 ],
             ),
             resets: rng.random_bool(0.5),
+            ids: match rng.random_range(0..6) {
+                0 => EventIds::None,
+                1 => EventIds::NotFirst,
+                2 => EventIds::OnlyFirst,
+                _ => EventIds::All,
+            },
             first: match rng.random_range(0..6) {
                 0 => FirstEvent::Repeated,
                 1 => FirstEvent::Restarted,
@@ -118,6 +135,19 @@
         self.framing == Framing::Unframed && is_between && !self.resets
     }
 
+    fn event(&self, number: u32, first: u32) -> String {
+        let has_id = match self.ids {
+            EventIds::All => true,
+            EventIds::None => false,
+            EventIds::NotFirst => number > first,
+            EventIds::OnlyFirst => number == first,
+        };
+        match has_id {
+            true => event_text(number),
+            false => format!("data: piece {number}\n\n"),
+        }
+    }
+
     /// Get the parts of the body that the target sends, each in a packet of its own, and the
     /// length of the whole body.
     fn parts(&self, last_event: Option<u32>) -> (Vec<String>, usize) {
@@ -126,7 +156,7 @@
             FirstEvent::Repeated => last_event.unwrap_or(1),
             FirstEvent::Restarted => 1,
         };
-        let events = (first..=EVENTS).map(event_text);
+        let events = (first..=EVENTS).map(|number| self.event(number, first));
         let mut events: Vec<String> = events.collect();
         let length = events.iter().map(String::len).sum();
         match self.stop {
@@ -459,6 +489,20 @@
     }
 }
 
+/// Guards against pieces that come twice because the last ones before a break had no id.
+#[tokio::test]
+async fn missing_ids() {
+    let first = RunScript {
+        ids: EventIds::OnlyFirst,
+        ..broken_after(3)
+    };
+    let answer = answer_to("unnumbered", &[first, WHOLE_RUN]).await;
+    // The host may drop pieces that the caller has not read.
+    let pieces = pieces(answer.text());
+    assert!([1, 2, 3].starts_with(&pieces), "{pieces:?}");
+    assert!(!answer.whole);
+}
+
 /// Guards against a resumed stream whose target answers from the start.
 #[tokio::test]
 async fn restarted_resumption() {
