Resume no stream with an answer of another kind

A caller got a piece of another body in the middle of its stream, with an end that looked whole: the answer of the second run, or the one to a caller's resumption, was no event stream, so bytes that form no event were passed on at its end.

Such an answer now counts as broken where a stream is resumed.

Evidence: other_content failed without the check (events 1 to 3, then "id: 4\ndata").

--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -272,6 +272,11 @@
         let mut order = EventOrder::after(resumed_after);
         let mut head_pushed = passed.is_some();
         let has_events = self.has_events();
+        if resumed_after.is_some() && !has_events {
+            self.context
+                .log_incident(Incident::AnswerRejected, "stream resumed without events");
+            return CallEnd::Broken(meter.usage());
+        }
         loop {
             let frame = match self.next_frame(&mut body, meter, report).await {
                 Ok(Some(frame)) => frame,
--- a/bergamotswitch/tests/broken_streams.rs
+++ b/bergamotswitch/tests/broken_streams.rs
@@ -465,6 +465,20 @@
     assert_sound(&streams, &run_all(&streams).await);
 }
 
+/// Guards against a resumed stream that ends with bytes of an answer of another kind.
+#[tokio::test]
+async fn other_content() {
+    let second = RunScript {
+        content_type: "text/html",
+        stop: StopPoint::Inside(0),
+        framing: Framing::Unframed,
+        ..WHOLE_RUN
+    };
+    let answer = answer_to("other", &[broken_after(3), second]).await;
+    assert_eq!(answer.text(), (1..=3).map(event_text).collect::<String>());
+    assert!(!answer.whole);
+}
+
 async fn answer_to(id: &str, runs: &[RunScript]) -> Answer {
     let site = ScriptedSite::start().await;
     site.answer(Call::stream(&format!("/draft/{id}"), id), id, runs)
