Drop all data after the first that exceeds an answer's limit

An answer that outgrew its limit could have a gap before it was cut: a large part was dropped, and a smaller one that still fitted was appended after it, until the event loop had heard of the drop and ended the answer.

Once data was dropped, none is appended any more.

--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -125,14 +125,18 @@
     }
 
     /// Append a part. A part after the last one ([`AnswerPart::is_last`]) is
-    /// dropped, as is data beyond the limit; the event loop is notified of the
-    /// first drop.
+    /// dropped, as is data from the first part on that exceeds the limit, of
+    /// which the event loop is notified.
     pub fn push(&self, part: AnswerPart) {
         let mut log = lock(&self.log);
         if log.is_over() {
             return;
         }
         if let AnswerPart::Data(data) = &part {
+            // Data that fits must not follow data that was dropped.
+            if log.overlong {
+                return;
+            }
             let bytes = log.bytes + data.len() + size_of::<AnswerPart>();
             if let Some(bound) = &self.bound
                 && bytes > bound.bytes
@@ -208,9 +212,6 @@
 }
 
 fn report_overlong(log: &mut AnswerLog, bound: &AnswerBound) {
-    if log.overlong {
-        return;
-    }
     log.overlong = true;
     // Sending fails only if the event loop has ended, when no caller waits for the
     // answer.
