Bind a reader to the attempt whose head it has returned

A reader that had returned the first part of an answer, but read none, went on with the parts of another attempt if the answer was cleared in between: the head of one run, with its signature, before the data of another.

The generation of the answer is now fixed by the first part that the reader returns in either way.

Not seen at real hosts, where the body is read in the same step as the head.

--- a/bergamotswitch-net/src/answer.rs
+++ b/bergamotswitch-net/src/answer.rs
@@ -99,7 +99,8 @@
     log: Arc<Mutex<AnswerLog>>,
     length: watch::Receiver<usize>,
     next: usize,
-    generation: u64,
+    /// The generation of the first part that was returned.
+    generation: Option<u64>,
 }
 
 fn lock(log: &Mutex<AnswerLog>) -> MutexGuard<'_, AnswerLog> {
@@ -206,7 +207,7 @@
             log: Arc::clone(&self.log),
             length: self.length.subscribe(),
             next: 0,
-            generation: 0,
+            generation: None,
         }
     }
 }
@@ -227,21 +228,20 @@
 impl AnswerReader {
     /// Wait for the next part and get it. Returns `None` after the last part,
     /// if the writer was dropped before the answer was complete, or if the
-    /// answer was cleared after a part was read: parts of another attempt must
-    /// not follow those already read. Use [`AnswerReader::collect`] for an
+    /// answer was cleared after a part was read or returned by
+    /// [`AnswerReader::wait_for_start`]: parts of another attempt must not
+    /// follow it. Use [`AnswerReader::collect`] for an
     /// answer that may still be cleared.
     pub async fn next(&mut self) -> Option<AnswerPart> {
         loop {
             self.length.mark_unchanged();
             {
                 let log = lock(&self.log);
-                if self.next == 0 {
-                    self.generation = log.generation;
-                }
-                if self.generation != log.generation {
+                if self.generation.is_some_and(|known| known != log.generation) {
                     return None;
                 }
                 if let Some(part) = log.parts.get(self.next) {
+                    self.generation = Some(log.generation);
                     self.next += 1;
                     return Some(part.clone());
                 }
@@ -265,9 +265,10 @@
             let first = {
                 let log = lock(&self.log);
                 let has_started = log.is_over() || is_ready(&log.parts);
-                has_started.then(|| log.parts.first().cloned())
+                has_started.then(|| (log.parts.first().cloned(), log.generation))
             };
-            if let Some(first) = first {
+            if let Some((first, generation)) = first {
+                self.generation = Some(generation);
                 return first;
             }
             if self.length.changed().await.is_err() {
