Blame no tunnel for a connection that its target ended

An answer that a target cut counted as a break of the tunnel that carried it: the target was not blamed, and the host with the tunnel was avoided. After the end or the reset by the target, the HTTP library closes the other direction of the tunnel, and the error of that use of an ended stream counted as one of the tunnel.

Only a broken connection between the hosts and a reset by the other host count now. What callers get is unchanged: such answers were never taken for whole.

Evidence: tunnelled_stream failed before in 16 cuts, by close and by reset, with each framing; the same cuts read directly had no fault but the answer that ends right after its head.

Ruled out: that the reset of the direction to the target overtakes the end of the answer (no whole answer was cut in 31 runs without waiting for it).

--- a/bergamotswitch-net/src/tunnel/stream.rs
+++ b/bergamotswitch-net/src/tunnel/stream.rs
@@ -36,9 +36,11 @@
     }
 
     /// Convert an error of the tunnel. Only a reset that the target caused says
-    /// something about the target.
+    /// something about the target, and the use of a tunnel that has ended says
+    /// nothing about its end.
     fn convert(&self, error: h2::Error) -> io::Error {
-        if error.reason() != Some(TARGET_RESET) {
+        let is_cut = error.is_io() || error.is_go_away() || error.is_reset();
+        if is_cut && error.reason() != Some(TARGET_RESET) {
             self.health.mark_broken();
         }
         io::Error::new(io::ErrorKind::ConnectionReset, error)
