Forward only complete events of another host's stream

A caller whose stream is held by another host could get half an event and, in its place, the error that ends the stream: where the holder broke off inside an event, the error was appended to it and read as a part of its data, so that the caller saw an unreadable piece and no error.

The stream is now split into events as the one of a target is, and a partial one is dropped. The stream had no end mark before either, so it did not look whole.

Evidence: holder_connection_lost, extended by a chunk that ends inside an event, failed before.

--- a/bergamotswitch-net/src/caller/early_answer.rs
+++ b/bergamotswitch-net/src/caller/early_answer.rs
@@ -6,6 +6,7 @@
 
 use bergamotswitch_core::entry::Submission;
 use bergamotswitch_core::host::HostIncarnation;
+use bytes::Bytes;
 use futures_util::stream::{self, BoxStream, StreamExt};
 use http::header;
 use http_body_util::{BodyExt, BodyStream};
@@ -22,6 +23,7 @@
 use super::submit::{CheckedCall, SubmittedCall, submit};
 use crate::answer::AnswerPart;
 use crate::follower::{AnswerFollower, has_output};
+use crate::target_client::event_blocks::EventSplitter;
 
 /// Get whether the caller must receive this host's incarnation before the
 /// request can be dispatched.
@@ -133,12 +135,18 @@
     }
 }
 
-/// Get the frames of a forwarded stream. If the connection fails, the last
-/// event is an error, so that the caller does not take the answer for complete.
+/// Get the complete events of a forwarded stream. If the connection fails, the
+/// last event is an error, so that the caller does not take the answer for
+/// complete.
 fn forwarded_stream(body: Incoming) -> BoxStream<'static, EventBytes> {
-    let frames = BodyStream::new(body).map(|frame| match frame {
-        Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
+    let mut splitter = EventSplitter::default();
+    let events = BodyStream::new(body).map(move |frame| match frame {
+        Ok(frame) => {
+            splitter.add(&frame.into_data().unwrap_or_default());
+            let events: Vec<Bytes> = splitter.by_ref().map(|event| event.bytes).collect();
+            Ok(Bytes::from(events.concat()))
+        }
         Err(_) => Ok(error_event(&answer_dropped().json_text())),
     });
-    frames.boxed()
+    events.boxed()
 }
--- a/bergamotswitch-net/tests/caller_requests/forwarding.rs
+++ b/bergamotswitch-net/tests/caller_requests/forwarding.rs
@@ -137,10 +137,9 @@
     assert!(page.contains("bergamot_forwards_total{reached=\"no\"} 4"));
 }
 
-#[tokio::test]
-async fn holder_connection_lost() {
-    // Guards against a truncated stream that looks complete: the holder fails
-    // in the middle of a stream that is forwarded behind an early head.
+/// Get the text that a caller receives if the holder of its stream fails after
+/// this chunk, while the stream is forwarded behind an early head.
+async fn text_before_loss(chunk: &'static str) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
@@ -151,18 +150,30 @@
         while !request.ends_with(b"}") {
             stream.read_buf(&mut request).await.expect("a request");
         }
-        let part = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-                    transfer-encoding: chunked\r\n\r\na\r\ndata: {}\n\n\r\n";
+        let part = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\n\r\n{:x}\r\n{chunk}\r\n",
+            chunk.len()
+        );
         stream.write_all(part.as_bytes()).await.expect("written");
     });
     let mut host = FakeHost::ready("sanjuan-1", &[("mza-norte-1", address)]);
     let fields = [("idempotency-key", "fall-7"), ("bergamot-work", "report")];
     let call = spawn_call(host.server.address(), chat(true, &fields));
     reply_forward(&mut host, &incarnation_of("mza-norte-1")).await;
-    let text = call.await.expect("an answer").text;
-    assert!(text.contains("data: {}\n\nevent: error\ndata: {"), "{text}");
-    assert!(text.contains("\"lost\"") && text.contains("\"unknown\""));
-    assert!(!text.contains("[DONE]"));
+    call.await.expect("an answer").text
+}
+
+// Guards against a truncated stream that looks complete, and against an error
+// that is read as a part of the event in which the stream was cut.
+#[tokio::test]
+async fn holder_connection_lost() {
+    for chunk in ["data: {}\n\n", "data: {}\n\ndata: {\"id\":"] {
+        let text = text_before_loss(chunk).await;
+        assert!(text.contains("data: {}\n\nevent: error\ndata: {"), "{text}");
+        assert!(text.contains("\"lost\"") && text.contains("\"unknown\""));
+        assert!(!text.contains("[DONE]"));
+    }
 }
 
 // Guards against a cut answer of a holder that the caller gets as a whole one.
