Take no answer without content for whole where a close ends it

Cause: an answer with neither a length nor chunks ends with its connection, and a close right after the head is that end. The check for a stream that ends inside an event found none, as there was none.

Change: AnswerFraming::is_whole in the core: an answer that only its connection ends is whole if it has content, which for a stream is an event with an id or data; comments and blank lines are none. Otherwise the call may have run: it is repeated where that is allowed, and its caller gets 502 or a cut stream. Answers with a length or chunks may be empty as before.

What stays open: a plain body, and a stream between two events, that a close ends early look like whole ones; only the target could tell them apart.

The calls of cut_answers name the last event that a caller has, too.

--- a/bergamotswitch-core/src/target_answer.rs
+++ b/bergamotswitch-core/src/target_answer.rs
@@ -171,6 +171,17 @@
     pub fn has_marked_end(self) -> bool {
         matches!(self, AnswerFraming::Bodiless | AnswerFraming::Delimited)
     }
+
+    /// Get whether an answer whose body ended without an error is whole. A stream has
+    /// content once it has a complete event. An answer without content that ends with its
+    /// connection may have been cut after its head.
+    pub fn is_whole(self, has_content: bool) -> bool {
+        match self {
+            AnswerFraming::Bodiless | AnswerFraming::Delimited => true,
+            AnswerFraming::ConnectionEnd => has_content,
+            AnswerFraming::Unsupported => false,
+        }
+    }
 }
 
 fn is_chunked(coding: &[u8]) -> bool {
--- a/bergamotswitch-core/tests/answer_framing.rs
+++ b/bergamotswitch-core/tests/answer_framing.rs
@@ -47,3 +47,15 @@
     assert_eq!(framing, AnswerFraming::Bodiless);
     assert!(framing.has_marked_end());
 }
+
+// Guards against an answer that was cut after its head and looks whole.
+#[test]
+fn empty_bodies() {
+    for has_content in [false, true] {
+        assert!(AnswerFraming::Bodiless.is_whole(has_content));
+        assert!(AnswerFraming::Delimited.is_whole(has_content));
+        assert!(!AnswerFraming::Unsupported.is_whole(has_content));
+    }
+    assert!(AnswerFraming::ConnectionEnd.is_whole(true));
+    assert!(!AnswerFraming::ConnectionEnd.is_whole(false));
+}
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -8,7 +8,7 @@
 use bergamotswitch_core::entry::AttemptEvent;
 use bergamotswitch_core::event_order::{EventId, EventOrder, EventPlace};
 use bergamotswitch_core::incident::Incident;
-use bergamotswitch_core::target_answer::{AnswerHead, AnswerUse};
+use bergamotswitch_core::target_answer::{AnswerFraming, AnswerHead, AnswerUse};
 use bergamotswitch_platform::answer::{self, TargetAnswer};
 use bergamotswitch_platform::outgoing::OutgoingHead;
 use http::response::Parts;
@@ -139,7 +139,7 @@
     let FirstResponse {
         connection,
         response,
-        ..
+        framing,
     } = first;
     let (head, body) = response.into_parts();
     let found = TargetAnswer::read(head.status, &head.headers, &routed.request_id);
@@ -164,6 +164,7 @@
         context,
         routed,
         connection,
+        framing,
         head,
         idle_timeout: found.idle_timeout,
     };
@@ -224,6 +225,7 @@
     context: &'c CallContext,
     routed: &'c RoutedCall,
     connection: TargetConnection,
+    framing: AnswerFraming,
     head: Parts,
     idle_timeout: Option<Duration>,
 }
@@ -245,6 +247,11 @@
                 .log_incident(Incident::AnswerRejected, "answer truncated");
             return CallEnd::Broken(meter.usage());
         };
+        if !self.framing.is_whole(!bytes.is_empty()) {
+            self.context
+                .log_incident(Incident::AnswerRejected, "answer ended after its head");
+            return CallEnd::Broken(meter.usage());
+        }
         let success = self.head.status.is_success();
         if !has_started {
             report_step(meter.add_plain(), report);
@@ -272,6 +279,7 @@
         let mut order = EventOrder::after(resumed_after);
         let mut head_pushed = passed.is_some();
         let has_events = self.has_events();
+        let mut has_content = false;
         if resumed_after.is_some() && !has_events {
             self.context
                 .log_incident(Incident::AnswerRejected, "stream resumed without events");
@@ -297,6 +305,7 @@
                         .log_incident(Incident::AnswerRejected, "event out of order");
                     return CallEnd::Broken(meter.usage());
                 }
+                has_content |= place != EventPlace::Empty;
                 if !head_pushed {
                     self.push_head();
                     head_pushed = true;
@@ -318,10 +327,18 @@
                 .log_incident(Incident::AnswerRejected, "stream ended inside an event");
             return CallEnd::Broken(meter.usage());
         }
+        let rest = splitter.take_rest();
+        has_content |= !has_events && !rest.is_empty();
+        if !self.framing.is_whole(has_content) {
+            self.context.log_incident(
+                Incident::AnswerRejected,
+                "stream ended before its first event",
+            );
+            return CallEnd::Broken(meter.usage());
+        }
         if !head_pushed {
             self.push_head();
         }
-        let rest = splitter.take_rest();
         if !rest.is_empty() {
             self.context.answer.push(AnswerPart::Data(rest));
         }
--- a/bergamotswitch-net/tests/cut_answers.rs
+++ b/bergamotswitch-net/tests/cut_answers.rs
@@ -266,6 +266,7 @@
         account: None,
         deadline: Instant::now() + Duration::from_secs(10),
         is_stream: false,
+        last_event: None,
         start_timeout: None,
         gap_timeout: None,
     };
