Keep no removed target beyond its grace, whoever passes it on

Cause: after a failed call to the store a host keeps the entries that the store has removed for 2.2 s, as live targets that missed their heartbeats are back by then. The list that it published did not say so. A host that adopted the list took these entries for registered ones as of that position, skipped their removal in its own watch as known, and published them in turn, also to the host that had dropped them: nothing removed them until the next full read. Besides, one failed call was enough: a watch that was cut, which the store may do at any time, let a target removed at that moment be used for 2.2 s, longer than the 2 s that are allowed.

Evidence: target_register's adopted_expired (a second host still lists the target after its grace) and cut_watch fail before.

Change: the list names the entries that are kept, so that a host that adopts it keeps them as long as from first hearing of them, and one that has dropped them does not take them back. Hosts of earlier releases read the list as before. Entries are kept only if the host had no answer of the store for 2 s or more: before, no live target's entry can have expired.

The test expired_entries asked that the list is the same after the removal; it now asks that it names both entries as removed, and else the same.

--- a/bergamotswitch-core/src/target_list.rs
+++ b/bergamotswitch-core/src/target_list.rs
@@ -20,6 +20,11 @@
 /// Without this period, all requests would be refused until then.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2_200);
 
+/// The shortest time without a read in which the entries of live targets may have expired:
+/// they do so after three missed heartbeats. After a shorter one, such as a single watch
+/// that was cut, a removal is what it says.
+const MIN_OUTAGE: Duration = Duration::from_millis(2_000);
+
 /// The number of published revisions per revision of the store: one for the list
 /// as read, and one for the list after expired entries were dropped.
 const STEPS_PER_REVISION: u64 = 2;
@@ -138,6 +143,10 @@
 pub struct TargetList {
     /// The entries.
     pub targets: Vec<TargetEntry>,
+    /// The names of those that the store has removed and that are kept for a while after an
+    /// outage.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub expired: Vec<TargetName>,
 }
 
 impl TargetList {
@@ -175,6 +184,8 @@
     expired_dropped: bool,
     /// Whether the last call to the store failed.
     failing: bool,
+    /// When this host last read the store itself.
+    read_at: Option<Moment>,
     keep_expired_until: Moment,
 }
 
@@ -185,17 +196,38 @@
         if as_of <= self.as_of {
             return;
         }
-        let kept: BTreeSet<&TargetName> = list.targets.iter().map(|entry| &entry.name).collect();
-        let gone = self.entries.keys().filter(|name| !kept.contains(name));
-        self.removed.extend(gone.map(|name| (name.clone(), now)));
-        self.removed.retain(|name, _| !kept.contains(name));
         self.as_of = as_of;
         self.expired_dropped = !revision.0.is_multiple_of(STEPS_PER_REVISION);
-        self.expired.clear();
-        let entries = list.targets.iter();
-        self.entries = entries
+        let (expired, registered): (Vec<_>, Vec<_>) = list
+            .targets
+            .iter()
             .map(|entry| (entry.name.clone(), entry.clone()))
+            .partition(|(name, _)| list.expired.contains(name));
+        let entries = std::mem::replace(&mut self.entries, registered.into_iter().collect());
+        self.adopt_expired(now, expired);
+        let gone = entries.into_keys();
+        let gone = gone.filter(|name| !self.entries.contains_key(name));
+        self.removed.extend(gone.map(|name| (name, now)));
+        let entries = &self.entries;
+        self.removed.retain(|name, _| !entries.contains_key(name));
+    }
+
+    /// Keep the entries that another host keeps after an outage, for no longer than from
+    /// when they were first heard of, and none that this host has dropped already.
+    fn adopt_expired(&mut self, now: Moment, expired: Vec<(TargetName, TargetEntry)>) {
+        let known = std::mem::take(&mut self.expired);
+        let is_usable =
+            |name: &TargetName| known.contains_key(name) || !self.removed.contains_key(name);
+        self.expired = expired
+            .into_iter()
+            .filter(|(name, _)| is_usable(name))
             .collect();
+        if known.is_empty() && !self.expired.is_empty() {
+            self.keep_expired_until = self.keep_expired_until.max(now.plus(EXPIRY_GRACE));
+        }
+        let names = self.expired.keys();
+        let names = names.filter(|name| !known.contains_key(*name));
+        self.removed.extend(names.map(|name| (name.clone(), now)));
     }
 
     /// Record that a call to the store failed.
@@ -205,7 +237,9 @@
 
     /// Apply an update of the store; get whether the list has changed.
     pub fn apply(&mut self, now: Moment, update: TargetUpdate) -> bool {
-        if std::mem::take(&mut self.failing) {
+        let read_at = self.read_at.replace(now);
+        let was_away = read_at.is_none_or(|at| now.since(at) >= MIN_OUTAGE);
+        if std::mem::take(&mut self.failing) && was_away {
             self.keep_expired_until = now.plus(EXPIRY_GRACE);
         }
         let before = self.list();
@@ -249,6 +283,7 @@
         let entries = self.entries.values().chain(self.expired.values());
         TargetList {
             targets: entries.cloned().collect(),
+            expired: self.expired.keys().cloned().collect(),
         }
     }
 
--- a/bergamotswitch-core/tests/cold_table.rs
+++ b/bergamotswitch-core/tests/cold_table.rs
@@ -58,6 +58,7 @@
 fn list(entry: TargetEntry) -> TargetList {
     TargetList {
         targets: vec![entry],
+        ..TargetList::default()
     }
 }
 
--- a/bergamotswitch-core/tests/quota_fleet/domains.rs
+++ b/bergamotswitch-core/tests/quota_fleet/domains.rs
@@ -63,7 +63,10 @@
             targets[*index].warming_ms = *warming_ms;
             targets[*index].warming_revision = *revision;
         }
-        TargetList { targets }
+        TargetList {
+            targets,
+            ..TargetList::default()
+        }
     }
 
     /// Publish that these targets remain cold for this long; 0 if they are warm.
--- a/bergamotswitch-core/tests/stop_returns.rs
+++ b/bergamotswitch-core/tests/stop_returns.rs
@@ -105,6 +105,7 @@
     };
     let targets = TargetList {
         targets: vec![target],
+        ..TargetList::default()
     };
     let body = match value.as_str() {
         ROUTES_VALUE => serde_json::to_string(&routes),
--- a/bergamotswitch-core/tests/target_register.rs
+++ b/bergamotswitch-core/tests/target_register.rs
@@ -75,8 +75,10 @@
     let mut register = TargetRegister::default();
     register.apply(at(0), snapshot(&["a", "b"], 10));
     register.record_failure();
-    assert!(!register.apply(at(5_000), snapshot(&[], 14)));
+    // The list keeps both, and says that they are removed.
+    assert!(register.apply(at(5_000), snapshot(&[], 14)));
     assert_eq!(names(&register), ["a", "b"]);
+    assert_eq!(register.list().expired.len(), 2);
     // One target registers again, the other does not.
     let recovered = TargetUpdate::Changes {
         changes: vec![(position(15), TargetChange::Set(entry("a")))],
@@ -103,6 +105,44 @@
     assert_eq!(names(&other), ["b"]);
 }
 
+/// Guards against a target that stays although the store has removed it: a host that adopts
+/// another's list must not take an entry that is kept after an outage for a registered one.
+#[test]
+fn adopted_expired() {
+    let mut reader = read_up_to(10, &["a", "b"]);
+    let mut other = read_up_to(10, &["a", "b"]);
+    reader.record_failure();
+    reader.apply(at(5_000), removed("b", 14));
+    other.adopt(at(5_010), reader.revision(), &reader.list());
+    assert_eq!(names(&other), ["a", "b"]);
+    // The other host's own watch has the removal as well.
+    other.apply(at(5_020), removed("b", 14));
+    other.apply(at(5_030), set(entry("a"), position(15)));
+    // Hearing of the entry again does not keep it longer.
+    reader.apply(at(6_000), set(entry("a"), position(16)));
+    other.adopt(at(6_010), reader.revision(), &reader.list());
+    assert!(reader.drop_expired(at(7_300)));
+    assert!(other.drop_expired(at(7_300)));
+    assert_eq!(names(&other), ["a"]);
+    // A host that has dropped the entry does not take it back.
+    let mut late = read_up_to(10, &["a", "b"]);
+    late.record_failure();
+    late.apply(at(7_200), removed("b", 14));
+    late.apply(at(7_300), set(entry("a"), position(17)));
+    reader.adopt(at(7_310), late.revision(), &late.list());
+    assert_eq!(names(&reader), ["a"]);
+}
+
+/// Guards against a target that is used on after its removal because a watch was cut just
+/// before, although the store was not away long enough for live targets to expire.
+#[test]
+fn cut_watch() {
+    let mut register = read_up_to(10, &["a", "b"]);
+    register.record_failure();
+    assert!(register.apply(at(1_700), removed("b", 11)));
+    assert_eq!(names(&register), ["a"]);
+}
+
 fn started(name: &str, start: u64, port: u16) -> TargetEntry {
     TargetEntry {
         started_at_ms: Some(start),
