Check that a target is still there where a close ends its answer

Cause: the system closes the connections of a killed process as the process itself does at the end of such an answer. Where it was killed between two events, nothing in the bytes shows that events are missing.

Change: an answer that only its connection ends is whole if the target still accepts a connection; the connection is kept for the next call. Otherwise the call may have run, and a stream that may be resumed goes on elsewhere. A killed process accepts none. Answers with a length or chunks are not checked, nor kept waiting.

Ruled out: waiting for the store to drop the target, which takes seconds.

What stays open: a target that goes on and closes between two events, and one that is killed and back at its address within the round trip.

--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -230,6 +230,16 @@
         }
     }
 
+    /// Get whether the target accepts a new connection, which is kept for the next call.
+    pub async fn accepts_connections(&self) -> bool {
+        let Some(mut connection) = self.dial().await else {
+            return false;
+        };
+        connection.ready().await;
+        self.idle_connections.keep(connection, &self.options, None);
+        true
+    }
+
     async fn dial(&self) -> Option<TargetConnection> {
         let address = self.target.address;
         let within = self.route.connect_within;
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Wait until the connection takes a request or has failed.
+    pub(super) async fn ready(&mut self) {
+        // A failed connection is not reused.
+        let _ = self.sender.ready().await;
+    }
+
     /// Get whether the connection has carried requests before.
     pub(super) fn connection_use(&self) -> ConnectionUse {
         self.history.connection_use()
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -247,9 +247,7 @@
                 .log_incident(Incident::AnswerRejected, "answer truncated");
             return CallEnd::Broken(meter.usage());
         };
-        if !self.framing.is_whole(!bytes.is_empty()) {
-            self.context
-                .log_incident(Incident::AnswerRejected, "answer ended after its head");
+        if !self.is_whole(!bytes.is_empty()).await {
             return CallEnd::Broken(meter.usage());
         }
         let success = self.head.status.is_success();
@@ -329,11 +327,7 @@
         }
         let rest = splitter.take_rest();
         has_content |= !has_events && !rest.is_empty();
-        if !self.framing.is_whole(has_content) {
-            self.context.log_incident(
-                Incident::AnswerRejected,
-                "stream ended before its first event",
-            );
+        if !self.is_whole(has_content).await {
             return CallEnd::Broken(meter.usage());
         }
         if !head_pushed {
@@ -346,6 +340,20 @@
         CallEnd::Finished(meter.usage())
     }
 
+    /// Get whether an answer whose body ended without an error is whole. A process that is
+    /// killed closes its connections as one that has sent its answer does.
+    async fn is_whole(&self, has_content: bool) -> bool {
+        let cause = match self.framing {
+            framing if !framing.is_whole(has_content) => "answer ended without content",
+            AnswerFraming::ConnectionEnd if !self.context.accepts_connections().await => {
+                "target gone at the end of its answer"
+            }
+            _ => return true,
+        };
+        self.context.log_incident(Incident::AnswerRejected, cause);
+        false
+    }
+
     /// Get whether the body is an event stream. A missing content type counts
     /// as one.
     fn has_events(&self) -> bool {
--- a/bergamotswitch/tests/unframed_answers.rs
+++ b/bergamotswitch/tests/unframed_answers.rs
@@ -76,3 +76,22 @@
         assert!(!answer.whole || answer.status == StatusCode::BAD_GATEWAY);
     }
 }
+
+/// Guards against an answer that looks whole although its target was killed while it sent it.
+#[tokio::test]
+async fn killed_target() {
+    let events: String = (1..=3).map(event_text).collect();
+    for (body, call) in [
+        (events, Call::stream("/once/1", "r-1")),
+        (
+            "from r".to_owned(),
+            Call::new("POST", "/receipt/1", "r-1").body("some"),
+        ),
+    ] {
+        let target = RawTarget::start_until("200 OK", &format!("\r\n{body}"), 1).await;
+        let targets = [&target];
+        let site = raw_site(&targets).await;
+        let answer = answer_after_run(&site, &targets, &call).await;
+        assert!(!answer.whole || answer.status == StatusCode::BAD_GATEWAY);
+    }
+}
--- a/bergamotswitch/tests/users/raw_target.rs
+++ b/bergamotswitch/tests/users/raw_target.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::{Answer, Call, Site, SiteOptions, until};
 
@@ -23,28 +23,24 @@
     /// Start a target that answers with this status line, these fields, and all that follows
     /// them.
     pub async fn start(status: &str, rest: &str) -> Self {
+        RawTarget::start_until(status, rest, usize::MAX).await
+    }
+
+    /// Start a target that accepts no connection from when it has this number of calls.
+    pub async fn start_until(status: &str, rest: &str, most_calls: usize) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let runs = Arc::new(Mutex::new(Vec::new()));
         let (status, rest) = (status.to_owned(), rest.to_owned());
         let known = Arc::clone(&runs);
         tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
+            for _ in 0..most_calls {
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
                 let (status, rest) = (status.clone(), rest.clone());
                 let runs = Arc::clone(&known);
-                tokio::spawn(async move {
-                    let mut bytes = vec![0; 16_384];
-                    let count = stream.read(&mut bytes).await.unwrap_or(0);
-                    let head = String::from_utf8_lossy(&bytes[..count]).to_lowercase();
-                    let id = head.split("request-id: ").nth(1).unwrap_or_default();
-                    let id = id.lines().next().unwrap_or_default();
-                    runs.lock().expect("no panic").push(id.to_owned());
-                    let head = format!(
-                        "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nResponse-Seal: {SEAL}\r\n"
-                    );
-                    // The host may have left.
-                    let _ = stream.write_all(format!("{head}{rest}").as_bytes()).await;
-                });
+                tokio::spawn(answer_call(stream, status, rest, runs));
             }
         });
         RawTarget { address, runs }
@@ -57,6 +53,24 @@
     }
 }
 
+/// Answer one call.
+async fn answer_call(
+    mut stream: TcpStream,
+    status: String,
+    rest: String,
+    runs: Arc<Mutex<Vec<String>>>,
+) {
+    let mut bytes = vec![0; 16_384];
+    let count = stream.read(&mut bytes).await.unwrap_or(0);
+    let head = String::from_utf8_lossy(&bytes[..count]).to_lowercase();
+    let id = head.split("request-id: ").nth(1).unwrap_or_default();
+    let id = id.lines().next().unwrap_or_default();
+    runs.lock().expect("no panic").push(id.to_owned());
+    let head = format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nResponse-Seal: {SEAL}\r\n");
+    // The host may have left.
+    let _ = stream.write_all(format!("{head}{rest}").as_bytes()).await;
+}
+
 /// Start a site whose only targets are these.
 pub async fn raw_site(targets: &[&RawTarget]) -> Site {
     let site = Site::start_with(SiteOptions {
