Test cut answers to routed calls and to HEAD

The table of cut_answers now also plays answers to routed calls, answers to HEAD, which end with their head, and a target that stops before the last byte of a body. An answer without a length or chunks whose target closes inside the body is the one kind that may pass: nothing tells it from a whole one, and a target may answer so.

--- a/bergamotswitch-net/tests/cut_answers.rs
+++ b/bergamotswitch-net/tests/cut_answers.rs
@@ -63,13 +63,15 @@
     InsideHead,
     AfterHead,
     InsideBody,
+    BeforeLastByte,
     AfterBody,
 }
 
-const MOMENTS: [Moment; 4] = [
+const MOMENTS: [Moment; 5] = [
     Moment::InsideHead,
     Moment::AfterHead,
     Moment::InsideBody,
+    Moment::BeforeLastByte,
     Moment::AfterBody,
 ];
 
@@ -83,6 +85,7 @@
 #[derive(Clone, Copy, Debug)]
 struct CutAnswer {
     kind: CallKind,
+    is_head_call: bool,
     status: u16,
     framing: Framing,
     moment: Moment,
@@ -97,23 +100,27 @@
             for framing in FRAMINGS {
                 for moment in MOMENTS {
                     for stop in [Stop::Close, Stop::Reset] {
-                        answers.push(CutAnswer {
-                            kind,
-                            status,
-                            framing,
-                            moment,
-                            stop,
-                        });
+                        for is_head_call in [false, true] {
+                            answers.push(CutAnswer {
+                                kind,
+                                is_head_call,
+                                status,
+                                framing,
+                                moment,
+                                stop,
+                            });
+                        }
                     }
                 }
             }
         }
+        answers.retain(|answer| answer.kind != CallKind::Engine || !answer.is_head_call);
         answers.retain(|answer| answer.has_body() || answer.moment <= Moment::AfterHead);
         answers
     }
 
     fn has_body(&self) -> bool {
-        !matches!(self.status, 101 | 204 | 304)
+        !self.is_head_call && !matches!(self.status, 101 | 204 | 304)
     }
 
     fn is_closed_by_connection(&self) -> bool {
@@ -143,6 +150,7 @@
             Moment::InsideHead => head.len() - 2,
             Moment::AfterHead => head.len(),
             Moment::InsideBody => head.len() + body.len() / 2,
+            Moment::BeforeLastByte => head.len() + body.len() - 1,
             Moment::AfterBody => head.len() + body.len(),
         };
         format!("{head}{body}").into_bytes()[..length].to_vec()
@@ -150,13 +158,16 @@
 
     /// Get whether the caller may receive the answer as a whole one.
     fn may_pass(&self) -> bool {
-        if self.status == 101 || self.moment == Moment::InsideHead {
+        // The status promises that the call did not run, which the answer does not state.
+        let is_false_promise =
+            self.kind == CallKind::Routed && matches!(self.status, 408 | 421 | 429 | 503);
+        if self.status == 101 || self.moment == Moment::InsideHead || is_false_promise {
             return false;
         }
         if !self.has_body() {
             return true;
         }
-        let is_whole = match self.framing {
+        match self.framing {
             Framing::Coded | Framing::CodedChunks => false,
             Framing::Neither | Framing::OldNeither => {
                 // Inside the body, a close does not tell a cut answer from a whole one.
@@ -167,11 +178,7 @@
             Framing::Length | Framing::Chunked | Framing::OldLength => {
                 self.moment == Moment::AfterBody
             }
-        };
-        // The status promises that the call did not run, which the answer does not state.
-        let is_false_promise =
-            self.kind == CallKind::Routed && matches!(self.status, 408 | 421 | 429 | 503);
-        is_whole && !is_false_promise
+        }
     }
 
     /// Get whether the answer is whole and says so, and must be passed on.
@@ -257,7 +264,7 @@
     }
 }
 
-fn call_of(kind: CallKind) -> OutgoingCall {
+fn call_to(answer: CutAnswer) -> OutgoingCall {
     let mut fields = HeaderMap::new();
     fields.insert("request-id", CALL_ID.parse().expect("an id"));
     let routed = RoutedCall {
@@ -271,8 +278,11 @@
         gap_timeout: None,
     };
     OutgoingCall {
-        routed: (kind == CallKind::Routed).then_some(routed),
-        method: Method::GET,
+        routed: (answer.kind == CallKind::Routed).then_some(routed),
+        method: match answer.is_head_call {
+            true => Method::HEAD,
+            false => Method::GET,
+        },
         path: "/receipts/1".to_owned(),
         content_type: String::new(),
         body: Bytes::new(),
@@ -295,7 +305,7 @@
             connect_within: Some(Duration::from_secs(5)),
         };
         let (_, writer): (_, AnswerWriter) =
-            harness.start_on(&target, pool_kind, &call_of(kind), route);
+            harness.start_on(&target, pool_kind, &call_to(answer), route);
         let events = harness.events().await;
         let end = events.last().expect("an end");
         if let Some(fault) = answer.fault(end, &parts_of(writer).await) {
@@ -324,6 +334,12 @@
     check(&mut harness, &path, kind).await;
 }
 
+// Guards against a cut answer to a routed call that looks whole, or reads as "not run".
+#[tokio::test]
+async fn routed_answers() {
+    check_direct(CallKind::Routed).await;
+}
+
 // Guards against a cut answer of a plain service that looks whole, or reads as "not run".
 #[tokio::test]
 async fn plain_answers() {
@@ -336,6 +352,12 @@
     check_direct(CallKind::Engine).await;
 }
 
+// Guards against a reset that a tunnel passes on as the end of a routed call's answer.
+#[tokio::test]
+async fn tunnelled_answers() {
+    check_tunnelled(CallKind::Routed).await;
+}
+
 // Guards against a reset that a tunnel passes on as the end of a plain service's answer.
 #[tokio::test]
 async fn tunnelled_plain() {
