--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -17,7 +17,7 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::CallRoute;
 use super::attempt_report::{StepSender, log_incident};
@@ -36,6 +36,10 @@
 /// The timeout for the body of an error answer.
 const ERROR_BODY_WAIT: Duration = Duration::from_secs(5);
 
+/// How long a new connection stays open if a process has accepted it. When a process is
+/// killed, its listener may close after its connections, and resets those that wait then.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// The header by which answers are matched to requests.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
@@ -232,12 +236,13 @@
 
     /// Get whether the target accepts a new connection, which is kept for the next call.
     pub async fn accepts_connections(&self) -> bool {
-        let Some(mut connection) = self.dial().await else {
+        let Some(connection) = self.dial().await else {
             return false;
         };
-        connection.ready().await;
+        sleep(SETTLE_TIME).await;
+        let is_open = connection.is_idle();
         self.idle_connections.keep(connection, &self.options, None);
-        true
+        is_open
     }
 
     async fn dial(&self) -> Option<TargetConnection> {
--- a/bergamotswitch-net/src/target_client/connection.rs
+++ b/bergamotswitch-net/src/target_client/connection.rs
@@ -180,12 +180,6 @@
         }
     }
 
-    /// Wait until the connection takes a request or has failed.
-    pub(super) async fn ready(&mut self) {
-        // A failed connection is not reused.
-        let _ = self.sender.ready().await;
-    }
-
     /// Get whether the connection has carried requests before.
     pub(super) fn connection_use(&self) -> ConnectionUse {
         self.history.connection_use()
@@ -196,7 +190,8 @@
         self.history.record_rejection(request_id);
     }
 
-    fn is_idle(&self) -> bool {
+    /// Get whether the connection is open and takes a request.
+    pub(super) fn is_idle(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
 }
