Take only a refused connection for the end of a target

Callers whose target was there could lose a whole answer with neither a length nor chunks: any connection that failed counted as proof that the target had gone, also one that timed out on a lost path or that a stopping host of a tunnel turned away. It blamed the target and the call as a crash does, too.

Cause: the check asked whether a connection is made, not whether anything listens. A killed process on a live machine refuses at once.

Change: only a refused connection shows that the target is gone. One that is reset, as by a listener that closes after the connections of its process, or by a full target, is tried once more. The connection is closed and not kept, as it could hold a slot. A host of a tunnel tells a refused connection (502) from one that timed out (504) and from its own stop (503).

--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -36,9 +36,11 @@
 /// The timeout for the body of an error answer.
 const ERROR_BODY_WAIT: Duration = Duration::from_secs(5);
 
-/// How long a new connection stays open if a process has accepted it. When a process is
-/// killed, its listener may close after its connections, and resets those that wait then.
+/// How long a new connection stays open if a process accepts it, and how often one that
+/// does not is tried. When a process is killed, its listener may close after its
+/// connections, and then resets those that wait. A full target resets new ones, too.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
+const LISTENER_CHECKS: usize = 2;
 
 /// The header by which answers are matched to requests.
 pub(super) const REQUEST_ID: &str = "x-request-id";
@@ -234,31 +236,25 @@
         }
     }
 
-    /// Get whether the target accepts a new connection, which is kept for the next call.
-    pub async fn accepts_connections(&self) -> bool {
-        let Some(connection) = self.dial().await else {
-            return false;
-        };
-        sleep(SETTLE_TIME).await;
-        let is_open = connection.is_idle();
-        self.idle_connections.keep(connection, &self.options, None);
-        is_open
+    /// Get whether the target's process has ended: nothing listens at its address. A path
+    /// that is lost says nothing about the target.
+    pub async fn is_target_gone(&self) -> bool {
+        for _ in 0..LISTENER_CHECKS {
+            match self.try_dial().await {
+                Ok(connection) => {
+                    sleep(SETTLE_TIME).await;
+                    if connection.is_idle() {
+                        return false;
+                    }
+                }
+                Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+            }
+        }
+        false
     }
 
     async fn dial(&self) -> Option<TargetConnection> {
-        let address = self.target.address;
-        let within = self.route.connect_within;
-        let within = within.unwrap_or(self.options.connect_timeout);
-        let dialled = match (&self.route.path, &self.tunnels) {
-            (TargetPath::Tunnel(host), Some(tunnels)) => {
-                TargetConnection::dial_through(tunnels, host, address, within).await
-            }
-            (TargetPath::Tunnel(_), None) => Err(io::ErrorKind::Unsupported.into()),
-            (TargetPath::Direct | TargetPath::Probe, _) => {
-                TargetConnection::dial(address, within, &self.options).await
-            }
-        };
-        match dialled {
+        match self.try_dial().await {
             Ok(connection) => {
                 self.idle_connections.count_opened();
                 Some(connection)
@@ -269,13 +265,28 @@
                 if self.route.path.tunnel_host().is_none()
                     && error.kind() == io::ErrorKind::TimedOut
                 {
-                    self.idle_connections.forget_direct(address);
+                    self.idle_connections.forget_direct(self.target.address);
                 }
                 None
             }
         }
     }
 
+    async fn try_dial(&self) -> io::Result<TargetConnection> {
+        let address = self.target.address;
+        let within = self.route.connect_within;
+        let within = within.unwrap_or(self.options.connect_timeout);
+        match (&self.route.path, &self.tunnels) {
+            (TargetPath::Tunnel(host), Some(tunnels)) => {
+                TargetConnection::dial_through(tunnels, host, address, within).await
+            }
+            (TargetPath::Tunnel(_), None) => Err(io::ErrorKind::Unsupported.into()),
+            (TargetPath::Direct | TargetPath::Probe, _) => {
+                TargetConnection::dial(address, within, &self.options).await
+            }
+        }
+    }
+
     fn log_connect_failure(&self, error: &io::Error) {
         let pairs: [(&str, &dyn std::fmt::Display); 4] = [
             ("attempt", &self.attempt),
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -345,7 +345,7 @@
     async fn is_whole(&self, has_content: bool) -> bool {
         let cause = match self.framing {
             framing if !framing.is_whole(has_content) => "answer ended without content",
-            AnswerFraming::ConnectionEnd if !self.context.accepts_connections().await => {
+            AnswerFraming::ConnectionEnd if self.context.is_target_gone().await => {
                 "target gone at the end of its answer"
             }
             _ => return true,
--- a/bergamotswitch-net/src/tunnel/client.rs
+++ b/bergamotswitch-net/src/tunnel/client.rs
@@ -112,8 +112,11 @@
             .send_request(request, false)
             .map_err(io::Error::other)?;
         let answer = answer.await.map_err(io::Error::other)?;
-        if answer.status() != StatusCode::OK {
-            return Err(io::ErrorKind::ConnectionRefused.into());
+        match answer.status() {
+            StatusCode::OK => {}
+            // The target refused the connection.
+            StatusCode::BAD_GATEWAY => return Err(io::ErrorKind::ConnectionRefused.into()),
+            _ => return Err(io::ErrorKind::NotConnected.into()),
         }
         let health = TunnelHealth {
             is_broken: Arc::default(),
--- a/bergamotswitch-net/src/tunnel/server.rs
+++ b/bergamotswitch-net/src/tunnel/server.rs
@@ -1,5 +1,6 @@
 //! Provides the host's side of tunnels that other hosts open.
 
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -71,8 +72,12 @@
         return refuse(&mut answer, StatusCode::BAD_REQUEST);
     };
     let connecting = connect_target(address, CONNECT_TIMEOUT, &registry.opts.target_options);
-    let Ok(target) = connecting.await else {
-        return refuse(&mut answer, StatusCode::BAD_GATEWAY);
+    let target = match connecting.await {
+        Ok(target) => target,
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+            return refuse(&mut answer, StatusCode::GATEWAY_TIMEOUT);
+        }
+        Err(_) => return refuse(&mut answer, StatusCode::BAD_GATEWAY),
     };
     let Ok(mut writer) = answer.send_response(Response::new(()), false) else {
         return;
--- a/bergamotswitch-net/tests/cut_answers.rs
+++ b/bergamotswitch-net/tests/cut_answers.rs
@@ -245,23 +245,33 @@
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         while let Some(answer) = answers.recv().await {
-            let (stream, _) = listener.accept().await.expect("a connection");
-            give(stream, answer).await;
+            // A connection without a call only shows that the target is there.
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                if give(stream, answer).await {
+                    break;
+                }
+            }
         }
     });
     address
 }
 
-async fn give(mut stream: TcpStream, answer: CutAnswer) {
+/// Give this answer to a call; get whether there was one.
+async fn give(mut stream: TcpStream, answer: CutAnswer) -> bool {
     let mut seen = Vec::new();
     while !seen.ends_with(b"\r\n\r\n") {
-        assert!(stream.read_buf(&mut seen).await.expect("a request") > 0);
+        if stream.read_buf(&mut seen).await.expect("a request") == 0 {
+            assert!(seen.is_empty(), "a part of a request");
+            return false;
+        }
     }
     stream.write_all(&answer.bytes()).await.expect("written");
     if answer.stop == Stop::Reset {
         let socket = SockRef::from(&stream);
         socket.set_linger(Some(Duration::ZERO)).expect("a reset");
     }
+    true
 }
 
 fn call_to(answer: CutAnswer) -> OutgoingCall {
--- a/bergamotswitch-net/tests/cut_streams.rs
+++ b/bergamotswitch-net/tests/cut_streams.rs
@@ -30,11 +30,15 @@
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 const UNFRAMED: &str = "";
 
+/// How long a target that is not killed goes on after its answer.
+const LISTENING_TIME: Duration = Duration::from_secs(5);
+
 /// How long a target waits before it resets its connection, as a reset discards what is unread.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
 /// Start a target that sends this answer to a call and then closes or resets the connection.
-async fn start_target(framing: &str, body: &str, resets: bool) -> SocketAddr {
+/// One that is killed accepts no further connection.
+async fn start_target(framing: &str, body: &str, resets: bool, is_killed: bool) -> SocketAddr {
     let listener = TcpListener::bind(EPHEMERAL_ADDRESS).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let body = match framing {
@@ -47,6 +51,7 @@
     );
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection");
+        let listener = (!is_killed).then_some(listener);
         let mut seen = Vec::new();
         while !seen.ends_with(b"\r\n\r\n") {
             if stream.read_buf(&mut seen).await.unwrap_or(0) == 0 {
@@ -58,6 +63,9 @@
             sleep(RESET_DELAY).await;
             let _ = stream.set_zero_linger();
         }
+        drop(stream);
+        sleep(LISTENING_TIME).await;
+        drop(listener);
     });
     address
 }
@@ -89,9 +97,9 @@
     let mut faults = Vec::new();
     for framing in [LENGTH, CHUNKED, UNFRAMED] {
         for body in ["", EVENT, &half] {
-            for resets in [false, true] {
-                let case = format!("{framing:?} {body:?} resets {resets} {path}");
-                let address = start_target(framing, body, resets).await;
+            for (resets, is_killed) in [(false, false), (true, false), (false, true)] {
+                let case = format!("{framing:?} {body:?} {resets} {is_killed} {path}");
+                let address = start_target(framing, body, resets, is_killed).await;
                 let target = target_at(address, false);
                 let route = CallRoute {
                     path: path.clone(),
@@ -100,7 +108,8 @@
                 let (_, answer) = harness.start_on(&target, PoolKind::Plain, &stream_call(), route);
                 let events = harness.events().await;
                 // Only the end of the connection shows that such a stream is whole.
-                let is_whole = framing == UNFRAMED && body == EVENT && !resets;
+                let is_closed = !resets && !is_killed;
+                let is_whole = framing == UNFRAMED && body == EVENT && is_closed;
                 let is_as_due = match events.last() {
                     Some(AttemptEvent::Finished(_)) => is_whole,
                     Some(AttemptEvent::Broken(_)) => !is_whole,
