Compare the type of event streams without regard to case

A caller got a stream that its target had cut inside an event as a whole one, if the target wrote its content type with capitals: such a body did not count as events, and its last bytes were passed on as they were.

Media types are compared without regard to case now (RFC 9110, section 8.3.1).

Evidence: found by review; broken_stream has such a type, beside none and the usual one, and failed with the type in capitals before.

--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -358,7 +358,10 @@
     /// as one.
     fn has_events(&self) -> bool {
         let kind = self.head.headers.get(header::CONTENT_TYPE);
-        kind.is_none_or(|kind| kind.as_bytes().starts_with(EVENT_STREAM_TYPE))
+        kind.is_none_or(|kind| {
+            let start = kind.as_bytes().get(..EVENT_STREAM_TYPE.len());
+            start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM_TYPE))
+        })
     }
 
     /// Try to get the next frame of a stream, or `None` at its end. A silence is
--- a/bergamotswitch/tests/unframed_answers.rs
+++ b/bergamotswitch/tests/unframed_answers.rs
@@ -47,10 +47,20 @@
 #[tokio::test]
 async fn broken_stream() {
     let events: String = (1..=3).map(event_text).collect();
-    let body = format!("{events}id: 4\nda");
-    let answer = passed_answer(body, Call::stream("/once/1", "r-1")).await;
-    assert!(!answer.whole);
-    assert_eq!(answer.text(), events);
+    for fields in [
+        "",
+        "Content-Type: text/event-stream\r\n",
+        "Content-Type: Text/Event-Stream; charset=utf-8\r\n",
+    ] {
+        let rest = format!("{fields}\r\n{events}id: 4\nda");
+        let target = RawTarget::start("200 OK", &rest).await;
+        let targets = [&target];
+        let site = raw_site(&targets).await;
+        let call = Call::stream("/once/1", "r-1");
+        let answer = answer_after_run(&site, &targets, &call).await;
+        assert!(!answer.whole);
+        assert_eq!(answer.text(), events);
+    }
 }
 
 /// Guards against an answer that ended right after its head and looks whole.
