--- a/bergamotswitch-core/src/target_answer.rs
+++ b/bergamotswitch-core/src/target_answer.rs
@@ -1,5 +1,6 @@
-//! Provides the decisions about a target's answer: to which request it belongs, whether its
-//! end is recognizable, and what a caller may be told of it.
+//! Provides the decisions about a target's answer: to which request it belongs, whether it
+//! proves that the request did not run, whether it is complete, and whether it may be passed
+//! on to the caller.
 
 /// An `AnswerId` is what an answer's request id says about the request it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/bergamotswitch-core/src/target_list.rs
+++ b/bergamotswitch-core/src/target_list.rs
@@ -212,8 +212,8 @@
         self.removed.retain(|name, _| !entries.contains_key(name));
     }
 
-    /// Keep the entries that another host keeps after an outage, for no longer than from
-    /// when they were first heard of, and none that this host has dropped already.
+    /// Adopt the removed entries that another host still keeps after an outage, except
+    /// those that this host has dropped. Entries that are already kept get no more time.
     fn adopt_expired(&mut self, now: Moment, expired: Vec<(TargetName, TargetEntry)>) {
         let known = std::mem::take(&mut self.expired);
         let is_usable =
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -37,8 +37,9 @@
 const ERROR_BODY_WAIT: Duration = Duration::from_secs(5);
 
 /// How long the system may take to close the listener of a killed process after its
-/// connections, and how often a connection that is reset is tried. Meanwhile it drops new
-/// ones, or accepts and then resets them. A full target resets new ones, too.
+/// connections, and how many connections are tried if they are reset. Until the listener is
+/// closed, new connections time out, or are accepted and then reset. A target with its
+/// maximum of connections resets new ones, too.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
 const LISTENER_CHECKS: usize = 2;
 
