Start only what a deadline ends while a host stops

Callers saw: connections closed in the middle of answers 0.2 s before the end of a stopping host's grace, of calls sent more than 3 s after SIGTERM (LOST).

Cause: a stopping host took a call whose deadline lay behind its grace if the recent runs of its rule were short enough, four times the longest of 64 runs, or by the call's own guess of its output. That says nothing of a call that is unlike them. A promise rested on a guess.

Now only a deadline proves that a run ends in time. Everything else is refused at once as not run, and served by another host. The same holds for waiting calls, further attempts and calls passed on from other hosts, which all asked the estimate. A begun stream cannot be refused any more; there alone the estimate still decides whether another run may follow a broken one.

Ruled out: a larger factor or more samples (any multiple of recent runs is exceeded by targets of another make), the most output that a call names (no bound on the pace).

--- a/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
@@ -257,7 +257,7 @@
         if attempts >= self.options.attempts_per_request {
             return Err(RefusalReason::RetriesExhausted);
         }
-        match self.may_start(now, &record.submission, record.deadline) {
+        match self.may_run(now, record) {
             true => Ok(()),
             false => Err(RefusalReason::Stopping),
         }
@@ -278,7 +278,7 @@
             return Err(RefusalReason::Quarantined);
         }
         let in_time = now < record.deadline;
-        let fits = in_time && self.may_start(now, &record.submission, record.deadline);
+        let fits = in_time && self.may_run(now, record);
         let free = fits && record.reconnects < MAX_RECONNECTS;
         if free && self.budget(now, record).try_reconnect() {
             record.reconnects += 1;
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -69,6 +69,7 @@
                 self.end_silence(now, &record, &mut running, actions);
                 self.earn_reconnect(now, &record, &running);
                 running.first_token_at.get_or_insert(now);
+                record.has_streamed |= record.submission.streaming;
                 self.record_stream_version(now, &mut record, &running, actions);
                 self.put_back(record, running);
             }
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -126,7 +126,7 @@
             let refusal = waiting.state.refuse(RefusalReason::DeadlinePassed);
             return self.refuse(now, record, refusal, actions);
         }
-        if !self.may_start(now, &record.submission, record.deadline) {
+        if !self.may_run(now, &record) {
             return_permit(owner, record.shard.clone(), &permit, actions);
             let refusal =
                 self.with_stop_retry_after(now, waiting.state.refuse(RefusalReason::Stopping));
@@ -263,7 +263,7 @@
                 let refusal = waiting.state.refuse(RefusalReason::Lost);
                 self.refuse(now, entry.record, refusal, actions);
             }
-            AttemptStage::Waiting(waiting) if !self.may_forward(now, &entry.record.submission) => {
+            AttemptStage::Waiting(waiting) if !self.may_forward() => {
                 actions.push(EntryAction::LogIncident(
                     Incident::RequestLost,
                     entry.record.id,
--- a/bergamotswitch-core/src/entry/dispatcher/stopping.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/stopping.rs
@@ -2,8 +2,8 @@
 //!
 //! The process is killed at the end of the grace period, which truncates every
 //! answer that is still in progress. A stopping host therefore starts only work
-//! that finishes in time, and refuses everything else at once as "not run", so
-//! that another host can serve it. Work that was cut off shows up as events 109
+//! that ends in time for certain, and refuses everything else at once as "not
+//! run", so that another host can serve it. Work that was cut off shows up as events 109
 //! and 207 in the log, and as connections that close in the middle of an
 //! answer.
 
@@ -13,7 +13,7 @@
 use super::aborting::AbortReason;
 use crate::clock::Moment;
 use crate::entry::attempt::AttemptStage;
-use crate::entry::request_table::LiveEntry;
+use crate::entry::request_table::{LiveEntry, RequestRecord};
 use crate::entry::run_durations::{OutputEstimate, RunTiming};
 use crate::entry::{EntryAction, Submission};
 use crate::refusal::{Refusal, RefusalReason, WasteCause};
@@ -86,27 +86,37 @@
         self.refuse_unfinishable(now, actions);
     }
 
-    /// Get whether a run that starts now finishes in time: either its deadline
-    /// ends it before the grace period does, or its estimated duration fits.
-    /// Work of unknown duration is not started.
-    pub(super) fn may_start(&self, now: Moment, submission: &Submission, deadline: Moment) -> bool {
-        if self.bound.answer_deadline == Moment::NEVER {
-            return true;
-        }
-        if submission.options.ends_at_deadline && deadline <= self.bound.answer_deadline {
-            return true;
-        }
-        let span = self.run_time_bound(now, submission);
-        span.is_some_and(|span| now.plus(span) <= self.bound.answer_deadline)
+    /// Get whether a run is certain to end in time: its deadline ends it before
+    /// the grace period does. How long recent runs took proves nothing about the
+    /// next one.
+    pub(super) fn may_start(&self, submission: &Submission, deadline: Moment) -> bool {
+        let ends_at = match submission.options.ends_at_deadline {
+            true => deadline,
+            false => Moment::NEVER,
+        };
+        ends_at <= self.bound.answer_deadline
     }
 
-    /// Get whether an answer may still be proxied from another host. Its
-    /// deadline is not known here, so only the estimated duration counts.
-    pub(super) fn may_forward(&self, now: Moment, submission: &Submission) -> bool {
-        self.may_start(now, submission, Moment::NEVER)
+    /// Get whether an answer may still be proxied from another host, where it
+    /// may take any time.
+    pub(super) fn may_forward(&self) -> bool {
+        self.bound.answer_deadline == Moment::NEVER
+    }
+
+    /// Get whether the next run of an accepted request may start. A stream that
+    /// has begun cannot be refused any more, only be cut now or go on, so an
+    /// estimate of its duration is enough.
+    pub(super) fn may_run(&self, now: Moment, record: &RequestRecord) -> bool {
+        self.may_start(&record.submission, record.deadline)
+            || (record.has_streamed && self.is_expected_to_fit(now, &record.submission))
+    }
+
+    fn is_expected_to_fit(&self, now: Moment, submission: &Submission) -> bool {
+        let span = self.run_time_bound(now, submission);
+        span.is_some_and(|span| now.plus(span) <= self.bound.answer_deadline)
     }
 
-    /// Get an upper bound for the duration of a run, from the recent and
+    /// Estimate an upper bound for the duration of a run from the recent and
     /// current runs of its rule.
     fn run_time_bound(&self, now: Moment, submission: &Submission) -> Option<Duration> {
         let rule = &submission.verdict.rule;
@@ -134,8 +144,7 @@
             let Some(entry) = self.requests.take(id) else {
                 continue;
             };
-            let deadline = entry.record.deadline;
-            let fits = self.may_start(now, &entry.record.submission, deadline);
+            let fits = self.may_run(now, &entry.record);
             match entry.stage {
                 AttemptStage::Waiting(waiting) if !fits => {
                     self.withdraw(&entry.record, waiting.requested_from.as_ref(), actions);
--- a/bergamotswitch-core/src/entry/dispatcher/submission.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/submission.rs
@@ -37,7 +37,7 @@
         if let Some(holder) = &submission.holder
             && *holder != self.identity
         {
-            return match self.may_forward(now, &submission) {
+            return match self.may_forward() {
                 true => self.receive_foreign(holder, actions),
                 false => refused(Refusal::may_have_run(RefusalReason::Stopping)),
             };
@@ -124,7 +124,7 @@
             return refused(submission.refuse(RefusalReason::DeadlinePassed));
         }
         let deadline = now.plus(submission.deadline_in);
-        if self.bound.is_closed || !self.may_start(now, &submission, deadline) {
+        if self.bound.is_closed || !self.may_start(&submission, deadline) {
             let refusal = submission.refuse(RefusalReason::Stopping);
             return refused(self.with_stop_retry_after(now, refusal));
         }
@@ -174,6 +174,7 @@
             reconnects: 0,
             runs: 0,
             preemptions: 0,
+            has_streamed: false,
             avoid: Vec::new(),
             stream: submission
                 .options
