Keep the runs of a stopping host when a higher tier would preempt them

Callers saw: an accepted call of the project's own interface ends without its answer because its run is given up for a higher tier while its host stops, where it cannot start again.

Cause: a preempted run waits for another permit, and a stopping host begins no run that its deadline does not end. `entry_grace::preempted_run` failed before: the run was aborted on the owner's word.

The host ignores the owner's word in that case, as it does for begun streams.

--- a/bergamotswitch-core/src/entry/dispatcher/aborting.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/aborting.rs
@@ -24,7 +24,8 @@
 }
 
 impl EntryDispatcher {
-    /// Abort an attempt in favor of a higher tier, if it can be rerun safely.
+    /// Abort an attempt in favor of a higher tier, if it can be rerun safely and
+    /// may start again.
     pub(super) fn preempt(
         &mut self,
         now: Moment,
@@ -40,6 +41,7 @@
             AttemptStage::Running(running)
                 if running.permit.id == permit
                     && self.is_preemptible(&record)
+                    && self.may_run(now, &record)
                     && !has_streamed(&record, &running) =>
             {
                 self.abort(now, &record, &running, WasteCause::Preemption, actions);
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -189,6 +189,23 @@
     refused_while_stopping(&mut dispatcher, tiny);
 }
 
+// Guards against a run that is preempted while its host stops, and cannot start
+// again.
+#[test]
+fn preempted_run() {
+    let mut dispatcher = TestDispatcher::new(EntryOptions::default());
+    let attempt = first_attempt(dispatcher.accept(submission()));
+    let permit = dispatcher.start(attempt, "t0");
+    stop(&mut dispatcher, GRACE_LEFT);
+    let actions = dispatcher.reply(OwnerReply::Preempt {
+        permit: permit.id,
+        attempt,
+    });
+    assert_eq!(actions, vec![]);
+    let actions = dispatcher.attempt(attempt, AttemptEvent::Finished(usage()));
+    assert_eq!(conclusions(&actions), vec![Conclusion::Answered]);
+}
+
 #[test]
 fn known_lengths() {
     let mut dispatcher = TestDispatcher::new(EntryOptions::default());
