Let calls that may have run go on by the estimate while a host stops

Cause: the proof by the deadline was asked of all runs but those of begun streams. What sets a begun stream apart holds for each call that may have run: nobody can tell its caller that another host may serve it as a new one, so refusing it protects nothing.

Found by a review; `entry_grace::failed_first_run` and `preempted_before` failed. What has not run still needs the proof. A wrong estimate ends such a call later as it would have ended at once.

--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -9,7 +9,7 @@
 use crate::host::HostName;
 use crate::permit::{Permit, Usage};
 use crate::pool::PoolShard;
-use crate::refusal::{Refusal, RefusalReason};
+use crate::refusal::{Refusal, RefusalReason, RunClaim};
 use crate::request::AttemptId;
 use crate::target::TargetVersion;
 use crate::target_path::TargetPath;
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Get what a refusal can say about earlier attempts.
+    pub(super) fn run_claim(&self) -> RunClaim {
+        match self {
+            WaitingState::Fresh(_) => RunClaim::NotRun,
+            WaitingState::Rerun(_) => RunClaim::Unknown,
+        }
+    }
+
     /// End the request with a refusal, whose run claim follows from the state.
     pub(super) fn refuse(self, reason: RefusalReason) -> Refusal {
         match self {
--- a/bergamotswitch-core/src/entry/dispatcher/aborting.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/aborting.rs
@@ -41,7 +41,7 @@
             AttemptStage::Running(running)
                 if running.permit.id == permit
                     && self.is_preemptible(&record)
-                    && self.may_run(now, &record)
+                    && self.may_start(&record.submission, record.deadline)
                     && !has_streamed(&record, &running) =>
             {
                 self.abort(now, &record, &running, WasteCause::Preemption, actions);
--- a/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/permit_requests.rs
@@ -9,7 +9,7 @@
 use crate::host::HostName;
 use crate::incident::Incident;
 use crate::permit::{KeyClaim, OwnerMessage, PermitRequest};
-use crate::refusal::{RefusalReason, RetryReason};
+use crate::refusal::{RefusalReason, RetryReason, RunClaim};
 use crate::retry::RetryBudget;
 
 /// The maximum number of failed connections of one request that do not cost a
@@ -220,7 +220,8 @@
         ));
     }
 
-    /// Try to spend one retry on a request.
+    /// Try to spend one retry on a request, given what is known of its earlier
+    /// attempts.
     ///
     /// # Errors
     ///
@@ -229,8 +230,9 @@
         &mut self,
         now: Moment,
         record: &RequestRecord,
+        earlier: RunClaim,
     ) -> Result<(), RefusalReason> {
-        self.check_retry(now, record)?;
+        self.check_retry(now, record, earlier)?;
         match self.budget(now, record).try_spend(now) {
             true => Ok(()),
             false => Err(RefusalReason::RetriesExhausted),
@@ -246,6 +248,7 @@
         &self,
         now: Moment,
         record: &RequestRecord,
+        earlier: RunClaim,
     ) -> Result<(), RefusalReason> {
         if now >= record.deadline {
             return Err(RefusalReason::DeadlinePassed);
@@ -257,7 +260,7 @@
         if attempts >= self.options.attempts_per_request {
             return Err(RefusalReason::RetriesExhausted);
         }
-        match self.may_run(now, record) {
+        match self.may_run(now, record, earlier) {
             true => Ok(()),
             false => Err(RefusalReason::Stopping),
         }
@@ -273,18 +276,19 @@
         &mut self,
         now: Moment,
         record: &mut RequestRecord,
+        earlier: RunClaim,
     ) -> Result<(), RefusalReason> {
         if self.crashes.is_quarantined(&record.suspects) {
             return Err(RefusalReason::Quarantined);
         }
         let in_time = now < record.deadline;
-        let fits = in_time && self.may_run(now, record);
+        let fits = in_time && self.may_run(now, record, earlier);
         let free = fits && record.reconnects < MAX_RECONNECTS;
         if free && self.budget(now, record).try_reconnect() {
             record.reconnects += 1;
             return Ok(());
         }
-        self.try_retry(now, record)
+        self.try_retry(now, record, earlier)
     }
 
     pub(super) fn budget(&mut self, now: Moment, record: &RequestRecord) -> &mut RetryBudget {
--- a/bergamotswitch-core/src/entry/dispatcher/progress.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/progress.rs
@@ -9,7 +9,7 @@
 use crate::entry::{AttemptEvent, Conclusion, EntryAction, NotSentReason};
 use crate::incident::Incident;
 use crate::permit::{ReleaseOutcome, Usage};
-use crate::refusal::{RefusalReason, RetryReason, WasteCause};
+use crate::refusal::{RefusalReason, RetryReason, RunClaim, WasteCause};
 use crate::request::AttemptId;
 
 /// A `FailureAnswer` is what becomes of an error response as the answer to the caller.
@@ -69,7 +69,6 @@
                 self.end_silence(now, &record, &mut running, actions);
                 self.earn_reconnect(now, &record, &running);
                 running.first_token_at.get_or_insert(now);
-                record.has_streamed |= record.submission.streaming;
                 self.record_stream_version(now, &mut record, &running, actions);
                 self.put_back(record, running);
             }
@@ -238,7 +237,8 @@
         record.runs = record.runs.saturating_add(1);
         let outcome = ReleaseOutcome::Failed(Usage::default());
         self.release(now, &record, &running, outcome, actions);
-        let retried = self.may_run_again(&record, &running) && self.try_retry(now, &record).is_ok();
+        let retried = self.may_run_again(&record, &running)
+            && self.try_retry(now, &record, RunClaim::Unknown).is_ok();
         if retried {
             record.avoid_target(&running.permit.target);
             let state = running.state.rerun();
--- a/bergamotswitch-core/src/entry/dispatcher/replacement.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replacement.rs
@@ -13,7 +13,7 @@
 use crate::host::HostName;
 use crate::permit::{OwnerMessage, Permit};
 use crate::pool::PoolShard;
-use crate::refusal::RetryReason;
+use crate::refusal::{RetryReason, RunClaim};
 use crate::request::AttemptId;
 
 impl PendingReplacement {
@@ -56,7 +56,7 @@
         if !self.may_replace(record, running) {
             return None;
         }
-        self.try_retry(now, record).ok()?;
+        self.try_retry(now, record, RunClaim::Unknown).ok()?;
         let Some(attempt) = record.new_attempt() else {
             self.budget(now, record).refund();
             return None;
@@ -139,7 +139,7 @@
         // An owner without another target grants the silent one.
         *target != running.permit.target
             && permit.lifetime_ms > 0
-            && self.check_retry(now, record).is_ok()
+            && self.check_retry(now, record, RunClaim::Unknown).is_ok()
             && self.may_replace(record, running)
             && !self.is_target_closed(now, target)
             && self.fits_stream(record, target)
--- a/bergamotswitch-core/src/entry/dispatcher/replies.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/replies.rs
@@ -126,7 +126,7 @@
             let refusal = waiting.state.refuse(RefusalReason::DeadlinePassed);
             return self.refuse(now, record, refusal, actions);
         }
-        if !self.may_run(now, &record) {
+        if !self.may_run(now, &record, waiting.state.run_claim()) {
             return_permit(owner, record.shard.clone(), &permit, actions);
             let refusal =
                 self.with_stop_retry_after(now, waiting.state.refuse(RefusalReason::Stopping));
--- a/bergamotswitch-core/src/entry/dispatcher/retries.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/retries.rs
@@ -8,7 +8,7 @@
 use crate::entry::request_table::RequestRecord;
 use crate::entry::{EntryAction, NotSentReason};
 use crate::permit::Usage;
-use crate::refusal::{Refusal, RefusalReason, RetryReason, WasteCause};
+use crate::refusal::{Refusal, RefusalReason, RetryReason, RunClaim, WasteCause};
 
 /// A `FailedAttempt` is a failed attempt that may have run.
 pub(super) struct FailedAttempt {
@@ -30,7 +30,7 @@
     ) {
         record.avoid_target(&running.permit.target);
         let state = running.state.prove_not_run(NotRunProof::of_unsent(sent));
-        let spent = self.try_reconnect(now, &mut record);
+        let spent = self.try_reconnect(now, &mut record, state.run_claim());
         self.retry_or_refuse(now, record, state, spent.map(|()| reason), actions);
     }
 
@@ -46,7 +46,7 @@
     ) {
         record.avoid_target(&running.permit.target);
         let state = running.state.prove_not_run(proof);
-        let spent = self.try_retry(now, &record);
+        let spent = self.try_retry(now, &record, state.run_claim());
         self.retry_or_refuse(now, record, state, spent.map(|()| reason), actions);
     }
 
@@ -82,7 +82,7 @@
             return self.refuse(now, record, refusal, actions);
         }
         record.avoid_target(&running.permit.target);
-        match self.try_retry(now, &record) {
+        match self.try_retry(now, &record, RunClaim::Unknown) {
             Ok(()) => {
                 count_waste(&record, WasteCause::Retry, prefill, actions);
                 let state = running.state.rerun();
--- a/bergamotswitch-core/src/entry/dispatcher/stopping.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/stopping.rs
@@ -16,7 +16,7 @@
 use crate::entry::request_table::{LiveEntry, RequestRecord};
 use crate::entry::run_durations::{OutputEstimate, RunTiming};
 use crate::entry::{EntryAction, Submission};
-use crate::refusal::{Refusal, RefusalReason, WasteCause};
+use crate::refusal::{Refusal, RefusalReason, RunClaim, WasteCause};
 
 /// The retry delay for callers refused by a stopping host while other hosts
 /// accept requests. It keeps a caller that stays at this address from retrying
@@ -103,12 +103,13 @@
         self.bound.answer_deadline == Moment::NEVER
     }
 
-    /// Get whether the next run of an accepted request may start. A stream that
-    /// has begun cannot be refused any more, only be cut now or go on, so an
-    /// estimate of its duration is enough.
-    pub(super) fn may_run(&self, now: Moment, record: &RequestRecord) -> bool {
+    /// Get whether the next run of an accepted request may start. If an earlier
+    /// attempt may have run, its caller cannot be told that another host can serve
+    /// it: the request is lost now, or goes on. An estimate is enough there.
+    pub(super) fn may_run(&self, now: Moment, record: &RequestRecord, earlier: RunClaim) -> bool {
+        let may_have_run = earlier == RunClaim::Unknown;
         self.may_start(&record.submission, record.deadline)
-            || (record.has_streamed && self.is_expected_to_fit(now, &record.submission))
+            || (may_have_run && self.is_expected_to_fit(now, &record.submission))
     }
 
     fn is_expected_to_fit(&self, now: Moment, submission: &Submission) -> bool {
@@ -144,9 +145,10 @@
             let Some(entry) = self.requests.take(id) else {
                 continue;
             };
-            let fits = self.may_run(now, &entry.record);
             match entry.stage {
-                AttemptStage::Waiting(waiting) if !fits => {
+                AttemptStage::Waiting(waiting)
+                    if !self.may_run(now, &entry.record, waiting.state.run_claim()) =>
+                {
                     self.withdraw(&entry.record, waiting.requested_from.as_ref(), actions);
                     let refusal = self
                         .with_stop_retry_after(now, waiting.state.refuse(RefusalReason::Stopping));
--- a/bergamotswitch-core/src/entry/dispatcher/submission.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/submission.rs
@@ -174,7 +174,6 @@
             reconnects: 0,
             runs: 0,
             preemptions: 0,
-            has_streamed: false,
             avoid: Vec::new(),
             stream: submission
                 .options
--- a/bergamotswitch-core/src/entry/request_table.rs
+++ b/bergamotswitch-core/src/entry/request_table.rs
@@ -47,8 +47,6 @@
     pub(super) avoid: Vec<TargetName>,
     /// What is known of the version that began the stream, if it may be resumed.
     pub(super) stream: Option<StreamOrigin>,
-    /// Whether the caller has received part of a stream.
-    pub(super) has_streamed: bool,
     /// Whether a caller is waiting for the answer.
     pub(super) followed: bool,
 }
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -598,3 +598,36 @@
     dispatcher.begin(submission(), "t0");
     assert_eq!(dispatcher.pass(Duration::from_secs(20)), vec![]);
 }
+
+// Guards against an accepted call that ends without an answer because its first run
+// failed while its host stops, though its caller cannot be told that it has not run.
+#[test]
+fn failed_first_run() {
+    for event in [AttemptEvent::Broken(usage()), AttemptEvent::Failed] {
+        let mut dispatcher = TestDispatcher::new(EntryOptions::default());
+        record_runs(&mut dispatcher, Duration::from_millis(30));
+        let attempt = dispatcher.begin(submission(), "t0");
+        stop(&mut dispatcher, GRACE_LEFT);
+        let actions = dispatcher.attempt(attempt, event);
+        assert_eq!(conclusions(&actions), vec![], "{event:?}");
+        assert_eq!(permit_requests(&actions).len(), 1, "{event:?}");
+    }
+}
+
+// Guards against an accepted call that ends without an answer because its run was
+// preempted just before its host stops.
+#[test]
+fn preempted_before() {
+    let mut dispatcher = TestDispatcher::new(EntryOptions::default());
+    record_runs(&mut dispatcher, Duration::from_millis(30));
+    let attempt = first_attempt(dispatcher.accept(submission()));
+    let permit = dispatcher.start(attempt, "t0");
+    let actions = dispatcher.reply(OwnerReply::Preempt {
+        permit: permit.id,
+        attempt,
+    });
+    let again = permit_requests(&actions)[0].attempt;
+    let actions = stop(&mut dispatcher, GRACE_LEFT);
+    assert_eq!(conclusions(&actions), vec![]);
+    dispatcher.start(again, "t1");
+}
