Begin no run on another path that a stopping host may have to cut

Callers saw: a call that could not connect to its target, and so has not run, is begun through another host's tunnel while its host stops, and cut at the end of the grace.

Cause: the choice of the next path asked for the deadline alone, not for the end of the grace. The call is refused now as not run.

--- a/bergamotswitch-core/src/entry/attempt.rs
+++ b/bergamotswitch-core/src/entry/attempt.rs
@@ -69,6 +69,14 @@
 }
 
 impl RunningState {
+    /// Get what a refusal can say about earlier attempts, without this one.
+    pub(super) fn run_claim(&self) -> RunClaim {
+        match self {
+            RunningState::FirstRun(_) => RunClaim::NotRun,
+            RunningState::Rerun(_) => RunClaim::Unknown,
+        }
+    }
+
     /// Get the state after a proof that this attempt did not run.
     pub(super) fn prove_not_run(self, proof: NotRunProof) -> WaitingState {
         match self {
--- a/bergamotswitch-core/src/entry/dispatcher/paths.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/paths.rs
@@ -39,7 +39,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the request and the attempt if no path reaches the target.
+    /// Returns the request and the attempt if no path reaches the target, or if the
+    /// host stops before the run would end.
     pub(super) fn try_next_path(
         &mut self,
         now: Moment,
@@ -47,7 +48,8 @@
         mut running: RunningAttempt,
         actions: &mut Vec<EntryAction>,
     ) -> Result<(), Box<(RequestRecord, RunningAttempt)>> {
-        let path = match now < record.deadline {
+        let may_run = self.may_run(now, &record, running.state.run_claim());
+        let path = match may_run && now < record.deadline {
             true => self.paths.choose_next(now, &running.paths),
             false => None,
         };
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -2,6 +2,8 @@
 
 mod entry_support;
 
+use bergamotswitch_core::entry::NotSentReason;
+use bergamotswitch_core::host::{EntryHost, Standing};
 use bergamotswitch_core::refusal::RunClaim;
 use entry_support::*;
 
@@ -631,3 +633,30 @@
     assert_eq!(conclusions(&actions), vec![]);
     dispatcher.start(again, "t1");
 }
+
+/// Get a host that may reach targets for another one.
+fn tunnel_host(host: &str) -> EntryHost {
+    EntryHost {
+        name: name(host),
+        domain: name("a"),
+        caller_address: "127.0.0.1:1".parse().expect("a valid address"),
+        link_address: "127.0.0.1:2".parse().expect("a valid address"),
+        capacity: 0,
+        standing: Standing::Live,
+    }
+}
+
+// Guards against a call that has not run and is begun on another path although its
+// deadline does not end it in time.
+#[test]
+fn next_path() {
+    let mut dispatcher = TestDispatcher::new(EntryOptions::default());
+    dispatcher.event(EntryEvent::TunnelHosts(vec![tunnel_host("entry-2")]));
+    let attempt = dispatcher.begin(non_idempotent(Duration::from_secs(20)), "t0");
+    stop(&mut dispatcher, GRACE_LEFT);
+    let failed = AttemptEvent::NotSent(NotSentReason::ConnectFailed);
+    let actions = dispatcher.attempt(attempt, failed);
+    assert_eq!(starts(&actions), vec![]);
+    let expected = (RefusalReason::Stopping, RunClaim::NotRun);
+    assert_eq!(refusals(&actions), vec![expected]);
+}
