--- a/bergamotswitch-core/src/entry/run_durations.rs
+++ b/bergamotswitch-core/src/entry/run_durations.rs
@@ -1,5 +1,5 @@
-//! Provides the durations of recent runs by rule, and an upper bound for the
-//! next run.
+//! Provides the durations of recent runs by rule, and an estimate of the longest
+//! that the next run may take. It proves nothing.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
