--- a/bergamotswitch/tests/stop_grace.rs
+++ b/bergamotswitch/tests/stop_grace.rs
@@ -73,6 +73,7 @@
     let address = site.address();
     let stop = PlannedStop::begin(site.hosts.remove(0).child, grace);
     let path = format!("/once/1?events={events}");
+    let mut retries = Vec::new();
     for (id, sent_after) in [("early", 0.5), ("late", 3.1)] {
         stop.wait_until(seconds(sent_after)).await;
         let call = stream_call(&path, seconds(10.0));
@@ -80,8 +81,9 @@
         assert!(result.is_refused(), "{result:?}");
         assert!(result.took < IMMEDIATE, "{result:?}");
         result.assert_refusal(&site);
-        let retry = format!("{id}-again");
-        let result = send_call(site.address(), call, &retry).await;
+        retries.extend(send_many(site.address(), &call, id, 1));
+    }
+    for result in join_results(retries).await {
         assert!(result.is_served(), "{result:?}");
         result.assert_whole_or_refused(&site, events);
     }
