Count the grace of a stop from before its signal

Callers saw: connections closed without an answer at the kill, because the host took the end of its grace to be later than it was.

Cause: the grace counted from the moment at which the event loop handled the signal. A process that is suspended when SIGTERM comes, or behind, handles it later than it was sent, and everything in a stop that depends on the grace is late by as much: what may begin, the final answers and the exit. A promise rested on a guess.

Evidence: `stop_paused::paused_at_signal` (suspended from 0.5 s before SIGTERM to 2 s after, grace 4 s) failed: the call that was open got no answer, as the process was killed first.

Now the host looks for signals twenty times a second, and the grace counts from the last look that is proven to be before the signal: the look before the last one without one, since a process may be suspended between a look and its record, and a suspended process sees its timers before its signals. In a process that runs, that is 0.05 to 0.1 s before the signal, so all of a stop ends that much earlier. How long callers are accepted still counts from when the host left address answers.

Ruled out: taking the bound only where the last look is long ago (a smaller guess is one); a signal handler of our own (unsafe code).

--- a/bergamotswitch-core/src/lib.rs
+++ b/bergamotswitch-core/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod route;
 pub mod rules;
 pub mod settings;
+pub mod signal_watch;
 pub mod stream_table;
 pub mod target;
 pub mod target_answer;
--- a/bergamotswitch-net/src/input.rs
+++ b/bergamotswitch-net/src/input.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bergamotswitch_core::address::{AddressAnswer, AddressQuery};
+use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::entry::{
     AttemptEvent, OutcomeQuery, OutcomeView, Submission, SubmitOutcome,
 };
@@ -112,8 +113,9 @@
     CacheRead(TargetName, Option<Vec<PrefixHash>>),
     /// A refusal before the request reached the event loop, reported for the metrics.
     EarlyRefusal(RefusalReason, Option<Tier>),
-    /// A signal to stop the host.
-    Stop,
+    /// A signal to stop the host, and the latest time that is proven to be before it;
+    /// [`Moment::NEVER`] if unknown.
+    Stop(Moment),
 }
 
 impl NodeInput {
@@ -159,7 +161,7 @@
             | NodeInput::Evacuations(_)
             | NodeInput::Gossip(_)
             | NodeInput::Settings(_)
-            | NodeInput::Stop => InputRole::Control,
+            | NodeInput::Stop(_) => InputRole::Control,
         }
     }
 }
--- a/bergamotswitch-net/src/node/event_loop.rs
+++ b/bergamotswitch-net/src/node/event_loop.rs
@@ -133,6 +133,11 @@
         self.sender.clone()
     }
 
+    /// Get the clock of the event loop.
+    pub fn clock(&self) -> BootClock {
+        self.clock
+    }
+
     /// Get the identity of this host process.
     pub fn me(&self) -> &HostIdentity {
         &self.me
@@ -346,7 +351,7 @@
                 self.handle(NodeEvent::CacheRead(name, parts));
             }
             NodeInput::EarlyRefusal(reason, tier) => self.metrics.count_refusal(reason, tier),
-            NodeInput::Stop => self.on_stop(),
+            NodeInput::Stop(sent_after) => self.on_stop(sent_after),
         }
     }
 
--- a/bergamotswitch-net/src/node/event_loop/stopping.rs
+++ b/bergamotswitch-net/src/node/event_loop/stopping.rs
@@ -21,10 +21,12 @@
 const GATEWAY_LIFETIME_FACTOR: u32 = 4;
 
 impl HostNode {
-    pub(super) fn on_stop(&mut self) {
+    /// Begin a planned stop after a signal, which was not sent before `sent_after`.
+    pub(super) fn on_stop(&mut self, sent_after: Moment) {
         if self.stop == StopPhase::Serving {
             let grace = self.settings.grace();
-            let schedule = StopSchedule::new(self.now(), self.accept_duration(), grace);
+            let schedule = StopSchedule::new(self.now(), self.accept_duration(), grace)
+                .with_signal_after(sent_after);
             self.stop = self.stop.begin(schedule);
             self.log_stop_progress(Incident::StopBegun, &schedule);
         }
--- a/bergamotswitch-net/src/node/loop_stats.rs
+++ b/bergamotswitch-net/src/node/loop_stats.rs
@@ -81,7 +81,7 @@
             | NodeInput::Status(_)
             | NodeInput::Settings(_)
             | NodeInput::EarlyRefusal(..)
-            | NodeInput::Stop => InputKind::Caller,
+            | NodeInput::Stop(_) => InputKind::Caller,
         }
     }
 
--- a/bergamotswitch-net/src/node/stop.rs
+++ b/bergamotswitch-net/src/node/stop.rs
@@ -25,8 +25,11 @@
 /// A `StopSchedule` is the set of deadlines of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct StopSchedule {
-    /// The time at which the stop signal arrived.
+    /// The time at which the stop began.
     pub started_at: Moment,
+    /// The latest time that is proven to be before the stop signal. The grace period
+    /// counts from the signal, which a suspended or busy process handles late.
+    signal_after: Moment,
     /// How long callers use the addresses that they received from lookups. Callers are
     /// accepted until then, so that none connects to a closed port.
     lifetime: Duration,
@@ -39,11 +42,20 @@
     pub fn new(now: Moment, lifetime: Duration, grace: Option<Duration>) -> Self {
         StopSchedule {
             started_at: now,
+            signal_after: now,
             lifetime,
             grace,
         }
     }
 
+    /// Set the latest time that is proven to be before the stop signal.
+    pub fn with_signal_after(self, at: Moment) -> Self {
+        StopSchedule {
+            signal_after: at.min(self.started_at),
+            ..self
+        }
+    }
+
     /// Change the grace period. Either the old or the new one may apply to a stop
     /// in progress, so the shorter one is used.
     pub fn with_grace(self, grace: Option<Duration>) -> Self {
@@ -96,7 +108,7 @@
         };
         let scale = grace.as_secs_f64() / FULL_MARGIN_GRACE.as_secs_f64();
         let margin = margin.mul_f64(scale.min(1.0));
-        self.started_at.plus(grace.saturating_sub(margin))
+        self.signal_after.plus(grace.saturating_sub(margin))
     }
 }
 
--- a/bergamotswitch/src/command/demo/fleet.rs
+++ b/bergamotswitch/src/command/demo/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use bergamotswitch_core::clock::Moment;
 use bergamotswitch_core::revision::LIMITS_VALUE;
 use bergamotswitch_core::settings::HostSettings;
 use bergamotswitch_net::input::{NodeInput, NodeSender};
@@ -129,7 +130,7 @@
     pub async fn stop(self) -> Result<(), CommandError> {
         for host in &self.hosts {
             // Sending fails only if the host has already stopped.
-            let _ = host.sender.send(NodeInput::Stop);
+            let _ = host.sender.send(NodeInput::Stop(Moment::NEVER));
         }
         for host in self.hosts {
             let ended = tokio::time::timeout(FLEET_TIMEOUT, host.task).await;
--- a/bergamotswitch/src/command/serve.rs
+++ b/bergamotswitch/src/command/serve.rs
@@ -6,6 +6,8 @@
 
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::settings::HostSettings;
+use bergamotswitch_core::signal_watch::SignalWatch;
+use bergamotswitch_net::boot_clock::BootClock;
 use bergamotswitch_net::event_log;
 use bergamotswitch_net::input::{NodeInput, NodeSender};
 use bergamotswitch_net::node::{HostNode, NodeSetup};
@@ -18,6 +20,10 @@
 /// How often the settings file is checked for changes without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How often the process looks whether a stop signal has come. A planned stop may count
+/// its grace period from up to two of these intervals before the signal.
+const SIGNAL_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Run one entry host until a planned stop is complete.
 pub(super) fn serve(path: &Path) -> Result<ExitCode, CommandError> {
     let text = files::read(path)?;
@@ -44,7 +50,7 @@
     let peers = setup.peers.local_addr().map_err(CommandError::Runtime)?;
     let node = HostNode::try_new(setup).map_err(CommandError::Start)?;
     println!("ready callers={callers} links={peers}");
-    tokio::spawn(forward_signals(node.sender()));
+    tokio::spawn(forward_signals(node.sender(), node.clock()));
     tokio::spawn(watch_settings(path.to_owned(), node.sender()));
     node.run().await;
     Ok(ExitCode::SUCCESS)
@@ -85,18 +91,26 @@
 
 /// Translate SIGTERM and SIGINT into a planned stop. Repeated signals are
 /// forwarded too: the event loop logs and ignores them.
-async fn forward_signals(node: NodeSender) {
+async fn forward_signals(node: NodeSender, clock: BootClock) {
     let terminate = signal(SignalKind::terminate());
     let interrupt = signal(SignalKind::interrupt());
     let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
         return;
     };
+    let mut watch = SignalWatch::default();
     loop {
         let received = tokio::select! {
+            // A timer that fires in spite of this shows that no signal has come.
+            biased;
             received = terminate.recv() => received,
             received = interrupt.recv() => received,
+            () = sleep(SIGNAL_LOOK_INTERVAL) => {
+                watch.record_look(clock.now());
+                continue;
+            }
         };
-        if received.is_none() || node.send(NodeInput::Stop).is_err() {
+        let stop = NodeInput::Stop(watch.sent_after());
+        if received.is_none() || node.send(stop).is_err() {
             return;
         }
     }
--- a/bergamotswitch/tests/stop_paused.rs
+++ b/bergamotswitch/tests/stop_paused.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bergamotswitch_standin::gateway_target::event_text;
+use bergamotswitch_standin::gateway_target::{ResponseMode, event_text};
 use http::StatusCode;
 use tokio::task::JoinHandle;
 use users::host_child::PlannedStop;
@@ -174,3 +174,42 @@
     .await;
     assert!(clean);
 }
+
+// Guards against calls without an answer when the stop signal comes while the host is
+// suspended, which then takes its grace period for longer than it is.
+#[tokio::test]
+async fn paused_at_signal() {
+    let grace = Duration::from_secs(4);
+    let mut site = Site::start_with(SiteOptions {
+        hosts: 2,
+        timeout: Duration::from_secs(30),
+        grace,
+        ..SiteOptions::default()
+    })
+    .await;
+    let address = site.address();
+    for desk in &site.desks {
+        desk.replace_responses(&[ResponseMode::NoResponse]);
+    }
+    let open = send(address, Call::new("POST", "/receipt/1", "open"));
+    until("a target runs the call", async || {
+        runs_of(&site, "open") > 0
+    })
+    .await;
+    for desk in &site.desks {
+        desk.replace_responses(&[]);
+    }
+
+    let host = site.hosts.remove(0).child;
+    host.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let stop = PlannedStop::begin(host, grace);
+    stop.wait_until(Duration::from_secs(2)).await;
+    stop.signal("CONT");
+    let open = open.await.expect("call").expect("answer");
+    // The call may have run, so 503 would be wrong.
+    assert!(open.whole, "{open:?}");
+    assert_eq!(open.status, StatusCode::BAD_GATEWAY, "{open:?}");
+    assert_eq!(runs_of(&site, "open"), 1);
+    assert!(stop.end().await.is_clean());
+}
