Read what has arrived before a target counts as silent

Callers saw: nothing or a later answer. Sound runs of streams were given up for others after their host had been suspended, which costs retries and the targets' work; in a stop, the stream may be cut, since no other run may begin there.

Cause: the host counts the time of its own suspension as the silence of its targets. A process that resumes sees its timers before the data that came meanwhile, and reports the target as silent at once.

After the time-out of a start or a gap, the host waits for 10 ms once more, in which the runtime asks for data. That data is there or not; how long the pause was does not matter.

--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -29,6 +29,10 @@
 /// The maximum size in bytes of an answer's body and of a single event.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
+/// How long data that has already arrived may take to be read before the target counts
+/// as silent. A process that was suspended sees its timers before that data.
+const ARRIVED_DATA_ALLOWANCE: Duration = Duration::from_millis(10);
+
 /// A `RoutedCall` is what a gateway sends to a target with a caller's request,
 /// in addition to its method, path and body.
 #[derive(Clone, Debug)]
@@ -102,6 +106,7 @@
     };
     loop {
         sleep(wait).await;
+        sleep(ARRIVED_DATA_ALLOWANCE).await;
         context.log_incident(Incident::RunStalled, "no answer started in time");
         report.step(AttemptEvent::Stalled);
     }
@@ -378,7 +383,10 @@
         };
         loop {
             let next = match wait {
-                Some(wait) => timeout(wait, body.frame()).await,
+                Some(wait) => match timeout(wait, body.frame()).await {
+                    Ok(next) => Ok(next),
+                    Err(_) => timeout(ARRIVED_DATA_ALLOWANCE, body.frame()).await,
+                },
                 None => Ok(body.frame().await),
             };
             match next {
--- a/bergamotswitch/tests/stalled_streams.rs
+++ b/bergamotswitch/tests/stalled_streams.rs
@@ -67,3 +67,42 @@
     assert!(draft.whole, "{draft:?}");
     assert_eq!(draft.text(), events(8));
 }
+
+// Guards against a host that takes its own suspension for the silence of its targets,
+// whose events have come meanwhile.
+#[tokio::test]
+async fn suspended_host() {
+    let site = Site::start_with(SiteOptions {
+        gap: Duration::from_millis(100),
+        timeout: Duration::from_secs(20),
+        ..SiteOptions::default()
+    })
+    .await;
+    let mut streams = Vec::new();
+    for number in 1..=2 {
+        let call = Call::stream("/draft/1?events=80", &format!("r-{number}"));
+        let call = call.with("deadline-ms", "18000");
+        streams.push(tokio::spawn(call.send(site.address())));
+    }
+    let runs = || -> usize { site.engines.iter().map(|engine| engine.calls().len()).sum() };
+    until("the streams run", async || runs() == streams.len()).await;
+    for _ in 0..3 {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.hosts[0].child.signal("STOP");
+        tokio::time::sleep(SILENCE).await;
+        site.hosts[0].child.signal("CONT");
+    }
+    for stream in streams {
+        let answer = stream.await.expect("no panic").expect("answer");
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(answer.text(), events(80));
+    }
+    assert_eq!(runs(), 2, "each stream ran once");
+    let page = Call::get("/metrics").send(site.hosts[0].metrics).await;
+    let page = page.expect("page");
+    let stalled = page
+        .text()
+        .lines()
+        .find(|line| line.starts_with("bergamot_incidents_total{number=\"702\"}"));
+    assert_eq!(stalled, Some("bergamot_incidents_total{number=\"702\"} 0"));
+}
