Handle SIGHUP and changed settings from the start of a host

Callers saw: a host that ends while it starts, because it got SIGHUP before it handled the signal. And a changed grace period that is never applied: a later planned stop would promise work by the old one, and the process is killed with answers in progress.

Cause: the handler of SIGHUP was installed only once the event loop ran, and until then the signal ends a process. The watch of the settings file read the file anew as the text to compare with, so a change between that read and the one that was applied was taken for known.

The handler is now installed before the settings are read, and the watch compares with the text that was applied, first when it begins.

Ruled out: a delay before the first comparison (the window is as long as the start).

--- a/bergamotswitch/src/command/serve.rs
+++ b/bergamotswitch/src/command/serve.rs
@@ -9,7 +9,7 @@
 use bergamotswitch_net::event_log;
 use bergamotswitch_net::input::{NodeInput, NodeSender};
 use bergamotswitch_net::node::{HostNode, NodeSetup};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 use super::error::CommandError;
@@ -20,11 +20,24 @@
 
 /// Run one entry host until a planned stop is complete.
 pub(super) fn serve(path: &Path) -> Result<ExitCode, CommandError> {
+    let runtime = runtime()?;
+    // Until the signal is handled, it would end the process.
+    let hangup = {
+        let _context = runtime.enter();
+        signal(SignalKind::hangup()).map_err(CommandError::Runtime)?
+    };
     let text = files::read(path)?;
     let settings = HostSettings::try_from_json(&text)
         .map_err(|findings| CommandError::Invalid(path.to_owned(), findings))?;
     let _logger = event_log::start(&settings.log).map_err(CommandError::Log)?;
-    runtime()?.block_on(run(settings, path))
+    let watch = SettingsWatch {
+        path: path.to_owned(),
+        current: text,
+        hangup,
+    };
+    let ended = runtime.block_on(run(settings, watch));
+    drop(runtime);
+    ended
 }
 
 /// Try to create a single-threaded async runtime.
@@ -35,7 +48,7 @@
         .map_err(CommandError::Runtime)
 }
 
-async fn run(settings: HostSettings, path: &Path) -> Result<ExitCode, CommandError> {
+async fn run(settings: HostSettings, watch: SettingsWatch) -> Result<ExitCode, CommandError> {
     let setup = NodeSetup::try_new(settings).map_err(CommandError::Start)?;
     let callers = setup
         .listeners
@@ -45,41 +58,52 @@
     let node = HostNode::try_new(setup).map_err(CommandError::Start)?;
     println!("ready callers={callers} links={peers}");
     tokio::spawn(forward_signals(node.sender()));
-    tokio::spawn(watch_settings(path.to_owned(), node.sender()));
+    tokio::spawn(watch.run(node.sender()));
     node.run().await;
     Ok(ExitCode::SUCCESS)
 }
 
-/// Send changed settings to the host's event loop. The file is read on SIGHUP
-/// and periodically, because it may change without a signal.
-async fn watch_settings(path: PathBuf, node: NodeSender) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        return;
-    };
-    let mut current = files::read(&path).unwrap_or_default();
-    loop {
-        tokio::select! {
-            _ = hangup.recv() => {}
-            () = sleep(SETTINGS_POLL_INTERVAL) => {}
+/// A `SettingsWatch` follows the settings file. The file is read on SIGHUP and
+/// periodically, because it may change without a signal.
+struct SettingsWatch {
+    path: PathBuf,
+    /// The text of the settings as last read.
+    current: String,
+    hangup: Signal,
+}
+
+impl SettingsWatch {
+    /// Send changed settings to the host's event loop.
+    async fn run(mut self, node: NodeSender) {
+        loop {
+            if let Some(settings) = self.read_change()
+                && node.send(NodeInput::Settings(Box::new(settings))).is_err()
+            {
+                return;
+            }
+            tokio::select! {
+                _ = self.hangup.recv() => {}
+                () = sleep(SETTINGS_POLL_INTERVAL) => {}
+            }
         }
-        let Ok(text) = files::read(&path) else {
-            continue;
-        };
-        if text == current {
-            continue;
+    }
+
+    /// Get the settings if the file has changed and is valid.
+    fn read_change(&mut self) -> Option<HostSettings> {
+        let text = files::read(&self.path).ok()?;
+        if text == self.current {
+            return None;
         }
-        match HostSettings::try_from_json(&text) {
-            Ok(settings) => {
-                if node.send(NodeInput::Settings(Box::new(settings))).is_err() {
-                    return;
-                }
-            }
+        let settings = HostSettings::try_from_json(&text);
+        self.current = text;
+        match settings {
+            Ok(settings) => Some(settings),
             Err(findings) => {
                 let text = findings.to_string();
                 event_log::write(Incident::SettingsRefused, &[("findings", &text)]);
+                None
             }
         }
-        current = text;
     }
 }
 
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -427,6 +427,10 @@
     store: SocketAddr,
     grace: Duration,
 ) -> Result<HostProcess, String> {
+    let settings = host_settings(addresses, number, seed, store, grace);
+    let path = settings_path(addresses);
+    write_settings(&path, &settings);
+    let child = HostChild::start(path.clone());
     let HostAddresses {
         link,
         callers,
@@ -434,34 +438,13 @@
         directory,
         metrics,
     } = addresses;
-    let seed = seed.unwrap_or(link);
-    let settings = json!({
-        "name": format!("front-{number}"), "domain": "hall-1",
-        "caller_address": callers, "link_address": link,
-        "gateway": {
-            "readiness_address": readiness, "directory_address": directory,
-            "metrics_address": metrics, "store_address": store, "seeds": [seed],
-            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
-            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
-            "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
-        },
-        "grace_s": grace.as_secs_f64(),
-        "log": {"output": "stdout", "format": "json"},
-    });
-    let name = format!(
-        "bergamotswitch-{}-{}.json",
-        std::process::id(),
-        callers.port()
-    );
-    let path = std::env::temp_dir().join(name);
-    write_settings(&path, &settings);
     let mut host = HostProcess {
         link,
         callers,
         directory,
         readiness,
         metrics,
-        child: HostChild::start(path.clone()),
+        child,
         settings: path,
     };
     let deadline = Instant::now() + WAIT_TIMEOUT;
@@ -476,6 +459,47 @@
     Ok(host)
 }
 
+/// Get the path of a host's settings file.
+pub fn settings_path(addresses: HostAddresses) -> PathBuf {
+    let name = format!(
+        "bergamotswitch-{}-{}.json",
+        std::process::id(),
+        addresses.callers.port()
+    );
+    std::env::temp_dir().join(name)
+}
+
+/// Get the settings of a host.
+pub fn host_settings(
+    addresses: HostAddresses,
+    number: usize,
+    seed: Option<SocketAddr>,
+    store: SocketAddr,
+    grace: Duration,
+) -> Value {
+    let HostAddresses {
+        link,
+        callers,
+        readiness,
+        directory,
+        metrics,
+    } = addresses;
+    let seed = seed.unwrap_or(link);
+    json!({
+        "name": format!("front-{number}"), "domain": "hall-1",
+        "caller_address": callers, "link_address": link,
+        "gateway": {
+            "readiness_address": readiness, "directory_address": directory,
+            "metrics_address": metrics, "store_address": store, "seeds": [seed],
+            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
+            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
+            "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
+        },
+        "grace_s": grace.as_secs_f64(),
+        "log": {"output": "stdout", "format": "json"},
+    })
+}
+
 /// Change the grace period in a settings file.
 pub fn write_grace(path: &Path, grace: Duration) {
     let text = std::fs::read_to_string(path).expect("settings file");
@@ -505,7 +529,7 @@
 }
 
 /// Write a settings file atomically, since a host may be watching it.
-fn write_settings(path: &Path, settings: &Value) {
+pub fn write_settings(path: &Path, settings: &Value) {
     let draft = path.with_extension("draft");
     std::fs::write(&draft, settings.to_string()).expect("settings file");
     std::fs::rename(&draft, path).expect("settings file");
