Apply changed limits of callers to kept connections

Callers saw: on a connection that was opened before the operator raised the limits, proper requests with a larger head are refused with 431, and the connection is closed by the shorter idle timeout although callers rely on the new one. A connection opened at a host without a configuration kept the default limits for good. A lowered limit was not enforced on open connections.

Cause: the listener took both limits from the configuration in force when the connection was opened.

The size of a head is now checked against the limit in force, with a buffer of 64 KiB at least, since the HTTP library fixes its size. The idle timeout uses a timer that adds the limit in force: a raised limit prolongs a wait in progress, a lowered one binds from the next wait.

Ruled out: closing open connections when the limits change, which would race with requests and have all callers connect anew at once. A limit raised above 64 KiB binds connections that were opened before it as it did.

--- a/bergamotswitch-net/src/gateway/listener.rs
+++ b/bergamotswitch-net/src/gateway/listener.rs
@@ -5,21 +5,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::answer_body::AnswerBody;
+use super::idle_timer::IdleTimer;
 use super::{GatewayContext, GatewayPhase};
 use crate::task_guard::TaskGuard;
 
-/// The smallest buffer for request heads that the HTTP library allows.
-const MIN_HEAD_BUFFER: usize = 8_192;
+/// The smallest buffer for request heads, in bytes. The HTTP library fixes the size
+/// when a connection opens, and the limit may be raised later.
+const MIN_HEAD_BUFFER: usize = 65_536;
+
+/// The bytes of a head around each field and around the request line: `: ` or two
+/// spaces, and the end of the line.
+const FIELD_OVERHEAD: usize = 4;
+/// The bytes of the protocol version in the request line.
+const VERSION_BYTES: usize = 8;
 
 /// The TCP keepalive settings: the idle time before the first probe, which is
 /// also the interval of the probes, and the number of unanswered probes after
@@ -86,7 +95,6 @@
     Handler: Fn(Arc<GatewayContext>, Request<Incoming>) -> Answer + Copy + Send + Sync + 'static,
     Answer: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
-    let limits = context.publication.borrow().routes.config().limits;
     let _guard = context.connection_guard.clone();
     let mut phase = context.phase.clone();
     let service = service_fn(|request| {
@@ -94,7 +102,11 @@
         async move {
             let chunked = bergamotswitch_platform::call::is_chunked(request.headers());
             let phase = context.phase.clone();
-            let mut response = handler(context, request).await;
+            let oversized = head_bytes(&request) > max_header_bytes(&context);
+            let mut response = match oversized {
+                true => oversized_head(),
+                false => handler(context, request).await,
+            };
             // The phase is read after the call, so that a stop that begins
             // during the call closes the connection, too.
             let stopping = *phase.borrow() != GatewayPhase::Serving;
@@ -103,7 +115,7 @@
             // connection as part of that body, and its content would run as a
             // request that no caller sent (request smuggling). So the
             // connection is closed.
-            if chunked || stopping {
+            if chunked || stopping || oversized {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -111,11 +123,11 @@
         }
     });
     // The HTTP library measures this timeout from the end of the previous
-    // request, so it also limits the idle time.
+    // request, so it also limits the idle time. The timer adds the limit in force.
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-        .max_buf_size(MIN_HEAD_BUFFER.max(limits.max_header_bytes as usize))
+        .timer(IdleTimer::new(context.publication.clone()))
+        .header_read_timeout(Duration::ZERO)
+        .max_buf_size(MIN_HEAD_BUFFER.max(max_header_bytes(&context)))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
@@ -137,3 +149,25 @@
         log::debug!("caller connection failed: {error}");
     }
 }
+
+/// Get the maximum size of a request's head that is in force, in bytes.
+fn max_header_bytes(context: &GatewayContext) -> usize {
+    let publication = context.publication.borrow();
+    publication.routes.config().limits.max_header_bytes as usize
+}
+
+/// Get the size of a request's head, in bytes.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let target = request.uri().path_and_query();
+    let target = target.map_or(1, |target| target.as_str().len());
+    let line = request.method().as_str().len() + target + VERSION_BYTES + FIELD_OVERHEAD;
+    let fields = request.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD);
+    line + fields.sum::<usize>()
+}
+
+fn oversized_head() -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::buffered(Bytes::new()));
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    response
+}
--- a/bergamotswitch-net/src/gateway/mod.rs
+++ b/bergamotswitch-net/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 
 mod answer_body;
 mod call;
+mod idle_timer;
 mod listener;
 mod lookup;
 
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -72,6 +72,10 @@
     pub grace: Duration,
     /// The priority of the routes to engines, 0 for the highest.
     pub stream_priority: u32,
+    /// The maximum size of a request's head, in bytes.
+    pub max_head_bytes: u32,
+    /// How long a caller's connection may be idle.
+    pub idle_timeout: Duration,
 }
 
 impl Default for SiteOptions {
@@ -86,6 +90,8 @@
             timeout: Duration::from_secs(5),
             grace: Duration::from_secs(8),
             stream_priority: 0,
+            max_head_bytes: 16_384,
+            idle_timeout: Duration::from_secs(15),
         }
     }
 }
@@ -224,6 +230,21 @@
         );
     }
 
+    /// Publish the routes with changed options, and wait until all hosts apply them.
+    pub async fn apply_changed(&mut self, change: impl FnOnce(&mut SiteOptions)) {
+        change(&mut self.options);
+        let prefix = format!("/applied-{}/", self.version);
+        self.publish(&[KEY], &[&prefix]);
+        for host in &self.hosts {
+            until("the change is in force", async || {
+                let call = Call::new("GET", &prefix, "applied").send(host.callers);
+                call.await
+                    .is_ok_and(|answer| answer.status == StatusCode::OK)
+            })
+            .await;
+        }
+    }
+
     /// Write a target's own registration to the store.
     pub fn register(&self, service: &str, target: &GatewayTargetStandin, state: &str) {
         let mut entry = target.registration(service, target.address(), state);
@@ -347,8 +368,9 @@
             {"name": "desk", "healthPath": "/healthz", "maxConnections": 100,
              "coldStartS": 3, "coldPerS": COLD_PER_SECOND},
         ],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
-                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
+        "limits": {"maxHeaderBytes": options.max_head_bytes, "maxBodyBytes": 1_000,
+                   "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": options.idle_timeout.as_millis() as u64},
         "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
                      "plainTokens": 10, "ratePerS": 1_000_000, "burst": 1_000_000}],
     });
