--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -72,6 +72,10 @@
     pub grace: Duration,
     /// The priority of the routes to engines, 0 for the highest.
     pub stream_priority: u32,
+    /// The maximum size of a request's head, in bytes.
+    pub max_head_bytes: u32,
+    /// How long a caller's connection may be idle.
+    pub idle_timeout: Duration,
 }
 
 impl Default for SiteOptions {
@@ -86,6 +90,8 @@
             timeout: Duration::from_secs(5),
             grace: Duration::from_secs(8),
             stream_priority: 0,
+            max_head_bytes: 16_384,
+            idle_timeout: Duration::from_secs(15),
         }
     }
 }
@@ -224,6 +230,21 @@
         );
     }
 
+    /// Publish the routes with changed options, and wait until all hosts apply them.
+    pub async fn apply_changed(&mut self, change: impl FnOnce(&mut SiteOptions)) {
+        change(&mut self.options);
+        let prefix = format!("/applied-{}/", self.version);
+        self.publish(&[KEY], &[&prefix]);
+        for host in &self.hosts {
+            until("the change is in force", async || {
+                let call = Call::new("GET", &prefix, "applied").send(host.callers);
+                call.await
+                    .is_ok_and(|answer| answer.status == StatusCode::OK)
+            })
+            .await;
+        }
+    }
+
     /// Write a target's own registration to the store.
     pub fn register(&self, service: &str, target: &GatewayTargetStandin, state: &str) {
         let mut entry = target.registration(service, target.address(), state);
@@ -347,8 +368,9 @@
             {"name": "desk", "healthPath": "/healthz", "maxConnections": 100,
              "coldStartS": 3, "coldPerS": COLD_PER_SECOND},
         ],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000,
-                   "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
+        "limits": {"maxHeaderBytes": options.max_head_bytes, "maxBodyBytes": 1_000,
+                   "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": options.idle_timeout.as_millis() as u64},
         "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
                      "plainTokens": 10, "ratePerS": 1_000_000, "burst": 1_000_000}],
     });
@@ -427,6 +449,10 @@
     store: SocketAddr,
     grace: Duration,
 ) -> Result<HostProcess, String> {
+    let settings = host_settings(addresses, number, seed, store, grace);
+    let path = settings_path(addresses);
+    write_settings(&path, &settings);
+    let child = HostChild::start(path.clone());
     let HostAddresses {
         link,
         callers,
@@ -434,34 +460,13 @@
         directory,
         metrics,
     } = addresses;
-    let seed = seed.unwrap_or(link);
-    let settings = json!({
-        "name": format!("front-{number}"), "domain": "hall-1",
-        "caller_address": callers, "link_address": link,
-        "gateway": {
-            "readiness_address": readiness, "directory_address": directory,
-            "metrics_address": metrics, "store_address": store, "seeds": [seed],
-            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
-            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
-            "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
-        },
-        "grace_s": grace.as_secs_f64(),
-        "log": {"output": "stdout", "format": "json"},
-    });
-    let name = format!(
-        "bergamotswitch-{}-{}.json",
-        std::process::id(),
-        callers.port()
-    );
-    let path = std::env::temp_dir().join(name);
-    write_settings(&path, &settings);
     let mut host = HostProcess {
         link,
         callers,
         directory,
         readiness,
         metrics,
-        child: HostChild::start(path.clone()),
+        child,
         settings: path,
     };
     let deadline = Instant::now() + WAIT_TIMEOUT;
@@ -476,6 +481,47 @@
     Ok(host)
 }
 
+/// Get the path of a host's settings file.
+pub fn settings_path(addresses: HostAddresses) -> PathBuf {
+    let name = format!(
+        "bergamotswitch-{}-{}.json",
+        std::process::id(),
+        addresses.callers.port()
+    );
+    std::env::temp_dir().join(name)
+}
+
+/// Get the settings of a host.
+pub fn host_settings(
+    addresses: HostAddresses,
+    number: usize,
+    seed: Option<SocketAddr>,
+    store: SocketAddr,
+    grace: Duration,
+) -> Value {
+    let HostAddresses {
+        link,
+        callers,
+        readiness,
+        directory,
+        metrics,
+    } = addresses;
+    let seed = seed.unwrap_or(link);
+    json!({
+        "name": format!("front-{number}"), "domain": "hall-1",
+        "caller_address": callers, "link_address": link,
+        "gateway": {
+            "readiness_address": readiness, "directory_address": directory,
+            "metrics_address": metrics, "store_address": store, "seeds": [seed],
+            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
+            "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
+            "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
+        },
+        "grace_s": grace.as_secs_f64(),
+        "log": {"output": "stdout", "format": "json"},
+    })
+}
+
 /// Change the grace period in a settings file.
 pub fn write_grace(path: &Path, grace: Duration) {
     let text = std::fs::read_to_string(path).expect("settings file");
@@ -505,7 +551,7 @@
 }
 
 /// Write a settings file atomically, since a host may be watching it.
-fn write_settings(path: &Path, settings: &Value) {
+pub fn write_settings(path: &Path, settings: &Value) {
     let draft = path.with_extension("draft");
     std::fs::write(&draft, settings.to_string()).expect("settings file");
     std::fs::rename(&draft, path).expect("settings file");
