Read each item of a store answer by itself

Operators saw hosts stop following the list of targets while another writer had one odd entry in the store. An answer was decoded in one step, so an item whose value is no text but nested 200 deep, or the number 1e999, or an item without key or revision, failed it whole; the next call got the same item.

The answer is now divided by its brackets and quotes alone, without recursion and without reading numbers, escapes or characters, and each item is read by itself. An item of which only the key can be read has an empty value, which its parser refuses. An item without a readable key changes nothing known of the targets; a watch of the operators' items is then followed by a full read, so that an unreadable configuration never confirms the one before. A page that ends with such items, or has no others, neither ends nor repeats the read, and nothing is taken for removed behind it. What is odd about the answer itself makes it malformed, as before.

Ruled out: RawValue of serde_json, which refuses bad escapes and invalid UTF-8 inside one item; leaving out odd items in a full read only, as the position of a watch has to move on past them; confirming routes after an event without a key, which may be theirs.

Not measured with hosts: pages that have only odd items.

--- a/bergamotswitch-net/src/store_source/cursor.rs
+++ b/bergamotswitch-net/src/store_source/cursor.rs
@@ -4,13 +4,16 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::target_list::StorePosition;
+use bergamotswitch_platform::evacuation;
 use bergamotswitch_platform::store::{self, StoreChange, StoreItem};
 use bytes::Bytes;
 use http::StatusCode;
 
 use super::connection::{StoreAnswer, StoreCallError, StoreConnection};
 use super::store_era::StoreEra;
+use crate::event_log;
 
 /// The timeout for an answer, in addition to the wait of a watch.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -29,6 +32,12 @@
         items: Vec<StoreItem>,
         as_of: StorePosition,
     },
+    /// Items as of a position, of which some are not known since their keys could not be
+    /// read and nothing can be read after them.
+    Partial {
+        items: Vec<StoreItem>,
+        as_of: StorePosition,
+    },
     /// The changes since the previous update.
     Changes {
         /// The changes, in order of their revisions.
@@ -49,6 +58,8 @@
     /// The position up to which changes are known. `None` before the first read
     /// and after the store has compacted the history that the cursor needs.
     as_of: Option<StorePosition>,
+    /// Whether items without a readable key were logged since the last full read without any.
+    logged_without_key: bool,
 }
 
 impl StoreCursor {
@@ -65,6 +76,7 @@
             prefix,
             wait,
             as_of: None,
+            logged_without_key: false,
         }
     }
 
@@ -99,6 +111,14 @@
         let body = self.check(answer)?;
         let found = store::read_changes(&body).map_err(StoreCallError::Malformed)?;
         let as_of = StorePosition::new(after.era(), found.as_of);
+        if found.without_key > 0 {
+            self.log_without_key();
+            // The item may be any of those that are followed by name.
+            if self.prefix == evacuation::OPERATOR_PREFIX {
+                self.as_of = None;
+                return self.read_all(calls).await;
+            }
+        }
         self.as_of = Some(as_of.max(after));
         Ok(StoreUpdate::Changes {
             changes: found.changes,
@@ -109,6 +129,7 @@
     async fn read_all(&mut self, calls: &AtomicU64) -> Result<StoreUpdate, StoreCallError> {
         let mut items: Vec<StoreItem> = Vec::new();
         let mut first = None;
+        let mut without_key = 0;
         for _ in 0..MAX_PAGES {
             let last_key = items.last().map(|item| item.key.clone());
             let path = store::page_path(self.prefix, last_key.as_deref());
@@ -124,19 +145,37 @@
             if first.era() < era {
                 return Err(StoreCallError::EarlierEra);
             }
-            let has_more = page.has_more && !page.items.is_empty();
+            without_key += page.without_key;
+            let is_empty = page.items.is_empty();
             items.extend(page.items);
-            if !has_more {
-                self.as_of = Some(first);
-                return Ok(StoreUpdate::Snapshot {
-                    items,
-                    as_of: first,
-                });
+            if page.has_more && !is_empty {
+                continue;
             }
+            self.as_of = Some(first);
+            match without_key {
+                0 => self.logged_without_key = false,
+                _ => self.log_without_key(),
+            }
+            let as_of = first;
+            return Ok(match page.has_more && page.without_key > 0 {
+                true => StoreUpdate::Partial { items, as_of },
+                false => StoreUpdate::Snapshot { items, as_of },
+            });
         }
         Err(StoreCallError::TooMany)
     }
 
+    /// Log that there are items without a readable key, once until a full read has none.
+    fn log_without_key(&mut self) {
+        if !std::mem::replace(&mut self.logged_without_key, true) {
+            let details: [(&str, &dyn std::fmt::Display); 2] = [
+                ("key", &self.prefix),
+                ("cause", &"item without a readable key"),
+            ];
+            event_log::write(Incident::EntryUnreadable, &details);
+        }
+    }
+
     /// Get the body of an answer, unless the answer is an error or of an earlier era.
     fn check(&self, answer: StoreAnswer) -> Result<Bytes, StoreCallError> {
         if !self.era.record(answer.era) {
--- a/bergamotswitch-net/src/store_source/evacuation_reader.rs
+++ b/bergamotswitch-net/src/store_source/evacuation_reader.rs
@@ -7,7 +7,7 @@
 use bergamotswitch_core::incident::Incident;
 use bergamotswitch_core::target_list::StorePosition;
 use bergamotswitch_platform::evacuation;
-use bergamotswitch_platform::store::StoreChange;
+use bergamotswitch_platform::store::{StoreChange, StoreItem};
 
 use super::cursor::StoreUpdate;
 use crate::event_log;
@@ -22,27 +22,39 @@
                 as_of: *as_of,
             })
         }
+        StoreUpdate::Partial { items, as_of } => {
+            let items = items.iter();
+            let changes = items.filter_map(|item| begun(item, as_of.era()));
+            to_update(changes.collect(), *as_of)
+        }
         StoreUpdate::Changes { changes, as_of } => {
             let changes = changes.iter();
-            let changes: Vec<_> = changes
-                .filter_map(|change| to_change(change, as_of.era()))
-                .collect();
-            (!changes.is_empty()).then_some(EvacuationUpdate::Changes {
-                changes,
-                as_of: *as_of,
-            })
+            let changes = changes.filter_map(|change| to_change(change, as_of.era()));
+            to_update(changes.collect(), *as_of)
         }
     }
 }
 
+fn to_update(
+    changes: Vec<(StorePosition, EvacuationChange)>,
+    as_of: StorePosition,
+) -> Option<EvacuationUpdate> {
+    (!changes.is_empty()).then_some(EvacuationUpdate::Changes { changes, as_of })
+}
+
+fn begun(item: &StoreItem, era: u64) -> Option<(StorePosition, EvacuationChange)> {
+    let position = StorePosition::new(era, item.revision);
+    Some((position, EvacuationChange::Begun(domain(&item.key)?)))
+}
+
 fn to_change(change: &StoreChange, era: u64) -> Option<(StorePosition, EvacuationChange)> {
-    let (revision, change) = match change {
-        StoreChange::Set(item) => (item.revision, EvacuationChange::Begun(domain(&item.key)?)),
+    match change {
+        StoreChange::Set(item) => begun(item, era),
         StoreChange::Removed { key, revision } => {
-            (*revision, EvacuationChange::Ended(domain(key)?))
+            let position = StorePosition::new(era, *revision);
+            Some((position, EvacuationChange::Ended(domain(key)?)))
         }
-    };
-    Some((StorePosition::new(era, revision), change))
+    }
 }
 
 fn domain(key: &str) -> Option<DomainName> {
--- a/bergamotswitch-net/src/store_source/mod.rs
+++ b/bergamotswitch-net/src/store_source/mod.rs
@@ -200,6 +200,13 @@
                 as_of,
             }
         }
+        StoreUpdate::Partial { items, as_of } => TargetUpdate::Changes {
+            changes: items
+                .iter()
+                .filter_map(|item| set_change(item, as_of.era(), reader))
+                .collect(),
+            as_of,
+        },
         StoreUpdate::Changes { changes, as_of } => TargetUpdate::Changes {
             changes: changes
                 .iter()
@@ -216,13 +223,7 @@
     reader: &mut EntryReader,
 ) -> Option<(StorePosition, TargetChange)> {
     match change {
-        StoreChange::Set(item) => {
-            let change = match reader.read(item) {
-                Ok(entry) => TargetChange::Set(entry),
-                Err(name) => TargetChange::Unreadable(name?),
-            };
-            Some((StorePosition::new(era, item.revision), change))
-        }
+        StoreChange::Set(item) => set_change(item, era, reader),
         StoreChange::Removed { key, revision } => {
             reader.remove(key);
             let name = registration::target_name(key)?;
@@ -232,6 +233,18 @@
     }
 }
 
+fn set_change(
+    item: &StoreItem,
+    era: u64,
+    reader: &mut EntryReader,
+) -> Option<(StorePosition, TargetChange)> {
+    let change = match reader.read(item) {
+        Ok(entry) => TargetChange::Set(entry),
+        Err(name) => TargetChange::Unreadable(name?),
+    };
+    Some((StorePosition::new(era, item.revision), change))
+}
+
 impl RoutesReader {
     /// Get the event for the latest routes in an update.
     ///
@@ -239,7 +252,7 @@
     /// store's revisions. A restored store may lack routes until they are written again, so
     /// for a while only new routes confirm anything.
     fn event(&self, name: &ValueName, update: StoreUpdate, era: &StoreEra) -> PlatformEvent {
-        let is_snapshot = matches!(update, StoreUpdate::Snapshot { .. });
+        let is_snapshot = !matches!(update, StoreUpdate::Changes { .. });
         let known = self.revision.load(Ordering::Relaxed);
         let item = match routes_change(update) {
             RoutesChange::Set(item) => item,
@@ -279,7 +292,7 @@
 /// Get what an update says of the routes.
 fn routes_change(update: StoreUpdate) -> RoutesChange {
     match update {
-        StoreUpdate::Snapshot { items, .. } => {
+        StoreUpdate::Snapshot { items, .. } | StoreUpdate::Partial { items, .. } => {
             let mut items = items.into_iter();
             let found = items.find(|item| item.key == config::KEY);
             found.map_or(RoutesChange::Removed, RoutesChange::Set)
--- a/bergamotswitch-standin/src/kv_store.rs
+++ b/bergamotswitch-standin/src/kv_store.rs
@@ -32,9 +32,18 @@
     NoResponse,
 }
 
+/// A `StoredValue` is what the store returns for an item.
+#[derive(Clone, Debug)]
+enum StoredValue {
+    /// An item with this value.
+    Value(Bytes),
+    /// These bytes in place of the item, which may be in no format.
+    Raw(Bytes),
+}
+
 #[derive(Clone, Debug)]
 struct StoredItem {
-    value: Bytes,
+    value: StoredValue,
     revision: u64,
 }
 
@@ -42,7 +51,7 @@
 struct StoredChange {
     key: String,
     revision: u64,
-    value: Option<Bytes>,
+    value: Option<StoredValue>,
 }
 
 /// A `StoreCopy` is the content of a store at one moment, to which it can be restored.
@@ -105,6 +114,15 @@
 
     /// Write an item with arbitrary bytes, which may be invalid JSON.
     pub fn put_bytes(&self, key: &str, value: Bytes) {
+        self.write(key, StoredValue::Value(value));
+    }
+
+    /// Write an item that is returned as these bytes, whatever they are.
+    pub fn put_raw(&self, key: &str, item: Bytes) {
+        self.write(key, StoredValue::Raw(item));
+    }
+
+    fn write(&self, key: &str, value: StoredValue) {
         let mut state = lock(&self.shared.state);
         state.revision += 1;
         let revision = state.revision;
@@ -219,15 +237,9 @@
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(prefix));
-    let items: Vec<Value> = found
-        .map(|(key, item)| item_json(key, Some(&item.value), item.revision))
-        .collect();
-    let body = json!({
-        "items": items,
-        "truncated": false,
-        "storeRevision": state.revision,
-    });
-    respond(StatusCode::OK, &body)
+    let items = found.map(|(key, item)| item_bytes(key, Some(&item.value), item.revision));
+    let start = "{\"truncated\":false,\"items\":[";
+    respond_with_list(start, items, state.revision)
 }
 
 async fn watch(shared: &StoreShared, prefix: &str, query: &str) -> Response<Full<Bytes>> {
@@ -261,19 +273,30 @@
     }
     let later = state.history.iter();
     let later = later.filter(|change| change.revision > after && change.key.starts_with(prefix));
-    let events: Vec<Value> = later
-        .map(|change| item_json(&change.key, change.value.as_ref(), change.revision))
-        .collect();
-    if events.is_empty() {
-        return None;
-    }
-    let body = json!({ "events": events, "storeRevision": state.revision });
-    Some(respond(StatusCode::OK, &body))
+    let mut events = later
+        .map(|change| item_bytes(&change.key, change.value.as_ref(), change.revision))
+        .peekable();
+    events.peek()?;
+    let start = "{\"events\":[";
+    Some(respond_with_list(start, events, state.revision))
+}
+
+fn respond_with_list(
+    start: &str,
+    items: impl Iterator<Item = Bytes>,
+    revision: u64,
+) -> Response<Full<Bytes>> {
+    let items: Vec<Bytes> = items.collect();
+    let mut body = start.as_bytes().to_vec();
+    body.extend(items.join(&b','));
+    body.extend(format!("],\"storeRevision\":{revision}}}").bytes());
+    Response::new(Full::new(Bytes::from(body)))
 }
 
-fn item_json(key: &str, value: Option<&Bytes>, revision: u64) -> Value {
-    match value {
-        Some(value) => json!({
+fn item_bytes(key: &str, value: Option<&StoredValue>, revision: u64) -> Bytes {
+    let item = match value {
+        Some(StoredValue::Raw(item)) => return item.clone(),
+        Some(StoredValue::Value(value)) => json!({
             "key": key,
             "value": encode_base64(value),
             "rev": revision,
@@ -281,7 +304,8 @@
             "lease": 0,
         }),
         None => json!({ "key": key, "rev": revision, "tombstone": true }),
-    }
+    };
+    Bytes::from(item.to_string())
 }
 
 fn encode_base64(bytes: &[u8]) -> String {
--- a/bergamotswitch/tests/gateway_updates.rs
+++ b/bergamotswitch/tests/gateway_updates.rs
@@ -240,6 +240,89 @@
 }
 
 /// Start a site whose only desk is behind a relay.
+/// Get items that are not in the store's format; `{key}` stands for the key.
+fn odd_items() -> [(&'static str, String); 6] {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let with_value = |value: &str| format!(r#"{{"key":"{{key}}","rev":1,"value":{value}}}"#);
+    [
+        ("nested", with_value(&nested)),
+        ("too large", with_value("1e999")),
+        ("no key", r#"{"rev":1,"value":"YQ=="}"#.to_owned()),
+        (
+            "key of another type",
+            r#"{"key":7,"rev":1,"value":"YQ=="}"#.to_owned(),
+        ),
+        (
+            "no revision",
+            r#"{"key":"{key}","value":"YQ=="}"#.to_owned(),
+        ),
+        ("no object", nested.clone()),
+    ]
+}
+
+// Guards against one odd item of the store that keeps all others from being followed.
+#[tokio::test]
+async fn odd_items_beside_others() {
+    let mut site = Site::start(2).await;
+    for (number, (name, item)) in odd_items().into_iter().enumerate() {
+        for prefix in ["servers", "op"] {
+            let key = format!("{prefix}/odd-{number}");
+            let item = item.replace("{key}", &key);
+            site.store.put_raw(&key, item.into());
+        }
+        if number % 2 == 1 {
+            // The next reads are full ones.
+            site.store.compact();
+        }
+        let (used, other) = (number % 2, (number + 1) % 2);
+        site.register("desk", &site.desks[used], "ready");
+        site.register("desk", &site.desks[other], "draining");
+        let key = format!("key-{number}");
+        site.publish(&[&key], &[]);
+        until(&format!("{name}: the changes are in force"), async || {
+            uses_only(&site, &key, &site.desks[other]).await
+        })
+        .await;
+    }
+}
+
+/// Get whether all hosts serve calls with a key, and send none to the target `left`.
+async fn uses_only(site: &Site, key: &str, left: &GatewayTargetStandin) -> bool {
+    let before = left.calls().len();
+    for host in site.hosts.iter().chain(&site.hosts) {
+        let call = Call::new("GET", "/status/1", "r-1");
+        let call = call.with("authorization", &format!("Bearer {key}"));
+        let answer = call.send(host.callers).await.expect("an answer");
+        if answer.status != StatusCode::OK {
+            return false;
+        }
+    }
+    left.calls().len() == before
+}
+
+// Guards against an item without a readable key, or of an odd shape, that stands in the place
+// of the routes while their keys are trusted on.
+#[tokio::test]
+async fn odd_routes_item() {
+    let mut site = Site::start(2).await;
+    let (_, nested) = odd_items()[0].clone();
+    for item in [
+        nested.replace("{key}", "op/config"),
+        r#"{"rev":1}"#.to_owned(),
+    ] {
+        let since = Instant::now();
+        site.store.put_raw("op/config", item.into());
+        for host in &site.hosts {
+            wait_distrust(host.callers, since).await;
+        }
+        site.publish(&[KEY], &[]);
+        until("keys are accepted again", async || {
+            status(&site, "/status/1", "r-3", KEY).await == StatusCode::OK
+        })
+        .await;
+    }
+}
+
 async fn site_behind_relay() -> (Site, GatewayTargetStandin, Relay, SocketAddr) {
     let site = Site::start(2).await;
     let desk = GatewayTargetStandin::start("desk-3", 0, Duration::ZERO).await;
