--- a/bergamotswitch-core/src/entry/dispatcher/stopping.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/stopping.rs
@@ -75,7 +75,7 @@
 
 impl EntryDispatcher {
     /// Set the time by which answers must be complete, and refuse waiting
-    /// requests that would not finish by then.
+    /// requests that may not run any more.
     pub(super) fn set_answer_deadline(
         &mut self,
         now: Moment,
@@ -135,8 +135,8 @@
         self.durations.bound(rule, estimate, &in_flight)
     }
 
-    /// Refuse waiting requests that would not finish in time, while another
-    /// host can still serve them.
+    /// Refuse waiting requests whose next run may not start. Another host can
+    /// still serve those that have not run.
     pub(super) fn refuse_unfinishable(&mut self, now: Moment, actions: &mut Vec<EntryAction>) {
         if self.bound.answer_deadline == Moment::NEVER {
             return;
