--- a/bergamotswitch-core/src/entry/dispatcher/stopping.rs
+++ b/bergamotswitch-core/src/entry/dispatcher/stopping.rs
@@ -3,9 +3,9 @@
 //! The process is killed at the end of the grace period, which truncates every
 //! answer that is still in progress. A stopping host therefore starts only work
 //! that ends in time for certain, and refuses everything else at once as "not
-//! run", so that another host can serve it. Work that was cut off shows up as events 109
-//! and 207 in the log, and as connections that close in the middle of an
-//! answer.
+//! run", so that another host can serve it. Work that was cut off shows up as
+//! events 109 and 207 in the log, and as connections that close in the middle
+//! of an answer.
 
 use std::time::Duration;
 
@@ -104,8 +104,8 @@
     }
 
     /// Get whether the next run of an accepted request may start. If an earlier
-    /// attempt may have run, its caller cannot be told that another host can serve
-    /// it: the request is lost now, or goes on. An estimate is enough there.
+    /// attempt may have run, the request cannot be refused as "not run": it fails
+    /// now, or runs again. An estimated duration that fits is enough for that.
     pub(super) fn may_run(&self, now: Moment, record: &RequestRecord, earlier: RunClaim) -> bool {
         let may_have_run = earlier == RunClaim::Unknown;
         self.may_start(&record.submission, record.deadline)
--- a/bergamotswitch-core/tests/entry_grace.rs
+++ b/bergamotswitch-core/tests/entry_grace.rs
@@ -602,7 +602,7 @@
 }
 
 // Guards against an accepted call that ends without an answer because its first run
-// failed while its host stops, though its caller cannot be told that it has not run.
+// failed while its host stops, although it cannot be refused as "not run".
 #[test]
 fn failed_first_run() {
     for event in [AttemptEvent::Broken(usage()), AttemptEvent::Failed] {
--- a/bergamotswitch-core/tests/outdated_targets.rs
+++ b/bergamotswitch-core/tests/outdated_targets.rs
@@ -248,7 +248,7 @@
         host.is_cut = true;
         host.pass(Duration::from_millis(cut_ms));
         assert_eq!(host.resume(2), REFUSED, "cut for {cut_ms} ms");
-        // Nothing was published meanwhile: the caller's next try goes on.
+        // No version was published meanwhile, so the caller's next attempt is accepted.
         host.is_cut = false;
         host.pass(STEP * 10);
         assert_eq!(host.resume(2), Some(Ok(())), "cut for {cut_ms} ms");
--- a/bergamotswitch/tests/soak_world/callers.rs
+++ b/bergamotswitch/tests/soak_world/callers.rs
@@ -125,7 +125,7 @@
     pub second_key: bool,
 }
 
-/// A `SentCall` tells its caller how to go on.
+/// A `SentCall` is the outcome of a call, by which its caller chooses the next one.
 pub struct SentCall {
     /// Whether the connection may be used again.
     pub kept: bool,
