Show a quota that a tenant has once for each service

Claimed: each pool's owner grants an account's whole quota, so a tenant whose route is split over two services of model workers runs nearly twice what its quota allows (rule QUOTA).

--- a/review/tests/standins-2/main.rs
+++ b/review/tests/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod hosts;
 mod http;
+mod quota;
 mod record;
 mod revoked;
 mod store;
@@ -73,6 +74,7 @@
     let verdict = match name {
         "versions" => versions::run(&setup),
         "revoked" => revoked::run(&setup),
+        "quota" => quota::run(&setup),
         "cold-store-down" => cold::run(&setup, ColdTrouble::Down),
         "cold-store-copy" => cold::run(&setup, ColdTrouble::Copy),
         _ => Err(format!("no case {name}")),
