Show a host that ends for want of memory under long chunked bodies

Claimed: memory for request bodies is reserved only if they state a length. A burst of long chunked bodies, each within the limit of the configuration, takes a host over its memory; it is killed with the requests that it accepted (rule LOST).

--- a/review/tests/standins-2/hosts.rs
+++ b/review/tests/standins-2/hosts.rs
@@ -176,6 +176,15 @@
         }
     }
 
+    /// Get the memory that the process takes, in KiB.
+    pub fn memory_kb(&self) -> u64 {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let words = line.and_then(|line| line.split_whitespace().next());
+        words.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     pub fn is_ready(&self) -> bool {
         let within = Duration::from_secs(1);
         let answer = Call::new("GET", "/readyz").send(self.readiness, within, |_, _| {});
--- a/review/tests/standins-2/main.rs
+++ b/review/tests/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod hosts;
 mod http;
+mod memory;
 mod quota;
 mod record;
 mod revoked;
@@ -75,6 +76,7 @@
         "versions" => versions::run(&setup),
         "revoked" => revoked::run(&setup),
         "quota" => quota::run(&setup),
+        "memory" => memory::run(&setup),
         "cold-store-down" => cold::run(&setup, ColdTrouble::Down),
         "cold-store-copy" => cold::run(&setup, ColdTrouble::Copy),
         _ => Err(format!("no case {name}")),
