Do not take a session's part for a stream's own

Cause: no host knows such a stream, so its owner asked the targets which parts of prompts they hold, and took the version whose targets alone held the stream's last part. That part may be its session's, left by an earlier request at another version, and the target that ran the stream may have restarted, which its start time shows, or ended before it was asked.

A version now counts only if no target of another one can have run the stream and lost it: each has told what it holds and has run since before the stream can have begun, which is bounded by the longest timeout of the pool's routes and the time that the caller has left, and none has ended unread in the last 60 s. Targets without new requests are asked as well. In a mixed pool a new owner asks once without a request, as targets may end later.

The stand-in held parts of earlier instances after a restart; it no longer does.

Ruled out: no belief in caches (all_hosts_killed and pools of one version would lose all streams), and the store's history, which has no times.

Cost: after the loss of all hosts, in pools of several versions alone, streams from before it are refused at once (stream-unknown, not run) while a target of another version is younger than they may be, for the routes' longest timeout at most.

--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -154,7 +154,11 @@
         };
         NodeCore {
             entry: EntryDispatcher::new(identity.clone(), opts.entry.clone()),
-            shards: ShardSet::new(identity.clone(), opts.owner.clone()),
+            shards: ShardSet::new(
+                identity.clone(),
+                opts.owner.clone(),
+                opts.roster.as_ref().map(|setup| setup.started_at_ms),
+            ),
             membership: Membership::new(identity.clone(), opts.membership.clone(), now),
             revisions: RevisionReplica::new(
                 identity.clone(),
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -25,9 +25,21 @@
     degraded: bool,
     /// The cold targets as last told to the owner.
     cold: Vec<(TargetName, ColdTarget)>,
+    /// The targets without new requests as last told to the owner.
+    departing: Vec<PoolTarget>,
 }
 
 impl OwnedShard {
+    /// Tell the owner the targets that get no new requests, if they have changed.
+    fn update_departing(&mut self, now: Moment, departing: Vec<PoolTarget>) -> Vec<OwnerAction> {
+        if departing == self.departing {
+            return Vec::new();
+        }
+        self.departing.clone_from(&departing);
+        let event = OwnerEvent::DepartingTargets(departing);
+        self.owner.handle(now, event)
+    }
+
     /// Tell the owner the cold targets, if they have changed. It has to know them before it
     /// is told of new targets.
     fn update_cold(&mut self, now: Moment, publication: &Publication) -> Vec<OwnerAction> {
@@ -44,15 +56,22 @@
 pub(super) struct ShardSet {
     identity: HostIncarnation,
     opts: OwnerOptions,
+    /// The start of this process in Unix milliseconds, if known.
+    process_start_ms: Option<u64>,
     owned: Vec<OwnedShard>,
     watched: Vec<PoolTarget>,
 }
 
 impl ShardSet {
-    pub(super) fn new(identity: HostIncarnation, opts: OwnerOptions) -> Self {
+    pub(super) fn new(
+        identity: HostIncarnation,
+        opts: OwnerOptions,
+        process_start_ms: Option<u64>,
+    ) -> Self {
         ShardSet {
             identity,
             opts,
+            process_start_ms,
             owned: Vec::new(),
             watched: Vec::new(),
         }
@@ -254,10 +273,21 @@
     fn start(&mut self, now: Moment, shard: &PoolShard, degraded: bool, publication: &Publication) {
         let identity = self.identity.clone();
         let mut owner = ShardOwner::new(identity, shard.clone(), self.opts.clone(), now);
-        let targets = shard_targets(shard, degraded, publication);
+        let (targets, departing) = shard_targets(shard, degraded, publication);
+        let longest_call_ms = publication.routes.longest_call_ms(&shard.pool);
+        owner.set_call_times(self.process_start_ms, longest_call_ms);
         let cold = publication.cold_targets(now, &shard.pool);
         // A new owner has an empty queue, so no actions result.
         owner.handle(now, OwnerEvent::ColdTargets(cold.clone()));
+        let mut owned = OwnedShard {
+            shard: shard.clone(),
+            owner,
+            degraded,
+            cold,
+            departing: Vec::new(),
+        };
+        owned.update_departing(now, departing);
+        let owner = &mut owned.owner;
         owner.handle(now, OwnerEvent::Targets(targets));
         let rates = quota_rates(degraded, publication, &self.opts.quota_tolerance);
         owner.handle(now, OwnerEvent::Quotas(rates));
@@ -265,12 +295,7 @@
         if !degraded {
             owner.handle(now, OwnerEvent::Hosts(live_hosts(publication)));
         }
-        self.owned.push(OwnedShard {
-            shard: shard.clone(),
-            owner,
-            degraded,
-            cold,
-        });
+        self.owned.push(owned);
     }
 
     /// Update the targets, quotas and hosts of all owners from the publication.
@@ -282,7 +307,11 @@
         let mut actions = Vec::new();
         for owned in &mut self.owned {
             actions.extend(owned.update_cold(now, publication));
-            let targets = shard_targets(&owned.shard, owned.degraded, publication);
+            let (targets, departing) = shard_targets(&owned.shard, owned.degraded, publication);
+            let longest_call_ms = publication.routes.longest_call_ms(&owned.shard.pool);
+            let owner = &mut owned.owner;
+            owner.set_call_times(self.process_start_ms, longest_call_ms);
+            actions.extend(owned.update_departing(now, departing));
             actions.extend(owned.owner.handle(now, OwnerEvent::Targets(targets)));
             let rates = quota_rates(owned.degraded, publication, &self.opts.quota_tolerance);
             actions.extend(owned.owner.handle(now, OwnerEvent::Quotas(rates)));
@@ -308,7 +337,7 @@
         for owned in &self.owned {
             let pool = publication.pools.pool(&owned.shard.pool);
             if pool.is_some_and(|pool| pool.kind == PoolKind::Engine) {
-                watched.extend(shard_targets(&owned.shard, false, publication));
+                watched.extend(shard_targets(&owned.shard, false, publication).0);
             }
         }
         if watched == self.watched {
@@ -351,30 +380,30 @@
         .collect()
 }
 
-/// Get the targets of a shard that may receive new work. In degraded mode their token
-/// limits and slots are divided by the number of hosts, as every host may admit on its
-/// own at the same time.
-fn shard_targets(shard: &PoolShard, degraded: bool, publication: &Publication) -> Vec<PoolTarget> {
+/// Get the targets of a shard that may receive new work, and those that may not. In degraded
+/// mode their token limits and slots are divided by the number of hosts, as every host may
+/// admit on its own at the same time.
+fn shard_targets(
+    shard: &PoolShard,
+    degraded: bool,
+    publication: &Publication,
+) -> (Vec<PoolTarget>, Vec<PoolTarget>) {
     let Some(pool) = publication.pools.pool(&shard.pool) else {
-        return Vec::new();
+        return Default::default();
     };
     let hosts = publication.hosts.hosts.len().max(1) as u32;
     let in_shard = |target: &&PoolTarget| match &shard.domain {
         Some(domain) => target.domain == *domain,
         None => true,
     };
-    let mut targets: Vec<PoolTarget> = pool
-        .targets
-        .iter()
-        .filter(in_shard)
-        .filter(|target| !publication.target_is_leaving(&target.name))
-        .cloned()
-        .collect();
+    let targets = pool.targets.iter().filter(in_shard).cloned();
+    let (departing, mut targets): (Vec<PoolTarget>, Vec<PoolTarget>) =
+        targets.partition(|target| publication.target_is_leaving(&target.name));
     if degraded {
         for target in &mut targets {
             target.token_limit = (target.token_limit / hosts).max(1);
             target.slots = target.slots.map(|slots| (slots / hosts).max(1));
         }
     }
-    targets
+    (targets, departing)
 }
--- a/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/stream_requests.rs
@@ -49,6 +49,8 @@
     announced: BTreeMap<HostName, (AttemptId, StreamOrigin)>,
     held: BTreeMap<AttemptId, HeldRequest>,
     cached: CachedStreams,
+    /// The targets that take no new requests.
+    departing: Vec<PoolTarget>,
 }
 
 impl StreamRequests {
@@ -105,13 +107,22 @@
             .insert(host, (attempt, resolved));
     }
 
-    /// Complete the origin of a stream whose version this owner knows, or whose own part of
-    /// the prompt the targets of one version hold.
-    fn resolve_origin(&self, origin: StreamOrigin, own_part: Option<PrefixHash>) -> StreamOrigin {
+    /// Complete the origin of a stream whose version this owner knows, or can tell by what
+    /// targets hold of the request that resumes it and arrived at `since`.
+    fn resolve_origin(
+        &self,
+        origin: StreamOrigin,
+        resuming: Option<(&PermitRequest, Moment)>,
+    ) -> StreamOrigin {
         let StreamOrigin::Unknown(id) = origin else {
             return origin;
         };
-        let cached = || own_part.and_then(|part| self.stream_requests.cached.version_of(part));
+        let cached = || {
+            let (request, since) = resuming?;
+            let begun_after = self.begun_after_ms(request, since);
+            let cached = &self.stream_requests.cached;
+            cached.version_of(self.now, own_part(request)?, begun_after)
+        };
         match self.streams.version_of(self.now, id) {
             KnownVersion::Version(version) => StreamOrigin::Begun(id, version),
             KnownVersion::Ambiguous => StreamOrigin::Unknown(id),
@@ -122,6 +133,39 @@
         }
     }
 
+    /// Get the earliest time at which a stream that nobody has recorded can have begun, in
+    /// Unix milliseconds; `None` if this host does not know the time. Its caller has been
+    /// served for no longer than its route allows, and this host was not there.
+    fn begun_after_ms(&self, request: &PermitRequest, since: Moment) -> Option<u64> {
+        let started_at = self.process_start_ms?;
+        let left = u64::from(request.deadline_ms);
+        let served = self.longest_call_ms.saturating_sub(left);
+        let arrived_at = started_at + since.as_micros() / 1_000;
+        let before_start = started_at.saturating_sub(VERSION_TIMEOUT.as_millis() as u64);
+        Some(arrived_at.saturating_sub(served).min(before_start))
+    }
+
+    /// Set the start of this host's process in Unix milliseconds, and the longest time that
+    /// a call to the shard's pool may take.
+    pub fn set_call_times(&mut self, process_start_ms: Option<u64>, longest_call_ms: u64) {
+        self.process_start_ms = process_start_ms;
+        self.longest_call_ms = longest_call_ms;
+    }
+
+    /// Set the targets that take no new requests but still hold what they ran.
+    pub(in crate::pool_owner) fn on_departing(&mut self, targets: Vec<PoolTarget>) {
+        self.stream_requests.departing = targets;
+    }
+
+    /// Update the targets whose caches tell which streams they ran.
+    pub(in crate::pool_owner) fn update_cached_targets(&mut self, now: Moment) {
+        let requests = &mut self.stream_requests;
+        let published = self.targets.values().filter(|load| !load.is_draining());
+        let published = published.map(|load| load.target());
+        let targets = published.chain(&requests.departing);
+        requests.cached.publish(now, targets);
+    }
+
     /// Record the parts of prompts that a target holds; `None` if it cannot tell.
     pub(in crate::pool_owner) fn on_cache_read(
         &mut self,
@@ -134,19 +178,39 @@
     /// Ask the targets which parts of prompts they hold, if they were not asked lately.
     fn read_caches(&mut self, now: Moment, actions: &mut Vec<OwnerAction>) {
         let is_early = now < self.acting_since.plus(CACHE_READ_DELAY);
-        if is_early || self.targets.is_empty() || !self.stream_requests.cached.wants_read(now) {
+        let requests = &mut self.stream_requests;
+        if is_early || !requests.cached.wants_read(now) {
             return;
         }
-        let targets: Vec<PoolTarget> = self
-            .targets
-            .values()
-            .map(|load| load.target().clone())
-            .collect();
-        let versions = targets
-            .iter()
-            .map(|target| (target.name.clone(), target.version.clone()));
-        self.stream_requests.cached.begin_read(now, versions);
-        actions.push(OwnerAction::ReadCaches(self.shard.clone(), targets));
+        let names = requests.cached.begin_read(now);
+        let published = self.targets.values().map(|load| load.target());
+        let targets = published.chain(&requests.departing);
+        let targets = targets.filter(|target| names.contains(&target.name));
+        let targets: Vec<PoolTarget> = targets.cloned().collect();
+        if !targets.is_empty() {
+            actions.push(OwnerAction::ReadCaches(self.shard.clone(), targets));
+        }
+    }
+
+    /// Get when an owner that may have missed the start of streams asks targets of several
+    /// versions what they hold: before a stream is resumed, since they may end until then.
+    pub(in crate::pool_owner) fn first_cache_read(&self) -> Option<Moment> {
+        let is_unread = self.stream_requests.cached.is_unread();
+        let is_mixed = !self.targets.is_empty() && self.streams.only_version().is_none();
+        let read_at = self.acting_since.plus(CACHE_READ_DELAY);
+        let is_due = self.now < self.reports_until() && !self.streams.is_complete(self.now);
+        (is_unread && is_mixed && is_due).then_some(read_at)
+    }
+
+    /// Read the caches for the first time, once that is due.
+    pub(in crate::pool_owner) fn read_first_caches(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        if self.first_cache_read().is_some_and(|at| now >= at) {
+            self.read_caches(now, actions);
+        }
     }
 
     /// Get whether the version of a stream may become known soon: hosts may still report it,
@@ -217,7 +281,8 @@
         let held = std::mem::take(&mut self.stream_requests.held);
         for (attempt, held) in held {
             let own_part = own_part(&held.request);
-            let origin = self.resolve_origin(held.origin.clone(), own_part);
+            let resuming = Some((&held.request, held.since));
+            let origin = self.resolve_origin(held.origin.clone(), resuming);
             let is_known = origin != held.origin;
             if !is_known && own_part.is_some() {
                 self.read_caches(now, actions);
@@ -242,7 +307,7 @@
         origin: StreamOrigin,
         actions: &mut Vec<OwnerAction>,
     ) {
-        let resolved = self.resolve_origin(origin.clone(), own_part(&request));
+        let resolved = self.resolve_origin(origin.clone(), Some((&request, now)));
         if let StreamOrigin::Unknown(id) = resolved {
             return self.hold_or_refuse(now, host, request, id, actions);
         }
--- a/bergamotswitch-core/src/pool_owner/learning/target_change.rs
+++ b/bergamotswitch-core/src/pool_owner/learning/target_change.rs
@@ -38,6 +38,7 @@
         let versions = self.targets.values().filter(|load| !load.is_draining());
         let versions = versions.map(|load| &load.target().version);
         self.streams.publish(now, versions);
+        self.update_cached_targets(now);
         self.leaving.retain(|name, _| names.contains(name));
         self.targets
             .retain(|_, load| !load.is_draining() || load.permits() > 0);
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -46,6 +46,9 @@
     Message(HostName, OwnerMessage),
     /// A permit request waited for the event loop for too long and is refused.
     Overdue(HostName, Box<PermitRequest>),
+    /// The shard's targets that accept no new requests, as of the next
+    /// [`OwnerEvent::Targets`].
+    DepartingTargets(Vec<PoolTarget>),
     /// The shard's targets that accept new requests have changed.
     Targets(Vec<PoolTarget>),
     /// The cold targets of the shard's pool, with their limits, have changed.
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -96,6 +96,10 @@
     /// The streams recorded since they were last reported to other hosts.
     pub(super) unshared_streams: Vec<StreamId>,
     pub(super) stream_requests: StreamRequests,
+    /// The start of this host's process in Unix milliseconds, if known.
+    pub(super) process_start_ms: Option<u64>,
+    /// The longest time that a call to the pool may take, in milliseconds.
+    pub(super) longest_call_ms: u64,
     /// The calls that return after a refusal.
     pub(super) returning: ReturningCalls,
     pub(super) wait_checks: WaitChecks,
@@ -146,6 +150,8 @@
             streams: StreamTable::default(),
             unshared_streams: Vec::new(),
             stream_requests: StreamRequests::default(),
+            process_start_ms: None,
+            longest_call_ms: 0,
             returning: ReturningCalls::new(now),
             wait_checks: WaitChecks::default(),
             acting_since: now,
@@ -217,6 +223,7 @@
             // Handled above.
             OwnerEvent::Overdue(..) => {}
             OwnerEvent::Targets(targets) => self.on_targets(now, targets, &mut actions),
+            OwnerEvent::DepartingTargets(targets) => self.on_departing(targets),
             OwnerEvent::ColdTargets(cold) => self.on_cold_targets(now, cold, &mut actions),
             OwnerEvent::Quotas(rates) => self.quotas.set_rates(now, rates),
             OwnerEvent::Load(name, report) => {
@@ -251,6 +258,7 @@
             OwnerEvent::Stopping => self.attached_hosts.stop(),
             OwnerEvent::Tick => {}
         }
+        self.read_first_caches(now, &mut actions);
         self.review_held_streams(now, &mut actions);
         self.dispatch(now, &mut actions);
         if let Some((attempt, tier)) = incoming {
@@ -358,7 +366,7 @@
         if !self.stream_requests.is_empty() {
             wake = wake.min(self.now.plus(QUEUE_POLL_INTERVAL));
         }
-        wake
+        wake.min(self.first_cache_read().unwrap_or(Moment::NEVER))
     }
 
     /// Record that a host uses this owner if it requests a permit or reports
--- a/bergamotswitch-core/src/route/table.rs
+++ b/bergamotswitch-core/src/route/table.rs
@@ -91,6 +91,13 @@
         accounts.find(|account| account.name == *name)
     }
 
+    /// Get the longest time that a call to a pool may take, in milliseconds.
+    pub fn longest_call_ms(&self, pool: &PoolName) -> u64 {
+        let leads_to_pool = |route: &&Route| route.splits.iter().any(|split| split.pool == *pool);
+        let routes = self.config.routes.iter().filter(leads_to_pool);
+        routes.map(|route| route.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Get the published configuration of a pool.
     pub fn pool(&self, name: &PoolName) -> Option<&PoolSpec> {
         self.config.pools.iter().find(|pool| pool.name == *name)
--- a/bergamotswitch-core/src/stream_table.rs
+++ b/bergamotswitch-core/src/stream_table.rs
@@ -247,8 +247,12 @@
     /// Get the version that alone may have streams. A host that has just started does not
     /// know which versions there were before.
     pub fn sole_version(&self, now: Moment) -> Option<&TargetVersion> {
-        let is_complete = self.complete_from.is_some_and(|from| now >= from);
-        self.only_version().filter(|_| is_complete)
+        self.only_version().filter(|_| self.is_complete(now))
+    }
+
+    /// Get whether the known versions include all that may have streams.
+    pub fn is_complete(&self, now: Moment) -> bool {
+        self.complete_from.is_some_and(|from| now >= from)
     }
 
     /// Get the version, if no other one is known.
@@ -279,8 +283,7 @@
                 seconds_left: whole_seconds(until.since(now)),
                 streams: Vec::new(),
             });
-        let is_complete = self.complete_from.is_some_and(|from| now >= from);
-        let completeness = is_complete.then(|| VersionStreams {
+        let completeness = self.is_complete(now).then(|| VersionStreams {
             version: None,
             seconds_left: whole_seconds(RESUME_RETENTION),
             streams: Vec::new(),
--- a/bergamotswitch-core/tests/stream_versions.rs
+++ b/bergamotswitch-core/tests/stream_versions.rs
@@ -404,3 +404,96 @@
     let actions = bench.tick_after(1_000);
     assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
 }
+
+/// The start of the owner's process in Unix milliseconds, and the longest call of its pool.
+const PROCESS_START_MS: u64 = 1_700_000_000_000;
+const LONGEST_CALL_MS: u64 = 15_000;
+
+fn started(target: PoolTarget, before_ms: u64) -> PoolTarget {
+    PoolTarget {
+        started_at_ms: Some(PROCESS_START_MS - before_ms),
+        ..target
+    }
+}
+
+/// Resume a stream whose caller asks for this time more, and whose own part the target of
+/// version v1 holds alone.
+fn resume_held_at_v1(bench: &mut OwnerBench, left_ms: u32) -> Vec<OwnerAction> {
+    let request = with_prefixes(permit_request(1, 1, "a"), &[OWN_PART]);
+    let request = with_deadline(request, left_ms);
+    let origin = StreamOrigin::Unknown(Some(stream(1)));
+    let mut actions = request_stream(bench, &request, origin);
+    actions.extend(answer(bench, "a", Some(&[OWN_PART])));
+    actions.extend(answer(bench, "b", Some(&[])));
+    actions
+}
+
+/// Guards against a stream that goes on at the version that holds its session's part, after
+/// the target that ran it has restarted.
+#[test]
+fn restarted_target() {
+    let cases = [
+        (60_000, 5_000, true),
+        (8_000, 5_000, true),
+        (6_000, 5_000, false),
+        (6_000, 7_000, true),
+        (1_000, 15_000, false),
+    ];
+    for (running_ms, left_ms, is_resumed) in cases {
+        let held = started(versioned("a", "v1"), 60_000);
+        let restarted = started(versioned("b", "v2"), running_ms);
+        let mut bench = started_bench(&[held, restarted]);
+        bench
+            .owner
+            .set_call_times(Some(PROCESS_START_MS), LONGEST_CALL_MS);
+        let actions = resume_held_at_v1(&mut bench, left_ms);
+        let case = format!("running for {running_ms} ms, {left_ms} ms left");
+        assert_eq!(permits(&actions).len(), usize::from(is_resumed), "{case}");
+        let refused = reasons(&actions).contains(&RefusalReason::StreamUnknown);
+        assert_eq!(refused, !is_resumed, "{case}");
+    }
+}
+
+/// Guards against a stream that goes on at the version that holds its session's part, after
+/// the target that ran it has ended, restarted or left before it told what it held.
+#[test]
+fn ended_target() {
+    let held = started(versioned("a", "v1"), 60_000);
+    let ran = started(versioned("b", "v2"), 60_000);
+    let restarted = PoolTarget {
+        started_at_ms: Some(PROCESS_START_MS + 1),
+        ..ran.clone()
+    };
+    for left in [vec![held.clone()], vec![held.clone(), restarted]] {
+        let mut bench = started_bench(&[held.clone(), ran.clone()]);
+        bench.event(OwnerEvent::Targets(left));
+        let actions = resume_held_at_v1(&mut bench, 5_000);
+        assert_eq!(permits(&actions), []);
+        assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+    }
+    let mut bench = OwnerBench::new(OwnerOptions::default());
+    bench.event(OwnerEvent::DepartingTargets(vec![ran]));
+    bench.event(OwnerEvent::Targets(vec![held]));
+    bench.tick_after(2_000);
+    let request = with_prefixes(permit_request(1, 1, "a"), &[OWN_PART]);
+    let origin = StreamOrigin::Unknown(Some(stream(1)));
+    let mut actions = request_stream(&mut bench, &request, origin);
+    assert_eq!(asked(&actions).len(), 2);
+    actions.extend(answer(&mut bench, "a", Some(&[OWN_PART])));
+    actions.extend(bench.tick_after(1_000));
+    assert_eq!(reasons(&actions), [RefusalReason::StreamUnknown]);
+}
+
+/// Guards against a target whose end hides what it held, since it was asked too late.
+#[test]
+fn early_read() {
+    let targets = [versioned("a", "v1"), versioned("b", "v2")];
+    let mut bench = OwnerBench::with_targets(OwnerOptions::default(), &targets);
+    assert_eq!(asked(&bench.tick_after(200)), []);
+    assert_eq!(asked(&bench.tick_after(200)).len(), 2);
+    answer(&mut bench, "a", Some(&[OWN_PART]));
+    answer(&mut bench, "b", Some(&[]));
+    bench.event(OwnerEvent::Targets(targets[..1].to_vec()));
+    let actions = resume_with_part(&mut bench, 1);
+    assert_eq!(permits(&actions).len(), 1);
+}
--- a/bergamotswitch-standin/src/gateway_target.rs
+++ b/bergamotswitch-standin/src/gateway_target.rs
@@ -220,6 +220,8 @@
     started_ms: u64,
     /// The number of registrations so far.
     sequence: u64,
+    /// The number of calls to earlier instances, whose prompts this one does not hold.
+    earlier_calls: usize,
 }
 
 impl TargetInstance {
@@ -230,6 +232,7 @@
         TargetInstance {
             started_ms: now.max(earlier + 1),
             sequence: 0,
+            earlier_calls: 0,
         }
     }
 }
@@ -298,8 +301,12 @@
     /// zero.
     pub fn restart(&self) {
         self.listener.control.close_connections();
+        let earlier_calls = lock(&self.shared.calls).len();
         let mut instance = lock(&self.shared.instance);
-        *instance = TargetInstance::starting_after(instance.started_ms);
+        *instance = TargetInstance {
+            earlier_calls,
+            ..TargetInstance::starting_after(instance.started_ms)
+        };
     }
 
     /// Get the next registration of the target for the store. The address may be
@@ -554,11 +561,13 @@
     response
 }
 
-/// Get the parts of the prompts of all calls that ran since the start of the target.
+/// Get the parts of the prompts of all calls that ran since the start of the instance.
 fn held_parts_response(shared: &TargetShared) -> Response<ResponseBody> {
-    let started_ms = lock(&shared.instance).started_ms;
+    let instance = lock(&shared.instance);
+    let (started_ms, earlier_calls) = (instance.started_ms, instance.earlier_calls);
+    drop(instance);
     let calls = lock(&shared.calls);
-    let ran = calls.iter().filter(|call| call.ran);
+    let ran = calls.iter().skip(earlier_calls).filter(|call| call.ran);
     let entries = ran.flat_map(|call| call.field("prompt-prefix").split(','));
     let held: Vec<Value> = entries
         .filter_map(|entry| entry.split_once(':'))
--- a/bergamotswitch/tests/stream_versions.rs
+++ b/bergamotswitch/tests/stream_versions.rs
@@ -310,3 +310,56 @@
     }
     assert!(resumed > 0 && refused > 0, "{resumed} {refused}");
 }
+
+/// Guards against streams that go on at the version that holds their sessions' parts, after the
+/// loss of all hosts and a restart of the targets that ran them.
+#[tokio::test]
+async fn restarted_target() {
+    let mut site = mixed_site(3).await;
+    let of_version = |site: &Site, version: &str| -> Vec<usize> {
+        let engines = site.engines.iter().enumerate();
+        let engines = engines.filter(|(_, engine)| engine.version() == version);
+        engines.map(|(index, _)| index).collect()
+    };
+    let (old, new) = (of_version(&site, "v1"), of_version(&site, "v2"));
+    for number in 0..12 {
+        let prompt = prompt_of(&format!("lost-{number}"));
+        let earlier = Call::stream("/draft/1", &format!("early-{number}"));
+        let earlier = earlier.with("prompt-prefix", &prompt);
+        let answer = earlier.send(site.engines[old[0]].address()).await;
+        assert_eq!(answer.expect("answer").status, StatusCode::OK);
+    }
+    for index in &old {
+        let name = site.engines[*index].name();
+        site.store.remove(&format!("servers/{name}"));
+    }
+    tokio::time::sleep(PROMPT).await;
+    for number in 0..12 {
+        let host = site.hosts[number % site.hosts.len()].callers;
+        begin_and_leave(host, &format!("lost-{number}")).await;
+    }
+    for host in &site.hosts {
+        host.child.signal("KILL");
+    }
+    for host in &mut site.hosts {
+        host.wait_end().await;
+    }
+    for index in &new {
+        site.engines[*index].restart();
+    }
+    for engine in &site.engines {
+        site.register("drafting", engine, "ready");
+    }
+    for host in &mut site.hosts {
+        host.child.restart();
+    }
+    site.wait_all_ready().await;
+    tokio::time::sleep(SETTLED).await;
+    for number in 0..12 {
+        let origin = format!("lost-{number}");
+        let again = format!("again-{number}");
+        let answer = take_up(site.hosts[number % 3].callers, &again, &origin).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        assert_eq!(run_count(&site.engines, &again), 0);
+    }
+}
