Grant only the part of a quota whose hosts are heard

Cause: owners grant the part of a quota that belongs to the hosts that use them. An owner that takes over from a silent one counted every listed host as its own, and a host that hears no gossip lists itself alone after 2.3 s, so on the small side of a cut the part was the whole. The owner on the other side counted the cut host until it left the list, and divided by one less then.

Hosts that leave the list without announcing a stop still share the quotas, and an owner counts only hosts whose heartbeats it hears, or that ask it for permits. One that no longer hears a host gives up the units beyond its part, which the other side restores from the hosts' reports. This ends after ten seconds, or a minute where most hosts are silent.

Evidence: in host_cuts (virtual time) the cut host's callers ran all that they asked for beside the whole rate of the others: 1,175,000 units of 1,125,000; held now for each of eight hosts and cuts of 4 to 15 s.

Cost: while k of N hosts are lost without a word, owners grant (N - k) / N of each quota for ten seconds or until they are back; host_cuts::calm_account and the tests of pauses, losses and planned stops see no refusal.

--- a/bergamotswitch-core/src/membership/machine.rs
+++ b/bergamotswitch-core/src/membership/machine.rs
@@ -38,6 +38,8 @@
     pub(super) load_permille: u16,
     pub(super) stop_requested: bool,
     pub(super) stopping_since: Option<Moment>,
+    /// When this process last went on after a pause.
+    resumed_at: Moment,
     /// Whether acting shards, owners and watches have to be recomputed.
     pub(super) changed: bool,
     /// When they have to be recomputed without an event.
@@ -66,6 +68,7 @@
             load_permille: 0,
             stop_requested: false,
             stopping_since: None,
+            resumed_at: Moment::START,
             changed: false,
             recheck_at: Moment::NEVER,
             wake_at: Moment::NEVER,
@@ -183,6 +186,15 @@
         peer.is_some_and(|peer| peer.reachable == Some(false))
     }
 
+    /// Get whether this host has received no heartbeat of another one for so long, as of a
+    /// time from which on it would have received some, that a user of its shards may have
+    /// turned to another owner.
+    pub fn is_silent(&self, now: Moment, host: &HostName, since: Moment) -> bool {
+        let limit = self.opts.user_interval(self.live_count) + self.opts.suspect_after;
+        let heard_at = self.peers.get(host).map_or(Moment::START, Peer::heard_at);
+        now >= heard_at.max(since).max(self.resumed_at).plus(limit)
+    }
+
     /// Get the hosts that have to respond before an owner of the shard starts a
     /// request with an idempotency key.
     pub fn key_quorum(&self, shard: &PoolShard) -> KeyQuorum {
@@ -376,6 +388,7 @@
             return;
         }
         self.changed = true;
+        self.resumed_at = now;
         for peer in self.peers.values_mut() {
             peer.reset_path(now);
         }
--- a/bergamotswitch-core/src/membership/peer.rs
+++ b/bergamotswitch-core/src/membership/peer.rs
@@ -307,6 +307,11 @@
         (answers || !is_mutual).then_some(self.heard)
     }
 
+    /// Get when the last heartbeat of the peer was received.
+    pub(super) fn heard_at(&self) -> Moment {
+        self.heard_at
+    }
+
     /// Get the last sequence received.
     pub(super) fn heard(&self) -> u64 {
         self.heard
--- a/bergamotswitch-core/src/node/actions.rs
+++ b/bergamotswitch-core/src/node/actions.rs
@@ -296,6 +296,10 @@
             self.reports_changed.insert(shard.clone());
         }
         if act && let Some(event) = self.takeover_event(&shard) {
+            if event == OwnerEvent::HandedOver {
+                self.shards.record_handover(now, &shard);
+            }
+            self.review_silent_hosts(now);
             let actions = self.shards.notify_shard(now, &shard, event);
             self.queue_owner(actions);
         }
--- a/bergamotswitch-core/src/node/core.rs
+++ b/bergamotswitch-core/src/node/core.rs
@@ -313,6 +313,8 @@
         self.review_discovery(now);
         self.notify_membership(now, MembershipEvent::Tick);
         self.notify_revisions(now, RevisionEvent::Tick);
+        self.expire_missing_hosts(now);
+        self.review_silent_hosts(now);
         let actions = self.shards.notify_all(now, |_| OwnerEvent::Tick);
         self.queue_owner(actions);
         self.review_guards(now);
@@ -322,6 +324,14 @@
         self.share_streams(now);
     }
 
+    /// Tell the owners of this host which hosts it no longer hears.
+    pub(super) fn review_silent_hosts(&mut self, now: Moment) {
+        let (publication, membership) = (&self.publication, &self.membership);
+        let shards = &mut self.shards;
+        let actions = shards.review_silent_hosts(now, publication, membership);
+        self.queue_owner(actions);
+    }
+
     fn on_stop(&mut self, now: Moment) {
         if self.stopping {
             self.actions.push(NodeAction::LogIncident(
--- a/bergamotswitch-core/src/node/discovery.rs
+++ b/bergamotswitch-core/src/node/discovery.rs
@@ -123,10 +123,12 @@
         let Some(hosts) = roster.changed_hosts(now) else {
             return;
         };
+        let former = std::mem::take(&mut self.publication.hosts);
         self.publication.hosts = HostList {
-            targets: std::mem::take(&mut self.publication.hosts.targets),
+            targets: former.targets.clone(),
             ..hosts
         };
+        self.update_missing_hosts(now, &former);
         self.notify_hosts(now);
         let actions = self.shards.apply_publication(now, &self.publication);
         self.queue_owner(actions);
--- a/bergamotswitch-core/src/node/mod.rs
+++ b/bergamotswitch-core/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod host_returns;
 mod intake;
 mod key_guard;
+mod missing_hosts;
 mod published;
 mod shard_use;
 mod shards;
--- a/bergamotswitch-core/src/node/published.rs
+++ b/bergamotswitch-core/src/node/published.rs
@@ -100,10 +100,19 @@
         self.on_tick(now);
     }
 
+    /// Notify the entry side and the owners of the hosts that share the quotas.
+    pub(super) fn apply_host_count(&mut self, now: Moment) {
+        let sharing = self.publication.sharing_hosts();
+        self.notify_entry(now, EntryEvent::Hosts(sharing));
+        let actions = self.shards.apply_publication(now, &self.publication);
+        self.queue_owner(actions);
+    }
+
     /// Notify the state machines of the current hosts.
     pub(super) fn notify_hosts(&mut self, now: Moment) {
         let hosts = self.publication.hosts.clone();
-        self.notify_entry(now, EntryEvent::Hosts(hosts.hosts.len()));
+        let sharing = self.publication.sharing_hosts();
+        self.notify_entry(now, EntryEvent::Hosts(sharing));
         if self.publication.uses_routes {
             self.notify_entry(now, EntryEvent::TunnelHosts(hosts.hosts.clone()));
         }
--- a/bergamotswitch-core/src/node/shard_use.rs
+++ b/bergamotswitch-core/src/node/shard_use.rs
@@ -36,7 +36,7 @@
                 *until = now;
             }
         }
-        near.retain(|shard| shard.domain.as_ref().is_none_or(|found| found == domain));
+        near.retain(|shard| is_near(shard, domain));
         near.truncate(MAX_WARM_SHARDS);
         self.warm = near;
     }
@@ -64,6 +64,18 @@
     }
 }
 
+fn is_near(shard: &PoolShard, domain: &DomainName) -> bool {
+    shard.domain.as_ref().is_none_or(|found| found == domain)
+}
+
+/// Get whether the hosts of a failure domain keep a shard in use permanently.
+pub(super) fn is_warm(shard: &PoolShard, domain: &DomainName, pools: &PoolList) -> bool {
+    let shards = pools.shards();
+    let mut near = shards.iter().filter(|shard| is_near(shard, domain));
+    near.position(|near| near == shard)
+        .is_some_and(|position| position < MAX_WARM_SHARDS)
+}
+
 /// A `UseChange` is the start or end of a shard's use.
 #[derive(Debug)]
 pub(super) struct UseChange {
--- a/bergamotswitch-core/src/node/shards.rs
+++ b/bergamotswitch-core/src/node/shards.rs
@@ -1,13 +1,17 @@
 //! Provides the shards for which this host acts as owner, either for the fleet or in
 //! degraded mode.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::missing_hosts::absence_retention;
+use super::shard_use::is_warm;
+
 use crate::client_account::AccountName;
 use crate::clock::Moment;
 use crate::cold_targets::ColdTarget;
 use crate::host::{HostIncarnation, HostName, Standing};
+use crate::membership::Membership;
 use crate::permit::{AccountUse, FailedTarget, KeyClaim, QuotaLevel, ReturnPromise};
 use crate::pool::{PoolKind, PoolName, PoolShard};
 use crate::pool_owner::{
@@ -27,6 +31,12 @@
     cold: Vec<(TargetName, ColdTarget)>,
     /// The targets without new requests as last told to the owner.
     departing: Vec<PoolTarget>,
+    /// Since when this host no longer hears others.
+    silent_since: BTreeMap<HostName, Moment>,
+    /// Those of them that count as users of another owner, as last told to the owner.
+    silent: BTreeSet<HostName>,
+    /// From when on the hosts that use the shard have been told to use this owner.
+    used_from: Moment,
 }
 
 impl OwnedShard {
@@ -40,6 +50,31 @@
         self.owner.handle(now, event)
     }
 
+    /// Update the hosts that are not heard; get those that count as users of another owner
+    /// if they have changed.
+    fn update_silent(
+        &mut self,
+        now: Moment,
+        unheard: &BTreeSet<&HostName>,
+        publication: &Publication,
+    ) -> Option<BTreeSet<HostName>> {
+        self.silent_since.retain(|host, _| unheard.contains(host));
+        for host in unheard {
+            if !self.silent_since.contains_key(*host) {
+                self.silent_since.insert((*host).clone(), now);
+            }
+        }
+        let all = live_hosts(publication).count();
+        let heard = all.saturating_sub(self.silent_since.len());
+        let retention = absence_retention(heard, all);
+        let counted = self.silent_since.iter();
+        let counted = counted.filter(|(_, since)| now < since.plus(retention));
+        let silent: BTreeSet<HostName> = counted.map(|(host, _)| host.clone()).collect();
+        let is_changed = silent != self.silent;
+        self.silent.clone_from(&silent);
+        is_changed.then_some(silent)
+    }
+
     /// Tell the owner the cold targets, if they have changed. It has to know them before it
     /// is told of new targets.
     fn update_cold(&mut self, now: Moment, publication: &Publication) -> Vec<OwnerAction> {
@@ -285,6 +320,9 @@
             degraded,
             cold,
             departing: Vec::new(),
+            silent_since: BTreeMap::new(),
+            silent: BTreeSet::new(),
+            used_from: Moment::START,
         };
         owned.update_departing(now, departing);
         let owner = &mut owned.owner;
@@ -293,7 +331,10 @@
         owner.handle(now, OwnerEvent::Quotas(rates));
         // A degraded owner's quotas are already divided by the number of hosts.
         if !degraded {
-            owner.handle(now, OwnerEvent::Hosts(live_hosts(publication)));
+            owner.handle(
+                now,
+                OwnerEvent::Hosts(live_hosts(publication).cloned().collect()),
+            );
         }
         self.owned.push(owned);
     }
@@ -316,13 +357,50 @@
             let rates = quota_rates(owned.degraded, publication, &self.opts.quota_tolerance);
             actions.extend(owned.owner.handle(now, OwnerEvent::Quotas(rates)));
             if !owned.degraded {
-                let hosts = OwnerEvent::Hosts(live_hosts(publication));
+                let hosts = OwnerEvent::Hosts(live_hosts(publication).cloned().collect());
                 actions.extend(owned.owner.handle(now, hosts));
             }
         }
         actions
     }
 
+    /// Record that the former owner of a shard has told its users to use this one.
+    pub(super) fn record_handover(&mut self, now: Moment, shard: &PoolShard) {
+        let mut owned = self.owned.iter_mut();
+        if let Some(owned) = owned.find(|owned| owned.shard == *shard) {
+            owned.used_from = now;
+        }
+    }
+
+    /// Tell the owners which of the hosts that always monitor them this host no longer
+    /// hears: these may use another owner.
+    pub(super) fn review_silent_hosts(
+        &mut self,
+        now: Moment,
+        publication: &Publication,
+        membership: &Membership,
+    ) -> Vec<OwnerAction> {
+        let own_name = &self.identity.host;
+        let mut actions = Vec::new();
+        for owned in self.owned.iter_mut().filter(|owned| !owned.degraded) {
+            let hosts = publication.hosts.hosts.iter();
+            let unheard = hosts.filter(|host| {
+                host.standing == Standing::Live
+                    && host.name != *own_name
+                    && membership.is_silent(now, &host.name, owned.used_from)
+                    && is_warm(&owned.shard, &host.domain, &publication.pools)
+            });
+            let unheard = unheard.map(|host| &host.name);
+            let missing = publication.missing_hosts.keys();
+            let unheard: BTreeSet<&HostName> = unheard.chain(missing).collect();
+            if let Some(silent) = owned.update_silent(now, &unheard, publication) {
+                let event = OwnerEvent::SilentHosts(silent);
+                actions.extend(owned.owner.handle(now, event));
+            }
+        }
+        actions
+    }
+
     /// Get the undivided quotas of all client accounts.
     pub(super) fn quota_rates(&self, publication: &Publication) -> Vec<(AccountName, QuotaRate)> {
         quota_rates(false, publication, &self.opts.quota_tolerance)
@@ -356,10 +434,12 @@
     }
 }
 
-fn live_hosts(publication: &Publication) -> Vec<HostName> {
+/// Get the hosts that are not stopping, and those that fell silent without a word.
+fn live_hosts(publication: &Publication) -> impl Iterator<Item = &HostName> {
     let hosts = publication.hosts.hosts.iter();
     let live = hosts.filter(|host| host.standing == Standing::Live);
-    live.map(|host| host.name.clone()).collect()
+    let live = live.map(|host| &host.name);
+    live.chain(publication.missing_hosts.keys())
 }
 
 /// Get the quota rates for an owner: the whole quotas, or this host's fraction of them
@@ -370,7 +450,7 @@
     tolerance: &QuotaTolerance,
 ) -> Vec<(AccountName, QuotaRate)> {
     let owners = match degraded {
-        true => publication.hosts.hosts.len(),
+        true => publication.sharing_hosts(),
         false => 1,
     };
     let accounts = publication.routes.config().accounts.iter();
--- a/bergamotswitch-core/src/pool_owner/admission/attached_hosts.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/attached_hosts.rs
@@ -15,13 +15,16 @@
 /// that candidate has responded for a while. If both granted whole quotas, an
 /// account could use its quota twice. Since an entry host uses one owner at a
 /// time, each owner grants the portion of the hosts that use it, and the
-/// portions of all owners add up to one quota.
+/// portions of all owners add up to one quota. The same holds while hosts are cut off from
+/// each other and an owner acts on each side.
 #[derive(Debug, Default)]
 pub(in crate::pool_owner) struct AttachedHosts {
     hosts: BTreeSet<HostName>,
     /// The hosts that may use another owner, with the time until which that is
     /// assumed.
     detached: BTreeMap<HostName, Moment>,
+    /// The hosts that this one no longer hears, which may use another owner for as long.
+    silent: BTreeSet<HostName>,
     /// When the first of these hosts is counted even if it sends nothing.
     first_expiry: Moment,
     /// Until when received messages may have been sent before this process was
@@ -46,6 +49,7 @@
     ) {
         let hosts: BTreeSet<HostName> = hosts.into_iter().collect();
         self.detached.retain(|host, _| hosts.contains(host));
+        self.silent.retain(|host| hosts.contains(host));
         let added = hosts
             .difference(&self.hosts)
             .filter(|host| *host != own_name);
@@ -60,11 +64,30 @@
     /// process was paused are ignored, since the host may use another owner
     /// by now.
     pub(in crate::pool_owner) fn attach(&mut self, now: Moment, host: &HostName) {
-        if !self.detached.is_empty() && now >= self.stale_until {
+        if now >= self.stale_until {
             self.detached.remove(host);
+            self.silent.remove(host);
         }
     }
 
+    /// Set the hosts that this one no longer hears; get whether there are new ones. Those
+    /// that it hears again may still use another owner.
+    pub(in crate::pool_owner) fn set_silent(
+        &mut self,
+        now: Moment,
+        silent: BTreeSet<HostName>,
+        overlap: Duration,
+    ) -> bool {
+        let until = now.plus(overlap);
+        let heard = self.silent.difference(&silent).cloned();
+        let heard: Vec<HostName> = heard.collect();
+        self.detached
+            .extend(heard.into_iter().map(|host| (host, until)));
+        self.update_first_expiry();
+        let former = std::mem::replace(&mut self.silent, silent);
+        !self.silent.is_subset(&former)
+    }
+
     /// Record that a host's process has terminated: its next one may use
     /// another owner.
     pub(in crate::pool_owner) fn detach(
@@ -99,7 +122,7 @@
         self.hosts.is_empty()
     }
 
-    /// Count all hosts as users of this owner at once: the previous owner stops
+    /// Count all hosts that this one hears as its users at once: the previous owner stops
     /// or does not respond, so all of them use this one.
     pub(in crate::pool_owner) fn attach_all(&mut self) {
         self.detached.clear();
@@ -121,10 +144,15 @@
             self.detached.retain(|_, until| now < *until);
             self.update_first_expiry();
         }
+        let elsewhere = self
+            .detached
+            .keys()
+            .filter(|host| !self.silent.contains(*host));
+        let elsewhere = elsewhere.count() + self.silent.len();
         match (self.stopping, self.hosts.len()) {
             (true, _) => 0.0,
             (false, 0) => 1.0,
-            (false, all) => (all - self.detached.len()) as f64 / all as f64,
+            (false, all) => all.saturating_sub(elsewhere) as f64 / all as f64,
         }
     }
 
--- a/bergamotswitch-core/src/pool_owner/admission/quota.rs
+++ b/bergamotswitch-core/src/pool_owner/admission/quota.rs
@@ -143,6 +143,17 @@
         self.portion = portion;
     }
 
+    /// Give up the present units beyond this portion of the buckets, which another owner may
+    /// grant from now on.
+    pub fn cap(&mut self, now: Moment, portion: f64) {
+        self.set_portion(now, portion);
+        for (account, bucket) in &mut self.buckets {
+            if let Some(rate) = self.rates.get(account) {
+                bucket.level = bucket.level.min(rate.burst * portion);
+            }
+        }
+    }
+
     /// Try to take the units of a request. It is admitted while the bucket's
     /// level is not negative, and may take the level below zero: requests differ
     /// by orders of magnitude in units, and requiring the full amount would
--- a/bergamotswitch-core/src/pool_owner/mod.rs
+++ b/bergamotswitch-core/src/pool_owner/mod.rs
@@ -27,6 +27,8 @@
 pub use scheduling_options::SchedulingOptions;
 pub use view::{ConnectionView, PromiseCount, RefusalCount, ShardView, TargetView, TierView};
 
+use std::collections::BTreeSet;
+
 use admission::account_shares::AccountShareView;
 use learning::size_ends::SizeView;
 
@@ -65,6 +67,8 @@
     /// A target told which parts of prompts it holds, which are named as in a permit
     /// request; `None` if it cannot tell.
     CacheRead(TargetName, Option<Vec<PrefixHash>>),
+    /// The hosts that this one no longer hears have changed.
+    SilentHosts(BTreeSet<HostName>),
     /// This incarnation of an entry host has terminated.
     HostTerminated(HostName, Incarnation),
     /// The previous owner stops and handed over to this one.
--- a/bergamotswitch-core/src/pool_owner/owner.rs
+++ b/bergamotswitch-core/src/pool_owner/owner.rs
@@ -244,6 +244,13 @@
                 self.attached_hosts
                     .set_hosts(now, &self.identity.host, hosts, overlap);
             }
+            OwnerEvent::SilentHosts(silent) => {
+                let overlap = self.opts.owner_overlap;
+                if self.attached_hosts.set_silent(now, silent, overlap) {
+                    let portion = self.attached_hosts.quota_portion(now);
+                    self.quotas.cap(now, portion);
+                }
+            }
             OwnerEvent::HostTerminated(host, incarnation) => {
                 self.attached_hosts
                     .detach(now, &host, self.opts.owner_overlap);
--- a/bergamotswitch-core/src/publication/mod.rs
+++ b/bergamotswitch-core/src/publication/mod.rs
@@ -20,6 +20,7 @@
 mod pool_list;
 mod registered_pools;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::client_account::AccountName;
@@ -28,7 +29,7 @@
 use crate::error::Findings;
 use crate::evacuation::EvacuationList;
 use crate::failure_domain::DomainName;
-use crate::host::{HostList, Standing};
+use crate::host::{HostList, HostName, Standing};
 use crate::name::PoolName;
 use crate::revision::{
     ACCOUNTS_VALUE, DOMAINS_VALUE, EVACUATIONS_VALUE, HOSTS_VALUE, LIMITS_VALUE, POOLS_VALUE,
@@ -63,6 +64,9 @@
     pub limits: FleetLimits,
     /// The host list.
     pub hosts: HostList,
+    /// The hosts that are no longer listed although they did not announce a stop, and since
+    /// when. They may be cut off and still serve their callers.
+    pub missing_hosts: BTreeMap<HostName, Moment>,
     /// Whether the host is in gateway mode: routes replace the rules, and targets
     /// register themselves instead of being listed in published pools.
     pub uses_routes: bool,
@@ -157,6 +161,11 @@
             .collect()
     }
 
+    /// Get the number of hosts that share the quotas.
+    pub fn sharing_hosts(&self) -> usize {
+        self.hosts.hosts.len() + self.missing_hosts.len()
+    }
+
     /// Get whether a target gets no new requests according to the host list, its own
     /// registration or an evacuation.
     pub fn target_is_leaving(&self, name: &TargetName) -> bool {
--- a/bergamotswitch-core/tests/quota_fleet/cuts.rs
+++ b/bergamotswitch-core/tests/quota_fleet/cuts.rs
@@ -1,4 +1,4 @@
-//! Provides hosts without a path to the targets.
+//! Provides hosts without a path to the targets, or to the other hosts.
 
 use std::time::Duration;
 
@@ -29,6 +29,22 @@
         self.cut_way = way;
     }
 
+    /// Cut this host off from the other hosts. Callers and targets still reach it, and its
+    /// links stay open.
+    pub fn isolate(&mut self, index: usize) {
+        self.isolated.insert(index);
+    }
+
+    /// Connect all hosts again.
+    pub fn rejoin(&mut self) {
+        self.isolated.clear();
+    }
+
+    /// Get whether messages from one host to another one are lost.
+    pub(super) fn is_lost(&self, from: usize, to: usize) -> bool {
+        from != to && (self.isolated.contains(&from) || self.isolated.contains(&to))
+    }
+
     /// Restore all paths.
     pub fn heal_paths(&mut self) {
         self.cut.clear();
--- a/bergamotswitch-core/tests/quota_fleet/mod.rs
+++ b/bergamotswitch-core/tests/quota_fleet/mod.rs
@@ -123,6 +123,8 @@
     /// The hosts without a path to the targets, and what their connections meet.
     pub cut: BTreeSet<usize>,
     cut_way: CutWay,
+    /// The hosts that are cut off from the other hosts.
+    isolated: BTreeSet<usize>,
     /// The targets that say that they leave, and those that ask for rest.
     pub leaving: BTreeSet<String>,
     pub resting: BTreeMap<String, Duration>,
@@ -210,6 +212,7 @@
             domains: domains::DomainState::default(),
             cut: BTreeSet::new(),
             cut_way: CutWay::Silent,
+            isolated: BTreeSet::new(),
             leaving: BTreeSet::new(),
             resting: BTreeMap::new(),
             notices: notices::NoticeHistory::default(),
@@ -566,10 +569,13 @@
             match action {
                 NodeAction::Send(to, message) => {
                     let to = index_of(&to);
+                    if self.is_lost(index, to) {
+                        continue;
+                    }
                     let delivery = Delivery::Message(index, to, message);
                     self.post(to, self.latency, delivery);
                 }
-                NodeAction::Gossip(action) => self.gossip(action.to, action.message),
+                NodeAction::Gossip(action) => self.gossip(index, action.to, action.message),
                 NodeAction::Connect(host) => {
                     self.hosts[index].wanted.insert(index_of(&host.name));
                 }
@@ -620,10 +626,13 @@
         }
     }
 
-    fn gossip(&mut self, to: std::net::SocketAddr, message: RosterMessage) {
+    fn gossip(&mut self, from: usize, to: std::net::SocketAddr, message: RosterMessage) {
         let mut hosts = 0..HOSTS;
         let to = hosts.find(|index| host_entry(*index).link_address == to);
         let to = to.expect("a host of the fleet");
+        if self.is_lost(from, to) {
+            return;
+        }
         self.post(to, self.latency, Delivery::Gossip(to, Box::new(message)));
     }
 
