Keep a cold target cold across a store's restore

Cause: the copy's entry of the target is from before and says that it is warm. Hosts took it for a newer one by its position; what they knew of targets that leave or were removed was kept, but not this.

In the first read of a later era, an entry of the same process does not end a registered cold time; the known registration counts, also in the list that hosts pass on, until the entry is written anew. A later process is as its entry says.

Ruled out: the longer of two times for every registration, since a target that registers that it is warm is warm (cold_table::cold_again).

--- a/bergamotswitch-core/src/target_list.rs
+++ b/bergamotswitch-core/src/target_list.rs
@@ -327,17 +327,13 @@
     }
 
     /// Drop what is known to be outdated from the entries of a restored store: targets that
-    /// were removed, and the earlier state of targets that leave.
+    /// were removed, and the earlier states of targets that leave or have turned cold. Their
+    /// known states count until they are written anew.
     fn without_outdated(&self, entries: Vec<TargetEntry>) -> Vec<TargetEntry> {
         let entries = entries.into_iter();
         let entries = entries.filter(|entry| !self.removed.contains_key(&entry.name));
         let entries = entries.map(|entry| match self.entries.get(&entry.name) {
-            Some(known)
-                if known.standing == Standing::Leaving
-                    && known.started_at_ms == entry.started_at_ms =>
-            {
-                known.clone()
-            }
+            Some(known) if known.started_at_ms == entry.started_at_ms => with_known(entry, known),
             _ => entry,
         });
         entries.collect()
@@ -412,3 +408,16 @@
         }
     }
 }
+
+/// Get an entry of a restored store with what is known of the same process since.
+fn with_known(entry: TargetEntry, known: &TargetEntry) -> TargetEntry {
+    match (known.standing, known.warming_ms) {
+        (Standing::Leaving, _) => known.clone(),
+        (Standing::Live, 0) => entry,
+        (Standing::Live, warming_ms) => TargetEntry {
+            warming_ms,
+            warming_revision: known.warming_revision,
+            ..entry
+        },
+    }
+}
--- a/bergamotswitch-core/tests/target_register.rs
+++ b/bergamotswitch-core/tests/target_register.rs
@@ -316,3 +316,41 @@
     register.apply(at(20), set(entry("b"), StorePosition::new(1, 61)));
     assert_eq!(names(&register), ["a", "b"]);
 }
+
+/// Guards against a target that has turned cold and gets the usual load again by its earlier
+/// entry in a copy, until it is written anew.
+#[test]
+fn cold_before_copy() {
+    let cold = TargetEntry {
+        warming_ms: 3_000,
+        warming_revision: 101,
+        ..started("a", 10, 80)
+    };
+    let mut register = TargetRegister::default();
+    let entries = vec![started("a", 10, 80), started("b", 10, 81)];
+    register.apply(
+        at(0),
+        TargetUpdate::Snapshot {
+            entries: entries.clone(),
+            unreadable: Vec::new(),
+            as_of: position(100),
+        },
+    );
+    register.apply(at(5), set(cold.clone(), position(101)));
+    register.apply(at(10), copy(entries, 60));
+    let list = register.list().targets;
+    assert_eq!(list, [cold, started("b", 10, 81)]);
+    let warm = started("a", 10, 80);
+    register.apply(at(20), set(warm.clone(), StorePosition::new(1, 61)));
+    assert_eq!(register.list().targets[0], warm);
+    // A process that started later is as its entry says.
+    register.apply(
+        at(30),
+        TargetUpdate::Snapshot {
+            entries: vec![started("a", 11, 80)],
+            unreadable: Vec::new(),
+            as_of: StorePosition::new(2, 40),
+        },
+    );
+    assert_eq!(register.list().targets[0], started("a", 11, 80));
+}
