Reserve memory for bodies in chunks as they arrive

Cause: memory for bodies was reserved by their stated length, which bodies in chunks lack. It is now reserved as they arrive, and a body without room is refused as overloaded, before it was sent anywhere.

--- a/bergamotswitch-net/src/gateway/call.rs
+++ b/bergamotswitch-net/src/gateway/call.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, Version};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
@@ -349,17 +349,41 @@
         Some(length) => Some(reserve_body_memory(context, length)?),
     };
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let reading = timeout(time_left, Limited::new(body, max_bytes).collect());
-    let Ok(read) = reading.await else {
-        return Err(CallFailure::new(RefusalReason::DeadlinePassed));
-    };
-    match read {
-        Ok(collected) => Ok((collected.to_bytes(), permit)),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(CallFailure::new(RefusalReason::TooLarge))
+    let reading = timeout(time_left, collect_body(context, body, max_bytes, permit));
+    let read = reading.await;
+    read.unwrap_or_else(|_| Err(CallFailure::new(RefusalReason::DeadlinePassed)))
+}
+
+/// Collect a body up to a size limit. Without a declared length, memory is reserved as the
+/// body arrives.
+async fn collect_body(
+    context: &GatewayContext,
+    mut body: Incoming,
+    max_bytes: usize,
+    mut permit: Option<OwnedSemaphorePermit>,
+) -> Result<(Bytes, Option<OwnedSemaphorePermit>), CallFailure> {
+    let is_reserved = permit.is_some();
+    let mut parts = Vec::new();
+    let mut count = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CallFailure::CallerDisconnected)?;
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        count += bytes.len();
+        if count > max_bytes {
+            return Err(CallFailure::new(RefusalReason::TooLarge));
+        }
+        if !is_reserved {
+            let added = reserve_body_memory(context, bytes.len() as u64)?;
+            match &mut permit {
+                Some(permit) => permit.merge(added),
+                None => permit = Some(added),
+            }
         }
-        Err(_) => Err(CallFailure::CallerDisconnected),
+        parts.push(bytes);
     }
+    Ok((concat(parts), permit))
 }
 
 /// Reserve memory for a body. Without this limit, a burst of large bodies could
--- a/bergamotswitch/tests/host_child/mod.rs
+++ b/bergamotswitch/tests/host_child/mod.rs
@@ -76,6 +76,15 @@
         self.child.id()
     }
 
+    /// Get the most memory in bytes that the process has had in use so far.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.expect("a running host");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.split_whitespace().next()?.parse::<u64>().ok());
+        kib.expect("a size") << 10
+    }
+
     /// Get whether the host has reported that it listens on all its addresses.
     pub fn has_started(&self) -> bool {
         lock(&self.output.seen).started
--- a/bergamotswitch/tests/users/mod.rs
+++ b/bergamotswitch/tests/users/mod.rs
@@ -43,6 +43,9 @@
 /// How long a revoked API key may still be accepted.
 pub const REVOKE_MS: u64 = 3_000;
 
+/// The memory of a host in MiB.
+pub const MEMORY_MB: u64 = 128;
+
 /// The requests per second that a cold target bears, and how far they may be exceeded: a
 /// factor, and a number of requests.
 pub const COLD_PER_SECOND: u32 = 10;
@@ -74,6 +77,8 @@
     pub stream_priority: u32,
     /// The maximum size of a request's head, in bytes.
     pub max_head_bytes: u32,
+    /// The maximum size of a request's body, in bytes.
+    pub max_body_bytes: u32,
     /// How long a caller's connection may be idle.
     pub idle_timeout: Duration,
 }
@@ -91,6 +96,7 @@
             grace: Duration::from_secs(8),
             stream_priority: 0,
             max_head_bytes: 16_384,
+            max_body_bytes: 1_000,
             idle_timeout: Duration::from_secs(15),
         }
     }
@@ -368,7 +374,7 @@
             {"name": "desk", "healthPath": "/healthz", "maxConnections": 100,
              "coldStartS": 3, "coldPerS": COLD_PER_SECOND},
         ],
-        "limits": {"maxHeaderBytes": options.max_head_bytes, "maxBodyBytes": 1_000,
+        "limits": {"maxHeaderBytes": options.max_head_bytes, "maxBodyBytes": options.max_body_bytes,
                    "headerTimeoutMs": 3000,
                    "idleTimeoutMs": options.idle_timeout.as_millis() as u64},
         "tenants": [{"name": "company", "apiKeys": keys, "unit": "token_accounting",
@@ -513,7 +519,7 @@
         "gateway": {
             "readiness_address": readiness, "directory_address": directory,
             "metrics_address": metrics, "store_address": store, "seeds": [seed],
-            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": 128,
+            "link_key": "a-secret-of-the-test-site", "cores": 0.25, "memory_mb": MEMORY_MB,
             "revoke_ms": REVOKE_MS, "retry_ratio": 1.0, "retry_slack": 50,
             "cold_factor": COLD_FACTOR, "cold_slack": COLD_SLACK,
         },
