Bound the memory for all long answers together

Long answers now share a tenth of the host's memory while they are held back. Once they exceed it, the longest one is given up, as its target is the likely cause. The first 64 KB of each do not count, so short answers are passed on beside them. A stated length beyond 16 MB is given up at once.

Ruled out: a smaller bound for each answer, as their number is not bounded; giving up the answer that comes too late, which may be a sound one.

Cost: a sound answer of more than 64 KB is given up if it is the longest while all together exceed the bound.

--- a/bergamotswitch-net/src/node/gateway_setup.rs
+++ b/bergamotswitch-net/src/node/gateway_setup.rs
@@ -99,6 +99,10 @@
 /// The divisor of a host's memory that gives the limit for request bodies.
 const BODY_MEMORY_DIVISOR: usize = 5;
 
+/// The divisor of a host's memory that gives the limit for answers that are held back. While
+/// they are put together, they take twice as much.
+const ANSWER_MEMORY_DIVISOR: usize = 10;
+
 /// Get the fleet limits that apply while none are published.
 pub(super) fn limits(gateway: &GatewaySettings) -> FleetLimits {
     let retry_permille = gateway.retry_ratio * RETRY_FRACTION * 1_000.0;
@@ -185,8 +189,9 @@
 }
 
 /// Get the options of the target client.
-pub(super) fn target_options() -> TargetClientOptions {
+pub(super) fn target_options(gateway: &GatewaySettings) -> TargetClientOptions {
     TargetClientOptions::default()
+        .with_answer_bytes(memory_bytes(gateway) / ANSWER_MEMORY_DIVISOR)
         .with_connect_timeout(Duration::from_millis(1_000))
         .with_idle_reuse(IDLE_REUSE)
         .with_max_idle_per_target(MAX_IDLE_PER_TARGET)
@@ -196,8 +201,12 @@
 
 /// Get the maximum number of bytes of request bodies that the host buffers.
 pub(super) fn body_bytes(gateway: &GatewaySettings) -> usize {
+    memory_bytes(gateway) / BODY_MEMORY_DIVISOR
+}
+
+fn memory_bytes(gateway: &GatewaySettings) -> usize {
     let memory = usize::try_from(gateway.memory_mb).unwrap_or(usize::MAX);
-    memory.saturating_mul(1 << 20) / BODY_MEMORY_DIVISOR
+    memory.saturating_mul(1 << 20)
 }
 
 /// Get what the host may use.
--- a/bergamotswitch-net/src/node/host_parts.rs
+++ b/bergamotswitch-net/src/node/host_parts.rs
@@ -65,7 +65,7 @@
         Ok(HostParts {
             callers: CallerServer::Gateway(server.map_err(NodeError::Serve)?),
             platform: ValueSource::Store(StoreSource::new(gateway.store_address, node.clone())),
-            targets: TargetClient::new(gateway_setup::target_options(), node),
+            targets: TargetClient::new(gateway_setup::target_options(gateway), node),
             gossip: Some(gossip.map_err(NodeError::Serve)?),
         })
     }
--- a/bergamotswitch-net/src/node/mod.rs
+++ b/bergamotswitch-net/src/node/mod.rs
@@ -135,8 +135,8 @@
 
     /// Get the options of connections to targets.
     fn target_options(&self) -> TargetClientOptions {
-        match self.settings.gateway {
-            Some(_) => gateway_setup::target_options(),
+        match &self.settings.gateway {
+            Some(gateway) => gateway_setup::target_options(gateway),
             None => TargetClientOptions::default(),
         }
     }
--- a/bergamotswitch-net/src/target_client/call_context.rs
+++ b/bergamotswitch-net/src/target_client/call_context.rs
@@ -20,6 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::CallRoute;
+use super::answer_memory::AnswerMemory;
 use super::attempt_report::{StepSender, log_incident};
 use super::connection::{IdleConnections, TargetConnection, TargetRequest};
 use super::event_stream::MAX_EVENT_BYTES;
@@ -116,6 +117,7 @@
     pub target: PoolTarget,
     pub options: Arc<TargetClientOptions>,
     pub idle_connections: IdleConnections,
+    pub answer_memory: AnswerMemory,
     pub route: CallRoute,
     pub tunnels: Option<TunnelPool>,
     pub steps: StepSender,
--- a/bergamotswitch-net/src/target_client/mod.rs
+++ b/bergamotswitch-net/src/target_client/mod.rs
@@ -4,6 +4,7 @@
 //! sent" only if no connection was established, and "finished" only if the
 //! answer is complete and belongs to the request.
 
+pub mod answer_memory;
 mod attempt_report;
 mod cache_read;
 mod call_context;
@@ -35,6 +36,7 @@
 use bergamotswitch_core::target_path::TargetPath;
 use tokio::task::JoinHandle;
 
+use self::answer_memory::AnswerMemory;
 use self::attempt_report::{AbortFlag, AttemptReport, StepSender};
 use self::call_context::{CallContext, CallEnd, CallTrace};
 use self::connection::{ConnectionCounts, IdleConnections};
@@ -75,6 +77,7 @@
     options: Arc<TargetClientOptions>,
     events: NodeSender,
     idle_connections: IdleConnections,
+    answer_memory: AnswerMemory,
     calls: HashMap<AttemptId, CallGuard>,
     sweep_at: usize,
     watches: HashMap<TargetName, LoadWatch>,
@@ -104,10 +107,13 @@
 impl TargetClient {
     /// Get a client that reports to the event loop through `events`.
     pub fn new(options: TargetClientOptions, events: NodeSender) -> Self {
+        let answer_memory = AnswerMemory::default();
+        answer_memory.set_max_bytes(options.answer_bytes);
         TargetClient {
             options: Arc::new(options),
             events,
             idle_connections: IdleConnections::default(),
+            answer_memory,
             calls: HashMap::new(),
             sweep_at: FIRST_SWEEP,
             watches: HashMap::new(),
@@ -128,6 +134,7 @@
         if *self.options == options {
             return;
         }
+        self.answer_memory.set_max_bytes(options.answer_bytes);
         self.options = Arc::new(options);
         for watch in self.watches.values_mut() {
             *watch = LoadWatch::start(&watch.target().clone(), &self.options, &self.events);
@@ -183,6 +190,7 @@
             target: target.clone(),
             options: Arc::clone(&self.options),
             idle_connections: self.idle_connections.clone(),
+            answer_memory: self.answer_memory.clone(),
             answer,
             trace: trace.clone(),
         };
--- a/bergamotswitch-net/src/target_client/options.rs
+++ b/bergamotswitch-net/src/target_client/options.rs
@@ -61,6 +61,9 @@
     /// The gap in a target's cache events after which the connection is
     /// replaced.
     pub cache_idle: Duration,
+    /// The bytes of long answers that a gateway holds back until they are complete, over all
+    /// targets.
+    pub answer_bytes: usize,
 }
 
 impl Default for TargetClientOptions {
@@ -94,6 +97,7 @@
             user_timeout: Duration::from_secs(15),
             load_period: Duration::from_millis(500),
             cache_idle: Duration::from_secs(60),
+            answer_bytes: usize::MAX,
         }
     }
 }
@@ -147,5 +151,7 @@
         with_load_period, load_period: Duration;
         /// Set the gap after which a cache event connection is replaced.
         with_cache_idle, cache_idle: Duration;
+        /// Set the bytes of long answers that a gateway holds back.
+        with_answer_bytes, answer_bytes: usize;
     }
 }
--- a/bergamotswitch-net/src/target_client/routed_call.rs
+++ b/bergamotswitch-net/src/target_client/routed_call.rs
@@ -11,9 +11,11 @@
 use bergamotswitch_core::target_answer::{AnswerFraming, AnswerHead, AnswerUse};
 use bergamotswitch_platform::answer::{self, TargetAnswer};
 use bergamotswitch_platform::outgoing::OutgoingHead;
+use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use tokio::time::{sleep, timeout};
 
 use super::attempt_report::AttemptReport;
@@ -246,11 +248,12 @@
         // The caller has already received a part of a resumed stream, so an
         // error answer cannot follow.
         let has_started = self.context.answer.last_event_id().is_some();
-        let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let Ok(bytes) = collected.map(|collected| collected.to_bytes()) else {
-            self.context
-                .log_incident(Incident::AnswerRejected, "answer truncated");
-            return CallEnd::Broken(meter.usage());
+        let bytes = match self.collect(body).await {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                self.context.log_incident(Incident::AnswerRejected, cause);
+                return CallEnd::Broken(meter.usage());
+            }
         };
         if !self.is_whole(!bytes.is_empty()).await {
             return CallEnd::Broken(meter.usage());
@@ -269,6 +272,36 @@
         }
     }
 
+    /// Try to read a whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the answer is given up.
+    async fn collect(&self, mut body: TargetBody) -> Result<Bytes, &'static str> {
+        let mut hold = self.context.answer_memory.hold();
+        let mut parts = Vec::new();
+        let mut count = 0;
+        if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+            return Err("answer too large");
+        }
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| "answer truncated")?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            count += bytes.len();
+            if count > MAX_BODY_BYTES || !hold.resize(count) {
+                return Err("answer too large");
+            }
+            parts.push(bytes);
+        }
+        let bytes = match parts.len() {
+            1 => parts.remove(0),
+            _ => parts.concat().into(),
+        };
+        Ok(hold.keep(bytes))
+    }
+
     /// Forward a stream's events as they arrive.
     async fn read_stream(
         self,
@@ -283,6 +316,7 @@
         let mut head_pushed = passed.is_some();
         let has_events = self.has_events();
         let mut has_content = false;
+        let mut hold = self.context.answer_memory.hold();
         if resumed_after.is_some() && !has_events {
             self.context
                 .log_incident(Incident::AnswerRejected, "stream resumed without events");
@@ -316,7 +350,8 @@
                 report_step(meter.add_event(), report);
                 self.context.answer.push_event(block.bytes, place);
             }
-            if splitter.rest_len() > MAX_BODY_BYTES {
+            let held = splitter.rest_len();
+            if held > MAX_BODY_BYTES || !hold.resize(held) {
                 self.context
                     .log_incident(Incident::AnswerRejected, "event too large");
                 return CallEnd::Broken(meter.usage());
@@ -339,7 +374,7 @@
             self.push_head();
         }
         if !rest.is_empty() {
-            self.context.answer.push(AnswerPart::Data(rest));
+            self.context.answer.push(AnswerPart::Data(hold.keep(rest)));
         }
         self.keep();
         CallEnd::Finished(meter.usage())
--- a/bergamotswitch/tests/endless_answers.rs
+++ b/bergamotswitch/tests/endless_answers.rs
@@ -6,11 +6,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use users::{Answer, Call, Site, SiteOptions, until};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use users::{Answer, Call, MEMORY_MB, Site, SiteOptions, until};
 
 /// The signature of the target.
 const SEAL: &str = "seal-of-raw";
@@ -58,7 +61,8 @@
         total += next.len() as u64;
         sent.most.fetch_max(total, Ordering::Relaxed);
         next.clone_from(&rest);
-        tokio::task::yield_now().await;
+        // Answers that are sent at once grow side by side.
+        sleep(Duration::from_millis(1)).await;
     }
     sent.open.fetch_sub(1, Ordering::Relaxed);
 }
@@ -74,9 +78,8 @@
     address
 }
 
-/// Check that a call whose target sends this gets an answer that is no whole success, and
-/// that the target's connections are closed.
-async fn check(answer: EndlessAnswer, call: Call) {
+/// Start a site whose only target sends this.
+async fn start_site(answer: EndlessAnswer, sent: &Arc<SentBytes>) -> Site {
     let site = Site::start_with(SiteOptions {
         engine_versions: Vec::new(),
         ..SiteOptions::default()
@@ -85,15 +88,25 @@
     for desk in &site.desks {
         site.store.remove(&format!("servers/{}", desk.name()));
     }
-    let sent = Arc::new(SentBytes::default());
-    let address = start_target(answer, Arc::clone(&sent)).await;
-    for service in ["drafting", "desk"] {
+    let address = start_target(answer, Arc::clone(sent)).await;
+    let services = ["drafting", "desk"].into_iter();
+    let names = services.flat_map(|service| (0..4).map(move |number| (service, number)));
+    for (service, number) in names {
         let entry = json!({
             "service": service, "address": address.to_string(), "zone": "hall-1",
-            "version": "v1", "slots": 4, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
         });
-        site.store.put(&format!("servers/raw-{service}"), &entry);
+        let key = format!("servers/raw-{service}-{number}");
+        site.store.put(&key, &entry);
     }
+    site
+}
+
+/// Check that a call whose target sends this gets an answer that is no whole success, and
+/// that the target's connections are closed.
+async fn check(answer: EndlessAnswer, call: Call) {
+    let sent = Arc::new(SentBytes::default());
+    let site = start_site(answer, &sent).await;
     let mut last: Option<Answer> = None;
     until("a call at the target", async || {
         last = call.clone().send(site.address()).await.ok();
@@ -177,3 +190,52 @@
     };
     check(answer, Call::stream("/once/1", "r-1")).await;
 }
+
+/// Check that many such answers at once stay within the memory of the host.
+async fn check_many(answer: EndlessAnswer, call: Call) {
+    const CALLS: usize = 24;
+    let sent = Arc::new(SentBytes::default());
+    let site = start_site(answer, &sent).await;
+    // Until the host has read the target's entry.
+    sleep(Duration::from_secs(1)).await;
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        let call = call.clone().with("request-id", &format!("many-{number}"));
+        calls.spawn(call.send(site.address()));
+    }
+    for answer in calls.join_all().await.into_iter().flatten() {
+        assert!(!(answer.status.is_success() && answer.whole), "{answer:?}");
+    }
+    let ran = sent.calls.load(Ordering::Relaxed);
+    assert!(ran >= CALLS / 2, "only {ran} at the target");
+    let peak = site.hosts[0].child.peak_memory();
+    assert!(peak < MEMORY_MB << 20, "{peak} bytes");
+}
+
+/// Guards against many plain bodies without end that take the memory of the host.
+#[tokio::test]
+async fn many_bodies() {
+    let answer = EndlessAnswer {
+        has_head: true,
+        start: "Content-Length: 99999999999\r\n\r\n",
+        rest: "noise that is no answer",
+    };
+    check_many(answer, Call::new("GET", "/status/1", "r-1")).await;
+    let answer = EndlessAnswer {
+        has_head: true,
+        start: "\r\n",
+        rest: "noise that is no answer",
+    };
+    check_many(answer, Call::new("GET", "/status/1", "r-1")).await;
+}
+
+/// Guards against many events without end that take the memory of the host.
+#[tokio::test]
+async fn many_events() {
+    let answer = EndlessAnswer {
+        has_head: true,
+        start: "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+        rest: "noise that ends no event",
+    };
+    check_many(answer, Call::stream("/once/1", "r-1")).await;
+}
