--- a/bergamotswitch-core/src/node/missing_hosts.rs
+++ b/bergamotswitch-core/src/node/missing_hosts.rs
@@ -4,11 +4,12 @@
 //! side may have an owner of every shard, so none may take over the other's part of a quota
 //! before that side is likely to have ended.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::core::NodeCore;
 use crate::clock::Moment;
-use crate::host::{HostList, Standing};
+use crate::host::{HostList, HostName, Standing};
 
 /// How long a minority of the hosts counts as cut off once it falls silent.
 const MINORITY_RETENTION: Duration = Duration::from_secs(10);
@@ -28,24 +29,14 @@
     /// Update the missing hosts from the list that was in force until now.
     pub(super) fn update_missing_hosts(&mut self, now: Moment, former: &HostList) {
         let publication = &mut self.publication;
-        let listed = |host| {
-            publication
-                .hosts
-                .hosts
-                .iter()
-                .any(|known| known.name == host)
-        };
-        let vanished = former.hosts.iter();
-        let vanished = vanished.filter(|host| host.standing == Standing::Live);
-        let vanished = vanished.map(|host| host.name.clone());
-        let vanished: Vec<_> = vanished.filter(|host| !listed(host.clone())).collect();
-        let missing = &mut publication.missing_hosts;
-        for host in vanished {
-            missing.entry(host).or_insert(now);
-        }
         let listed = publication.hosts.hosts.iter();
-        for host in listed {
-            missing.remove(&host.name);
+        let listed: BTreeSet<&HostName> = listed.map(|host| &host.name).collect();
+        let missing = &mut publication.missing_hosts;
+        missing.retain(|host, _| !listed.contains(host));
+        let live = former.hosts.iter();
+        let live = live.filter(|host| host.standing == Standing::Live);
+        for host in live.filter(|host| !listed.contains(&host.name)) {
+            missing.entry(host.name.clone()).or_insert(now);
         }
     }
 
